--- /dev/null
+++ b/tarragontrail/config/setting_checks.cpp
@@ -0,0 +1,145 @@
+#include "tarragontrail/config/setting_checks.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <fmt/core.h>
+#include <gflags/gflags.h>
+#include <regex>
+
+namespace tarragontrail::config {
+namespace {
+
+std::string variable_name(std::string_view setting)
+{
+    std::string name = "TARRAGONTRAIL_";
+    for (const char letter : setting)
+    {
+        name.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(letter))));
+    }
+    return name;
+}
+
+void print_help(const setting_page& page, std::span<const setting_description> descriptions)
+{
+    fmt::print("{} {}\n{}\n\nUsage: {} [--setting=value ...] {}\n\nSettings:\n", page.m_program,
+               TARRAGONTRAIL_VERSION, page.m_description, page.m_program, page.m_arguments);
+    for (const setting_description& line : descriptions)
+    {
+        fmt::print("  --{} ({}, default {}; {})\n      {}\n", line.m_name, line.m_kind,
+                   line.m_default_value, variable_name(line.m_name), line.m_description);
+    }
+    fmt::print("  --help\n      Prints this text.\n  --version\n      Prints the version.\n");
+}
+
+void apply_value(std::string_view setting, const std::string& value)
+{
+    const std::string name(setting);
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+    {
+        throw setting_error(setting, value, "wrong kind of value");
+    }
+}
+
+void apply_environment(std::span<const setting_description> descriptions)
+{
+    for (const setting_description& line : descriptions)
+    {
+        const char* value = std::getenv(variable_name(line.m_name).c_str());
+        if (value == nullptr)
+        {
+            continue;
+        }
+        apply_value(line.m_name, value);
+    }
+}
+
+bool is_known(std::span<const setting_description> descriptions, std::string_view name)
+{
+    return std::any_of(descriptions.begin(), descriptions.end(),
+                       [name](const setting_description& line) { return name == line.m_name; });
+}
+
+/// Applies one `--name=value` or `--name value`; returns how many words it took.
+int apply_flag(std::span<const setting_description> descriptions, int position, int argc,
+               char** argv)
+{
+    std::string_view word = argv[position];
+    word.remove_prefix(word.starts_with("--") ? 2 : 1);
+    const std::size_t equals = word.find('=');
+    const std::string_view name = word.substr(0, equals);
+    if (!is_known(descriptions, name))
+    {
+        throw setting_error(name, "", "unknown setting");
+    }
+    if (equals != std::string_view::npos)
+    {
+        apply_value(name, std::string(word.substr(equals + 1)));
+        return 1;
+    }
+    if (position + 1 == argc)
+    {
+        throw setting_error(name, "", "value missing");
+    }
+    apply_value(name, argv[position + 1]);
+    return 2;
+}
+
+} // namespace
+
+setting_error::setting_error(std::string_view setting, std::string_view value,
+                             std::string_view reason)
+    : error(fmt::format("setting {}: {} (value '{}')", setting, reason, value)), m_setting(setting)
+{}
+
+void parse_settings(const setting_page& page, std::span<const setting_description> descriptions,
+                    int& argc, char**& argv)
+{
+    apply_environment(descriptions);
+
+    // Flags are taken out of argv; other words keep their order.
+    int kept = 1;
+    int position = 1;
+    while (position < argc)
+    {
+        const std::string_view word = argv[position];
+        if (word == "--help")
+        {
+            print_help(page, descriptions);
+            std::exit(EXIT_SUCCESS);
+        }
+        if (word == "--version")
+        {
+            fmt::print("{} {}\n", page.m_program, TARRAGONTRAIL_VERSION);
+            std::exit(EXIT_SUCCESS);
+        }
+        if (!word.starts_with("--"))
+        {
+            argv[kept++] = argv[position++];
+            continue;
+        }
+        position += apply_flag(descriptions, position, argc, argv);
+    }
+    argc = kept;
+}
+
+void check_range(std::string_view setting, double value, double minimum, double maximum)
+{
+    if (value >= minimum && value <= maximum)
+    {
+        return;
+    }
+    throw setting_error(setting, fmt::format("{}", value),
+                        fmt::format("must lie between {} and {}", minimum, maximum));
+}
+
+void check_pattern(std::string_view setting, const std::string& value, const char* pattern)
+{
+    if (std::regex_match(value, std::regex(pattern)))
+    {
+        return;
+    }
+    throw setting_error(setting, value, fmt::format("must match {}", pattern));
+}
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/core/bounded_ring.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace tarragontrail::core {
+
+/// Fixed-capacity queue between two duties' threads; a full ring refuses instead of growing.
+template <class Item>
+class bounded_ring
+{
+public:
+    /// Reserves room for `capacity` items, at least one.
+    explicit bounded_ring(std::size_t capacity) : m_slots(capacity == 0 ? 1 : capacity) {}
+
+    /// Appends an item; returns false and leaves the item untouched when the ring is full.
+    bool try_push(Item&& item)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_size == m_slots.size())
+        {
+            return false;
+        }
+        m_slots[(m_first + m_size) % m_slots.size()] = std::move(item);
+        ++m_size;
+        return true;
+    }
+
+    /// Takes the oldest item, or nothing when the ring is empty.
+    std::optional<Item> try_pop()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_size == 0)
+        {
+            return std::nullopt;
+        }
+        std::optional<Item> item(std::move(*m_slots[m_first]));
+        m_slots[m_first].reset();
+        m_first = (m_first + 1) % m_slots.size();
+        --m_size;
+        return item;
+    }
+
+    /// Number of items waiting.
+    std::size_t size() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_size;
+    }
+
+private:
+    mutable std::mutex m_mutex;               ///< Guards all members below.
+    std::vector<std::optional<Item>> m_slots; ///< Storage; its size is the capacity.
+    std::size_t m_first = 0;                  ///< Slot of the oldest item.
+    std::size_t m_size = 0;                   ///< Items waiting.
+};
+
+} // namespace tarragontrail::core
--- /dev/null
+++ b/tarragontrail/core/hash.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace tarragontrail::core {
+
+/// XXH3 of bytes under a seed.
+std::uint64_t hash_bytes(std::string_view bytes, std::uint64_t seed = 0) noexcept;
+
+/// Hash of two integers in order; used to extend a chain of hashes.
+std::uint64_t hash_pair(std::uint64_t first, std::uint64_t second) noexcept;
+
+/// Rendezvous score of a node for a key: the node with the highest score owns the key.
+std::uint64_t rendezvous_score(std::uint64_t key, std::uint64_t node) noexcept;
+
+} // namespace tarragontrail::core
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Checks format, generated code and lint. With --fix, formats in place first.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_FOLDER:-build}
+mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.hpp' '*.cpp' | grep -v '/generated_')
+if [ "${1:-}" = "--fix" ]; then
+  clang-format -i "${files[@]}"
+  shift
+fi
+clang-format --dry-run --Werror "${files[@]}"
+/usr/bin/env python3 -c 'import jinja2' 2>/dev/null && python=python3 || python=/usr/bin/python3
+$python schema/generate.py --check
+cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+# Only sources under the linter's reach: the websocketpp object is C++17 library glue.
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -v websocket_codec)
+if [ $# -gt 0 ]; then sources=("$@"); fi
+printf '%s\n' "${sources[@]}" | xargs -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet 2>&1 |
+  grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header|^$' | tee "$build/lint.log" || true
+if grep -qE '(error|warning):' "$build/lint.log"; then
+  echo "lint: findings above"
+  exit 1
+fi
+echo "lint: clean"
