Add the HTTP server and client on Asio and Beast, duties and log lines

Cause: every process needs HTTP with bounded input, streams and failures that say how far a call had come, since a refusal may only say 'not run' when no byte was sent. Ruled out: Beast's tcp_stream timeouts, which use the system clock and cannot be paused by tests.

--- a/tarragontrail/core/clock.cpp
+++ b/tarragontrail/core/clock.cpp
@@ -40,6 +40,11 @@
     {}
 }
 
+bool runtime_clock::is_paused() noexcept
+{
+    return paused_reading.load(std::memory_order_acquire) != not_paused;
+}
+
 void runtime_clock::resume() noexcept
 {
     paused_reading.store(not_paused);
--- a/tarragontrail/core/clock.hpp
+++ b/tarragontrail/core/clock.hpp
@@ -26,6 +26,9 @@
     /// Moves a paused clock forward; has no effect on a running clock.
     static void advance(duration step) noexcept;
 
+    /// True while the clock stands still.
+    static bool is_paused() noexcept;
+
     /// Lets the clock run again from the operating system's reading.
     static void resume() noexcept;
 };
--- /dev/null
+++ b/tarragontrail/net/http_client.cpp
@@ -0,0 +1,397 @@
+#include "tarragontrail/net/http_client.hpp"
+
+#include "tarragontrail/net/timer.hpp"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <deque>
+#include <optional>
+
+namespace tarragontrail::net {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// One connection with the bytes read ahead on it.
+struct client_connection
+{
+    explicit client_connection(boost::asio::io_context& context) : m_socket(context) {}
+
+    tcp::socket m_socket;               ///< Connection to the server.
+    boost::beast::flat_buffer m_buffer; ///< Bytes read and not parsed.
+    bool m_reused = false;              ///< An earlier call used it.
+};
+
+/// Idle connections by endpoint.
+struct http_client::pool
+{
+    pool(boost::asio::io_context& context, std::size_t idle_limit)
+        : m_context(context), m_idle_limit(idle_limit)
+    {}
+
+    std::unique_ptr<client_connection> take(const tcp::endpoint& endpoint)
+    {
+        auto& idle = m_idle[endpoint];
+        while (!idle.empty())
+        {
+            std::unique_ptr<client_connection> connection = std::move(idle.back());
+            idle.pop_back();
+            if (is_quiet(*connection))
+            {
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
+    void give_back(const tcp::endpoint& endpoint, std::unique_ptr<client_connection> connection)
+    {
+        auto& idle = m_idle[endpoint];
+        if (idle.size() >= m_idle_limit || connection->m_buffer.size() > 0)
+        {
+            return;
+        }
+        connection->m_reused = true;
+        idle.push_back(std::move(connection));
+    }
+
+    /// An idle connection that has something to read was closed by the server.
+    static bool is_quiet(client_connection& connection)
+    {
+        char byte = 0;
+        error_code error;
+        connection.m_socket.non_blocking(true, error);
+        connection.m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
+                                    error);
+        return error == boost::asio::error::would_block;
+    }
+
+    boost::asio::io_context& m_context; ///< Event loop.
+    std::size_t m_idle_limit;           ///< Most idle connections kept per endpoint.
+    std::map<tcp::endpoint, std::deque<std::unique_ptr<client_connection>>> m_idle; ///< Idle ones.
+};
+
+namespace {
+
+/// Gathers a whole response for `fetch`.
+class gathering_listener : public call_listener
+{
+public:
+    explicit gathering_listener(std::function<void(http_client::fetch_result)> on_result)
+        : m_on_result(std::move(on_result))
+    {}
+
+    void on_head(const http_response& head) override { m_result.m_response = head; }
+
+    void on_body(std::string_view piece) override { m_result.m_response.body().append(piece); }
+
+    void on_complete() override
+    {
+        m_result.m_ok = true;
+        m_on_result(std::move(m_result));
+    }
+
+    void on_failed(const call_failure& failure) override
+    {
+        m_result.m_failure = failure;
+        m_on_result(std::move(m_result));
+    }
+
+private:
+    std::function<void(http_client::fetch_result)> m_on_result; ///< Told once.
+    http_client::fetch_result m_result;                         ///< Filled as it arrives.
+};
+
+} // namespace
+
+/// State machine of one call: connect, send, read the head, read the body.
+template <class Pool>
+class running_call : public http_call, public std::enable_shared_from_this<running_call<Pool>>
+{
+public:
+    running_call(std::shared_ptr<Pool> pool, const tcp::endpoint& endpoint, http_request request,
+                 const call_settings& settings, std::shared_ptr<call_listener> listener)
+        : m_pool(std::move(pool)), m_endpoint(endpoint), m_request(std::move(request)),
+          m_settings(settings), m_listener(std::move(listener)), m_timer(m_pool->m_context)
+    {}
+
+    void start()
+    {
+        if (!m_settings.m_fresh_connection)
+        {
+            m_connection = m_pool->take(m_endpoint);
+        }
+        if (m_connection)
+        {
+            send();
+            return;
+        }
+        connect();
+    }
+
+    void cancel() override
+    {
+        m_listener.reset();
+        close();
+    }
+
+private:
+    using self_pointer = std::shared_ptr<running_call<Pool>>;
+
+    void connect()
+    {
+        m_connection = std::make_unique<client_connection>(m_pool->m_context);
+        arm(m_settings.m_connect_timeout);
+        m_connection->m_socket.async_connect(
+            m_endpoint, [self = this->shared_from_this()](error_code error) {
+                if (error)
+                {
+                    self->fail(call_fault::refused);
+                    return;
+                }
+                error_code ignored;
+                if (self->m_connection)
+                {
+                    self->m_connection->m_socket.set_option(tcp::no_delay(true), ignored);
+                    self->send();
+                }
+            });
+    }
+
+    void send()
+    {
+        m_stage = call_stage::sending;
+        arm(m_settings.m_first_byte_timeout);
+        http::async_write(m_connection->m_socket, m_request,
+                          [self = this->shared_from_this()](error_code error, std::size_t) {
+                              if (error)
+                              {
+                                  self->fail(call_fault::lost);
+                                  return;
+                              }
+                              self->read_head();
+                          });
+    }
+
+    void read_head()
+    {
+        if (!m_connection)
+        {
+            return;
+        }
+        m_parser.emplace();
+        m_parser->body_limit(m_settings.m_body_limit_bytes);
+        http::async_read_header(m_connection->m_socket, m_connection->m_buffer, *m_parser,
+                                [self = this->shared_from_this()](error_code error, std::size_t) {
+                                    self->on_head(error);
+                                });
+    }
+
+    void on_head(error_code error)
+    {
+        if (error)
+        {
+            fail(fault_of(error));
+            return;
+        }
+        m_stage = call_stage::receiving;
+        http_response head;
+        head.base() = m_parser->get().base();
+        notify([&head](call_listener& listener) { listener.on_head(head); });
+        read_body();
+    }
+
+    void read_body()
+    {
+        if (!m_listener || !m_connection)
+        {
+            return;
+        }
+        if (m_parser->is_done())
+        {
+            complete();
+            return;
+        }
+        arm(m_settings.m_idle_timeout);
+        auto& body = m_parser->get().body();
+        body.data = m_piece.data();
+        body.size = m_piece.size();
+        http::async_read_some(m_connection->m_socket, m_connection->m_buffer, *m_parser,
+                              [self = this->shared_from_this()](error_code error, std::size_t) {
+                                  self->on_piece(error);
+                              });
+    }
+
+    void on_piece(error_code error)
+    {
+        if (error && error != http::error::need_buffer)
+        {
+            fail(fault_of(error));
+            return;
+        }
+        const std::size_t size = m_piece.size() - m_parser->get().body().size;
+        if (size > 0)
+        {
+            const std::string_view piece(m_piece.data(), size);
+            notify([piece](call_listener& listener) { listener.on_body(piece); });
+        }
+        read_body();
+    }
+
+    void complete()
+    {
+        m_timer.cancel();
+        if (m_parser->keep_alive())
+        {
+            m_pool->give_back(m_endpoint, std::move(m_connection));
+        }
+        close();
+        if (const auto listener = std::exchange(m_listener, nullptr))
+        {
+            listener->on_complete();
+        }
+    }
+
+    void fail(call_fault fault)
+    {
+        const bool reused = m_connection && m_connection->m_reused;
+        const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
+        close();
+        if (const auto listener = std::exchange(m_listener, nullptr))
+        {
+            listener->on_failed(failure);
+        }
+    }
+
+    template <class Event>
+    void notify(Event event)
+    {
+        // The listener may cancel the call from within its event.
+        if (const auto listener = m_listener)
+        {
+            event(*listener);
+        }
+    }
+
+    void arm(std::chrono::milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([weak = this->weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || !self->m_connection)
+            {
+                return;
+            }
+            self->m_timed_out = true;
+            error_code ignored;
+            self->m_connection->m_socket.close(ignored);
+        });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        if (m_connection)
+        {
+            error_code ignored;
+            m_connection->m_socket.close(ignored);
+        }
+    }
+
+    static call_fault fault_of(error_code error)
+    {
+        const bool from_parser =
+            error.category() == http::make_error_code(http::error::bad_version).category();
+        if (from_parser && error != http::error::end_of_stream &&
+            error != http::error::partial_message)
+        {
+            return call_fault::malformed;
+        }
+        return call_fault::lost;
+    }
+
+    static constexpr std::size_t piece_bytes = std::size_t{16} * 1024;
+
+    std::shared_ptr<Pool> m_pool;                    ///< Source of idle connections.
+    tcp::endpoint m_endpoint;                        ///< Server.
+    http_request m_request;                          ///< Request being sent.
+    call_settings m_settings;                        ///< Deadlines.
+    std::shared_ptr<call_listener> m_listener;       ///< Cleared at the last event.
+    timer m_timer;                                   ///< Deadline of the current stage.
+    std::unique_ptr<client_connection> m_connection; ///< Connection in use.
+    std::optional<http::response_parser<http::buffer_body>> m_parser; ///< Response being read.
+    std::array<char, piece_bytes> m_piece{};     ///< Room for one piece of the body.
+    call_stage m_stage = call_stage::connecting; ///< How far the call has come.
+    bool m_timed_out = false;                    ///< A deadline closed the connection.
+};
+
+const char* to_string(call_fault fault) noexcept
+{
+    switch (fault)
+    {
+    case call_fault::refused:
+        return "refused";
+    case call_fault::timed_out:
+        return "timed_out";
+    case call_fault::lost:
+        return "lost";
+    case call_fault::malformed:
+        return "malformed";
+    case call_fault::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+http_client::http_client(boost::asio::io_context& context, std::size_t idle_limit)
+    : m_pool(std::make_shared<pool>(context, idle_limit))
+{}
+
+http_client::~http_client() = default;
+
+std::shared_ptr<http_call> http_client::start(const tcp::endpoint& endpoint, http_request request,
+                                              const call_settings& settings,
+                                              std::shared_ptr<call_listener> listener)
+{
+    request.prepare_payload();
+    auto call = std::make_shared<running_call<pool>>(m_pool, endpoint, std::move(request), settings,
+                                                     std::move(listener));
+    boost::asio::post(m_pool->m_context, [call] { call->start(); });
+    return call;
+}
+
+std::shared_ptr<http_call> http_client::fetch(const tcp::endpoint& endpoint, http_request request,
+                                              const call_settings& settings,
+                                              std::function<void(fetch_result)> on_result)
+{
+    return start(endpoint, std::move(request), settings,
+                 std::make_shared<gathering_listener>(std::move(on_result)));
+}
+
+void http_client::forget(const tcp::endpoint& endpoint)
+{
+    m_pool->m_idle.erase(endpoint);
+}
+
+http_request make_request(boost::beast::http::verb method, std::string_view target,
+                          std::string body)
+{
+    http_request request;
+    request.version(11);
+    request.method(method);
+    request.target(boost::beast::string_view(target.data(), target.size()));
+    request.set(http::field::host, "upstream");
+    if (!body.empty())
+    {
+        request.set(http::field::content_type, "application/json");
+    }
+    request.body() = std::move(body);
+    return request;
+}
+
+} // namespace tarragontrail::net
--- /dev/null
+++ b/tarragontrail/net/http_client.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "tarragontrail/net/http_types.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+namespace tarragontrail::net {
+
+/// How far a failed call had come.
+enum class call_stage
+{
+    connecting, ///< No byte of the request had been sent: it was not run.
+    sending,    ///< Part or all of the request may have arrived.
+    receiving,  ///< The response had begun.
+};
+
+/// Why a call failed.
+enum class call_fault
+{
+    refused,   ///< The connection was not made.
+    timed_out, ///< A deadline of the call passed.
+    lost,      ///< The connection broke.
+    malformed, ///< The response is not HTTP or is too large.
+    cancelled, ///< The caller of the call gave it up.
+};
+
+/// Failure of one call.
+struct call_failure
+{
+    call_stage m_stage = call_stage::connecting; ///< How far the call had come.
+    call_fault m_fault = call_fault::refused;    ///< What happened.
+    bool m_reused_connection = false;            ///< The connection had served an earlier call.
+};
+
+/// Text of a fault for logs.
+const char* to_string(call_fault fault) noexcept;
+
+/// Deadlines and bounds of one call.
+struct call_settings
+{
+    std::chrono::milliseconds m_connect_timeout{1'000}; ///< Longest wait for a connection.
+    std::chrono::milliseconds m_first_byte_timeout{
+        30'000};                                      ///< Longest wait for the response's head.
+    std::chrono::milliseconds m_idle_timeout{15'000}; ///< Longest silence within the response.
+    std::uint64_t m_body_limit_bytes = std::uint64_t{64} * 1024 * 1024; ///< Largest response body.
+    bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
+};
+
+/// Receives the course of one call, on the client's thread.
+class call_listener
+{
+public:
+    virtual ~call_listener() = default;
+
+    /// The response's head has arrived.
+    virtual void on_head(const http_response& head) = 0;
+
+    /// A piece of the response's body has arrived.
+    virtual void on_body(std::string_view piece) = 0;
+
+    /// The response is whole; the last event of the call.
+    virtual void on_complete() = 0;
+
+    /// The call failed; the last event of the call.
+    virtual void on_failed(const call_failure& failure) = 0;
+};
+
+/// A call under way.
+class http_call
+{
+public:
+    virtual ~http_call() = default;
+
+    /// Gives the call up: closes its connection and sends no more events.
+    virtual void cancel() = 0;
+};
+
+/// HTTP/1.1 client with kept-alive connections per endpoint, on one event loop.
+class http_client
+{
+public:
+    /// `idle_limit` is the most idle connections kept per endpoint.
+    explicit http_client(boost::asio::io_context& context, std::size_t idle_limit = 16);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Starts a call; the listener is kept until its last event.
+    std::shared_ptr<http_call> start(const tcp::endpoint& endpoint, http_request request,
+                                     const call_settings& settings,
+                                     std::shared_ptr<call_listener> listener);
+
+    /// Result of `fetch`: a whole response or the failure.
+    struct fetch_result
+    {
+        bool m_ok = false;        ///< A whole response has arrived.
+        http_response m_response; ///< Valid when m_ok is true.
+        call_failure m_failure;   ///< Valid when m_ok is false.
+    };
+
+    /// Starts a call whose response is gathered whole.
+    std::shared_ptr<http_call> fetch(const tcp::endpoint& endpoint, http_request request,
+                                     const call_settings& settings,
+                                     std::function<void(fetch_result)> on_result);
+
+    /// Closes every idle connection to an endpoint.
+    void forget(const tcp::endpoint& endpoint);
+
+private:
+    struct pool;
+    std::shared_ptr<pool> m_pool; ///< Idle connections, shared with calls under way.
+};
+
+/// Request with the given method, target and body; sets Host and, for a body, its type as JSON.
+http_request make_request(boost::beast::http::verb method, std::string_view target,
+                          std::string body = {});
+
+} // namespace tarragontrail::net
--- /dev/null
+++ b/tarragontrail/net/http_server.cpp
@@ -0,0 +1,458 @@
+#include "tarragontrail/net/http_server.hpp"
+
+#include "tarragontrail/net/timer.hpp"
+#include "tarragontrail/observe/log.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <optional>
+#include <sstream>
+
+namespace tarragontrail::net {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// State that all connections of one listener share.
+struct server_shared
+{
+    http_server_settings m_settings;           ///< Bounds.
+    http_server::request_handler m_on_request; ///< Receives whole requests.
+    http_server::fault_handler m_on_fault;     ///< Words the refusal of a bad request.
+    bool m_stopping = false;                   ///< No request after the current one.
+    std::size_t m_connections = 0;             ///< Open connections.
+};
+
+namespace {
+
+/// One accepted connection; also the exchange of its current request.
+class server_connection : public http_exchange,
+                          public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_shared(std::move(shared))
+    {
+        ++m_shared->m_connections;
+        error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+    }
+
+    ~server_connection() override { --m_shared->m_connections; }
+
+    void read_request()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
+        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
+        m_reading = true;
+        arm_timer(m_buffer.size() == 0 && m_requests > 0 ? m_shared->m_settings.m_keep_alive_timeout
+                                                         : m_shared->m_settings.m_read_timeout);
+        http::async_read_header(
+            m_socket, m_buffer, *m_parser,
+            [self = shared_from_this()](error_code error, std::size_t) { self->on_head(error); });
+    }
+
+    const http_request& request() const override { return m_request; }
+
+    void respond(http_response response) override
+    {
+        if (m_answered)
+        {
+            return;
+        }
+        m_answered = true;
+        finish_head(response);
+        response.prepare_payload();
+        std::ostringstream text;
+        text << response;
+        m_complete = true;
+        enqueue(text.str());
+    }
+
+    void begin_stream(http_response head) override
+    {
+        if (m_answered)
+        {
+            return;
+        }
+        m_answered = true;
+        finish_head(head);
+        head.chunked(true);
+        std::ostringstream text;
+        text << head.base();
+        enqueue(text.str());
+    }
+
+    void write(std::string_view piece) override
+    {
+        if (piece.empty() || m_complete)
+        {
+            return;
+        }
+        if (m_backlog_bytes > m_shared->m_settings.m_write_backlog_bytes)
+        {
+            abort();
+            return;
+        }
+        enqueue(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+    }
+
+    void end_stream() override
+    {
+        if (m_complete)
+        {
+            return;
+        }
+        m_complete = true;
+        enqueue("0\r\n\r\n");
+    }
+
+    void abort() override
+    {
+        m_complete = true;
+        m_keep_alive = false;
+        close();
+    }
+
+    void on_client_gone(std::function<void()> handler) override { m_on_gone = std::move(handler); }
+
+private:
+    void on_head(error_code error)
+    {
+        if (error)
+        {
+            on_read_error(error);
+            return;
+        }
+        arm_timer(m_shared->m_settings.m_read_timeout);
+        if (m_parser->get()[http::field::expect] == "100-continue")
+        {
+            enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](error_code failure, std::size_t) {
+                             self->on_body(failure);
+                         });
+    }
+
+    void on_body(error_code error)
+    {
+        if (error)
+        {
+            on_read_error(error);
+            return;
+        }
+        m_reading = false;
+        m_timer.cancel();
+        ++m_requests;
+        m_request = m_parser->release();
+        m_keep_alive = m_request.keep_alive();
+        m_answered = false;
+        m_complete = false;
+        m_on_gone = nullptr;
+        watch_for_close();
+        m_shared->m_on_request(shared_from_this());
+    }
+
+    void on_read_error(error_code error)
+    {
+        m_timer.cancel();
+        if (m_timed_out)
+        {
+            refuse(request_fault::too_slow);
+            return;
+        }
+        if (error == http::error::header_limit)
+        {
+            refuse(request_fault::head_too_large);
+            return;
+        }
+        if (error == http::error::body_limit)
+        {
+            refuse(request_fault::body_too_large);
+            return;
+        }
+        if (error.category() == http::make_error_code(http::error::bad_method).category() &&
+            error != http::error::end_of_stream && error != http::error::partial_message)
+        {
+            refuse(request_fault::malformed);
+            return;
+        }
+        close();
+    }
+
+    void refuse(request_fault fault)
+    {
+        m_reading = false;
+        m_keep_alive = false;
+        m_answered = false;
+        m_complete = false;
+        respond(m_shared->m_on_fault(fault));
+    }
+
+    void finish_head(http_response& response)
+    {
+        response.version(11);
+        if (m_shared->m_stopping)
+        {
+            m_keep_alive = false;
+        }
+        response.keep_alive(m_keep_alive);
+    }
+
+    void arm_timer(std::chrono::milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (!error && self)
+            {
+                self->on_timeout();
+            }
+        });
+    }
+
+    void on_timeout()
+    {
+        const bool idle = m_reading && m_buffer.size() == 0 && m_requests > 0;
+        if (!m_reading || idle || m_writing)
+        {
+            abort();
+            return;
+        }
+        m_timed_out = true;
+        error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
+    /// A readable socket with nothing to read means that the client closed it.
+    void watch_for_close()
+    {
+        m_socket.async_wait(tcp::socket::wait_read, [weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (!error && self)
+            {
+                self->on_readable();
+            }
+        });
+    }
+
+    void on_readable()
+    {
+        if (m_reading || !m_socket.is_open())
+        {
+            return;
+        }
+        char byte = 0;
+        error_code error;
+        m_socket.non_blocking(true, error);
+        m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error && error != boost::asio::error::would_block)
+        {
+            close();
+        }
+    }
+
+    void enqueue(const std::string& bytes)
+    {
+        if (!m_socket.is_open())
+        {
+            return;
+        }
+        m_backlog_bytes += bytes.size();
+        m_pending += bytes;
+        if (!m_writing)
+        {
+            write_pending();
+        }
+    }
+
+    void write_pending()
+    {
+        m_writing = true;
+        m_in_flight.clear();
+        m_in_flight.swap(m_pending);
+        if (!m_reading)
+        {
+            arm_timer(m_shared->m_settings.m_write_timeout);
+        }
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_in_flight),
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     self->on_written(error);
+                                 });
+    }
+
+    void on_written(error_code error)
+    {
+        m_writing = false;
+        m_backlog_bytes -= std::min(m_backlog_bytes, m_in_flight.size());
+        if (!m_reading)
+        {
+            m_timer.cancel();
+        }
+        if (error)
+        {
+            close();
+            return;
+        }
+        if (!m_pending.empty())
+        {
+            write_pending();
+            return;
+        }
+        if (m_complete && !m_reading)
+        {
+            on_response_sent();
+        }
+    }
+
+    void on_response_sent()
+    {
+        m_on_gone = nullptr;
+        if (!m_keep_alive)
+        {
+            // Only our side closes first, so that the client reads the whole answer.
+            error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            linger();
+            return;
+        }
+        error_code ignored;
+        m_socket.cancel(ignored);
+        read_request();
+    }
+
+    /// Reads until the client closes, or a short time is over.
+    void linger()
+    {
+        m_reading = false;
+        arm_timer(linger_timeout);
+        m_socket.async_read_some(boost::asio::buffer(m_discard),
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     if (error)
+                                     {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->linger();
+                                 });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        error_code ignored;
+        m_socket.close(ignored);
+        const auto handler = std::exchange(m_on_gone, nullptr);
+        if (handler)
+        {
+            handler();
+        }
+    }
+
+    static constexpr std::chrono::milliseconds linger_timeout{500};
+
+    tcp::socket m_socket;                    ///< Connection to the client.
+    timer m_timer;                           ///< Read, write or idle deadline.
+    std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
+    boost::beast::flat_buffer m_buffer;      ///< Bytes read and not parsed.
+    std::optional<http::request_parser<http::string_body>> m_parser; ///< Current request's parser.
+    http_request m_request;                                          ///< Current request.
+    std::function<void()> m_on_gone;    ///< Told when the client leaves.
+    std::string m_pending;              ///< Bytes to write next.
+    std::string m_in_flight;            ///< Bytes being written.
+    std::size_t m_backlog_bytes = 0;    ///< Unsent bytes.
+    std::array<char, 4096> m_discard{}; ///< Bytes read while lingering.
+    std::uint64_t m_requests = 0;       ///< Requests taken on this connection.
+    bool m_reading = false;             ///< A request is arriving.
+    bool m_writing = false;             ///< A write is pending.
+    bool m_keep_alive = false;          ///< Connection serves another request.
+    bool m_answered = false;            ///< Response has begun.
+    bool m_complete = false;            ///< Response is whole.
+    bool m_timed_out = false;           ///< Read deadline has passed.
+};
+
+} // namespace
+
+/// Accepts connections until told to stop.
+struct http_server::listener : std::enable_shared_from_this<http_server::listener>
+{
+    listener(boost::asio::io_context& context, const tcp::endpoint& endpoint)
+        : m_acceptor(context), m_shared(std::make_shared<server_shared>())
+    {
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted || !self->m_acceptor.is_open())
+            {
+                return;
+            }
+            if (!error)
+            {
+                self->take(std::move(socket));
+            }
+            self->accept();
+        });
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (m_shared->m_connections >= m_shared->m_settings.m_connection_limit)
+        {
+            observe::log("connection_refused", {{"reason", "connection_limit"}});
+            return;
+        }
+        std::make_shared<server_connection>(std::move(socket), m_shared)->read_request();
+    }
+
+    tcp::acceptor m_acceptor;                ///< Listening socket.
+    std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
+};
+
+http_server::http_server(boost::asio::io_context& context, const tcp::endpoint& endpoint,
+                         const http_server_settings& settings, request_handler on_request,
+                         fault_handler on_fault)
+    : m_listener(std::make_shared<listener>(context, endpoint))
+{
+    m_listener->m_shared->m_settings = settings;
+    m_listener->m_shared->m_on_request = std::move(on_request);
+    m_listener->m_shared->m_on_fault = std::move(on_fault);
+    m_listener->accept();
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_listener->m_acceptor.local_endpoint().port();
+}
+
+void http_server::stop_accepting()
+{
+    m_listener->m_shared->m_stopping = true;
+    error_code ignored;
+    m_listener->m_acceptor.close(ignored);
+}
+
+std::size_t http_server::connection_count() const
+{
+    return m_listener->m_shared->m_connections;
+}
+
+} // namespace tarragontrail::net
--- /dev/null
+++ b/tarragontrail/net/http_server.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "tarragontrail/net/http_types.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace tarragontrail::net {
+
+/// Bounds on what a client may send.
+struct http_server_settings
+{
+    std::uint32_t m_header_limit_bytes = 16 * 1024;                    ///< Largest request head.
+    std::uint64_t m_body_limit_bytes = std::uint64_t{8} * 1024 * 1024; ///< Largest request body.
+    std::chrono::milliseconds m_read_timeout{10'000};       ///< Longest arrival of one request.
+    std::chrono::milliseconds m_keep_alive_timeout{60'000}; ///< Longest idle time between requests.
+    std::chrono::milliseconds m_write_timeout{
+        20'000};                           ///< Longest wait for the client to take a piece.
+    std::size_t m_connection_limit = 4096; ///< Most connections at once.
+    std::size_t m_write_backlog_bytes =
+        std::size_t{4} * 1024 * 1024; ///< Most unsent stream bytes kept.
+};
+
+/// Why a request was refused before a handler saw it.
+enum class request_fault
+{
+    malformed,      ///< Not HTTP.
+    head_too_large, ///< Head over its limit.
+    body_too_large, ///< Body over its limit.
+    too_slow,       ///< Not whole within the read timeout.
+};
+
+/// One request and the means to answer it; stays on the server's thread.
+class http_exchange
+{
+public:
+    virtual ~http_exchange() = default;
+
+    /// The request; its body is whole.
+    virtual const http_request& request() const = 0;
+
+    /// Sends a whole response; the last call on this exchange.
+    virtual void respond(http_response response) = 0;
+
+    /// Starts a chunked response.
+    virtual void begin_stream(http_response head) = 0;
+
+    /// Sends one piece of a chunked response.
+    virtual void write(std::string_view piece) = 0;
+
+    /// Ends a chunked response.
+    virtual void end_stream() = 0;
+
+    /// Drops the connection so that the client sees a broken response.
+    virtual void abort() = 0;
+
+    /// Calls `handler` once when the client leaves before the response is complete.
+    virtual void on_client_gone(std::function<void()> handler) = 0;
+};
+
+/// HTTP/1.1 listener on one event loop.
+class http_server
+{
+public:
+    using request_handler = std::function<void(std::shared_ptr<http_exchange>)>;
+    using fault_handler = std::function<http_response(request_fault)>;
+
+    /// Binds at once; throws boost::system::system_error when the port is taken.
+    http_server(boost::asio::io_context& context, const tcp::endpoint& endpoint,
+                const http_server_settings& settings, request_handler on_request,
+                fault_handler on_fault);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Port in use, also when the endpoint asked for any.
+    std::uint16_t port() const;
+
+    /// Accepts nothing more; each connection closes after its current request.
+    void stop_accepting();
+
+    /// Connections open now.
+    std::size_t connection_count() const;
+
+private:
+    struct listener;
+    std::shared_ptr<listener> m_listener; ///< Shared with its pending accept.
+};
+
+} // namespace tarragontrail::net
--- /dev/null
+++ b/tarragontrail/net/timer.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+
+#include <algorithm>
+#include <boost/asio/basic_waitable_timer.hpp>
+
+namespace tarragontrail::net {
+
+/// Tells Asio how long to sleep for a timer on the runtime clock.
+struct runtime_wait_traits
+{
+    /// Longest real sleep while the clock is paused, so that an advance is seen soon.
+    static constexpr core::duration paused_poll = std::chrono::milliseconds(1);
+
+    static core::duration to_wait_duration(const core::duration& remaining)
+    {
+        return core::runtime_clock::is_paused() ? std::min(remaining, paused_poll) : remaining;
+    }
+
+    static core::duration to_wait_duration(const core::time_point& expiry)
+    {
+        return to_wait_duration(expiry - core::runtime_clock::now());
+    }
+};
+
+/// Asio timer on the runtime clock, which tests pause and advance.
+using timer = boost::asio::basic_waitable_timer<core::runtime_clock, runtime_wait_traits>;
+
+} // namespace tarragontrail::net
