--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -5,7 +5,7 @@
 namespace tarragontrail::wire {
 namespace {
 
-[[maybe_unused]] nlohmann::json to_fields(const hello& value)
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const hello& value)
 {
     nlohmann::json fields = nlohmann::json::array();
     fields.push_back(1);
@@ -14,13 +14,25 @@
     return fields;
 }
 
-[[maybe_unused]] void from_fields(field_reader fields, hello& value)
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] hello& value)
 {
     fields.get(value.m_sender);
     fields.get(value.m_started);
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const link_heartbeat& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(2);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] link_heartbeat& value)
+{
+    fields.expect_end();
+}
+
 template <class Message>
 message read_message(const nlohmann::json& fields)
 {
@@ -47,6 +59,8 @@
     {
     case 1:
         return read_message<hello>(fields);
+    case 2:
+        return read_message<link_heartbeat>(fields);
     default:
         throw decode_error("unknown message tag");
     }
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -27,8 +27,15 @@
     bool operator==(const hello&) const = default;
 };
 
+/// Shows that a link is alive; carries nothing.
+struct link_heartbeat
+{
+
+    bool operator==(const link_heartbeat&) const = default;
+};
+
 /// Any message between entry instances.
-using message = std::variant<hello>;
+using message = std::variant<hello, link_heartbeat>;
 
 /// CBOR bytes of a message.
 std::string encode(const message& value);
