--- /dev/null
+++ b/tarragontrail/config/key_digest.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace tarragontrail::config {
+
+/// SHA-256 of a caller's key or of a document.
+using sha256_digest = std::array<std::uint8_t, 32>;
+
+/// Leading half of a key's digest, which names the key in withdrawals.
+struct key_prefix
+{
+    std::uint64_t m_high = 0; ///< Digest bytes 0..7, big-endian.
+    std::uint64_t m_low = 0;  ///< Digest bytes 8..15, big-endian.
+
+    auto operator<=>(const key_prefix&) const = default;
+};
+
+/// SHA-256 of bytes.
+sha256_digest sha256(std::string_view bytes);
+
+/// Leading half of a digest.
+key_prefix prefix_of(const sha256_digest& digest) noexcept;
+
+/// Lower-case hexadecimal text of a digest, 64 characters.
+std::string to_hex(const sha256_digest& digest);
+
+/// Reads 64 lower-case hexadecimal characters; returns false and leaves `digest` unspecified
+/// when the text is anything else.
+bool from_hex(std::string_view text, sha256_digest& digest) noexcept;
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/key_freshness.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "tarragontrail/config/messages.hpp"
+#include "tarragontrail/core/clock.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace tarragontrail::config {
+
+/// Settings of key_freshness.
+struct key_freshness_settings
+{
+    /// Oldest word of the store, or of a failure domain, on which keyed routes are served.
+    std::chrono::milliseconds m_limit{10000};
+    /// Added to the age in a peer's word for the time it travelled.
+    std::chrono::milliseconds m_transit_allowance{500};
+};
+
+/// Ground on which keyed routes are served or refused.
+enum class freshness
+{
+    store_heard, ///< The store's word is fresh, directly or through peers.
+    peers_agree, ///< The store is silent, and every listed failure domain was heard lately.
+    too_old,     ///< Withdrawals may have been made elsewhere without reaching this instance.
+};
+
+/// Knows how old this instance's word of the store and of every failure domain is.
+///
+/// Ages are kept against the own monotonic clock; a peer's word carries an age, never a time.
+class key_freshness
+{
+public:
+    key_freshness(const key_freshness_settings& settings, core::failure_domain_id own_domain);
+
+    /// Sets the failure domains in which the platform lists live instances.
+    void set_domains(std::vector<core::failure_domain_id> listed);
+
+    /// The store itself confirmed at `asked_at` that this instance holds all it has.
+    void on_store_confirmed(core::time_point asked_at);
+
+    /// A peer's word arrived whose withdrawals and head this instance holds too.
+    void on_peer_word(const freshness_word& word, core::time_point now);
+
+    /// Verdict at a moment.
+    freshness state(core::time_point now) const;
+
+    /// Age of the store's word; none when it was never heard.
+    std::optional<core::duration> store_age(core::time_point now) const;
+
+    /// Writes the ages into an outgoing word.
+    void fill(freshness_word& word, core::time_point now) const;
+
+private:
+    /// Moment at which a failure domain was last heard.
+    struct domain_mark
+    {
+        core::failure_domain_id m_domain{};         ///< Failure domain.
+        bool m_listed = false;                      ///< Counted in the verdict.
+        std::optional<core::time_point> m_heard_at; ///< Moment; none when never heard.
+    };
+
+    /// Keeps the later of the known moment and `heard_at`.
+    void mark_domain(core::failure_domain_id domain, core::time_point heard_at);
+
+    key_freshness_settings m_settings;                ///< Limits.
+    core::failure_domain_id m_own_domain;             ///< Domain of this instance.
+    std::optional<core::time_point> m_store_heard_at; ///< Latest moment of the store's word.
+    std::vector<domain_mark> m_domains;               ///< All domains known.
+};
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/settled_write.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "tarragontrail/config/row_trail.hpp"
+#include "tarragontrail/config/table_calls.hpp"
+
+#include <variant>
+
+namespace tarragontrail::config {
+
+/// Outcome of a conditional write.
+enum class write_outcome
+{
+    pending,  ///< Call `next()` for the call to make.
+    ok,       ///< The write took effect.
+    conflict, ///< Another write took effect instead.
+    unknown,  ///< The row has moved on too far to tell.
+};
+
+/// One conditional write whose lost reply is settled by reading the row back.
+///
+/// The same write may be sent again while the row still has the expected version, as at most one
+/// of the copies can take effect.
+class settled_write
+{
+public:
+    /// Reads the trail out of a row's value.
+    using trail_reader = row_trail (*)(const std::string& value);
+
+    settled_write(store_write write, std::uint64_t nonce, trail_reader reader);
+
+    /// Call to make now, under a new operation id.
+    std::variant<store_read, store_write> next(operation_id operation);
+
+    /// The write was answered.
+    write_outcome on_written(const write_reply& reply);
+
+    /// The read was answered.
+    write_outcome on_read(const read_reply& reply);
+
+    /// The call got no reply; the row is read back next.
+    void on_failed() noexcept { m_reading_back = true; }
+
+    /// Row version that the last reply showed.
+    std::uint64_t seen_version() const noexcept { return m_seen_version; }
+
+    /// Row value that the last reply showed; the own value after `ok`.
+    const std::string& seen_value() const noexcept { return m_seen_value; }
+
+private:
+    /// Judges the row as found.
+    write_outcome judge(std::uint64_t version, const std::string& value);
+
+    store_write m_write;              ///< The write.
+    std::uint64_t m_nonce;            ///< Its mark in the row's trail.
+    trail_reader m_reader;            ///< Reads trails.
+    bool m_reading_back = false;      ///< Whether the next call is a read.
+    std::uint64_t m_seen_version = 0; ///< Version last seen.
+    std::string m_seen_value;         ///< Value last seen.
+};
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/membership/gossip_buffer.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/membership/messages.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace tarragontrail::membership {
+
+/// Settings of gossip_buffer.
+struct gossip_buffer_settings
+{
+    std::size_t m_max_items = 1024;        ///< Items held; the most often sent goes first.
+    std::size_t m_max_payload_bytes = 256; ///< Largest payload.
+    std::size_t m_transmit_factor = 3;     ///< Transmissions per item: factor * log2(n).
+};
+
+/// Bounded set of items that each message takes some of, the least often sent first.
+class gossip_buffer
+{
+public:
+    explicit gossip_buffer(const gossip_buffer_settings& settings);
+
+    /// Adds an item or replaces an older one of the same kind and key; returns whether it is
+    /// news. Equal and older orders are no news.
+    bool add(gossip_item item);
+
+    /// Items for one message of at most `max_bytes`, each counted as sent once.
+    std::vector<gossip_item> take(std::size_t max_bytes, std::size_t members);
+
+    /// Items still being spread.
+    std::size_t spreading() const noexcept { return m_spreading; }
+
+private:
+    /// Item with its count of transmissions.
+    struct entry
+    {
+        gossip_item m_item;     ///< Item.
+        std::size_t m_sent = 0; ///< Transmissions so far.
+    };
+
+    gossip_buffer_settings m_settings; ///< Bounds.
+    std::vector<entry> m_entries;      ///< Sorted by kind and key.
+    std::size_t m_spreading = 0;       ///< Entries not sent often enough yet.
+};
+
+/// Transmissions of an item in a fleet of this size: factor * log2(members), rounded up.
+std::size_t transmit_limit(std::size_t factor, std::size_t members) noexcept;
+
+/// Bytes that an item takes in a message, its encoding's overhead included.
+std::size_t encoded_bytes(const gossip_item& item) noexcept;
+
+} // namespace tarragontrail::membership
--- /dev/null
+++ b/tarragontrail/membership/restart_plan.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/ids.hpp"
+#include "tarragontrail/core/random.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tarragontrail::membership {
+
+/// Settings of restart_plan.
+struct restart_plan_settings
+{
+    std::chrono::milliseconds m_jitter{1000};          ///< Largest delay before the first fetches.
+    std::chrono::milliseconds m_attempt_timeout{1500}; ///< Wait for one source.
+    std::size_t m_peers_before_store = 2;              ///< Peers tried before the store.
+    std::size_t m_max_served = 4;                      ///< Fetches served to others at once.
+};
+
+/// Identifies one thing that a fresh instance needs, such as the anchors of one shard.
+enum class need_id : std::uint64_t
+{
+};
+
+/// Action: fetch a need from a peer.
+struct fetch_from_peer
+{
+    need_id m_need{};            ///< Need.
+    core::instance_id m_peer{};  ///< Peer to ask.
+    std::uint64_t m_attempt = 0; ///< Echoed in the reply.
+};
+
+/// Action: fetch a need from the platform's services.
+struct fetch_from_store
+{
+    need_id m_need{};            ///< Need.
+    std::uint64_t m_attempt = 0; ///< Echoed in the reply.
+};
+
+/// What may be served.
+enum class service_level
+{
+    open_routes,  ///< Open routes and locate only; keyed requests are refused as not run.
+    keyed_routes, ///< All routes; some needs are still missing, which costs only cache hits.
+    complete,     ///< All routes with everything needed.
+};
+
+/// Brings a fresh instance up: what it fetches, from whom, and what it may serve meanwhile.
+class restart_plan
+{
+public:
+    using action = std::variant<fetch_from_peer, fetch_from_store>;
+
+    restart_plan(const restart_plan_settings& settings, std::vector<need_id> needs,
+                 std::uint64_t seed);
+
+    void start(core::time_point now);
+
+    /// Peers that may be asked.
+    void set_peers(std::vector<core::instance_id> peers, core::time_point now);
+
+    void on_fetched(need_id need, core::time_point now);
+
+    /// The source failed, does not hold the need, or is too busy.
+    void on_fetch_failed(need_id need, std::uint64_t attempt, core::time_point now);
+    void on_timer(core::time_point now);
+
+    /// What may be served, given whether the bundle and the keys allow keyed routes.
+    service_level level(bool keys_vouched) const noexcept;
+
+    /// Whether another fetch may be served to a fresh peer now; counts it when so.
+    bool begin_serving() noexcept;
+    void end_serving() noexcept;
+
+    std::vector<action> take_actions();
+    std::optional<core::time_point> next_deadline() const;
+
+private:
+    /// Progress of one need.
+    struct progress
+    {
+        need_id m_need{};             ///< Need.
+        bool m_done = false;          ///< Whether it is held.
+        std::uint64_t m_attempt = 0;  ///< Attempts made.
+        core::time_point m_next_at{}; ///< Moment of the next attempt.
+    };
+
+    restart_plan_settings m_settings;       ///< Waits and bounds.
+    core::seeded_random m_random;           ///< Jitter and choice of peers.
+    std::vector<progress> m_needs;          ///< All needs.
+    std::vector<core::instance_id> m_peers; ///< Peers that may be asked.
+    std::size_t m_serving = 0;              ///< Fetches being served to others.
+    std::vector<action> m_actions;          ///< Actions not yet taken.
+};
+
+} // namespace tarragontrail::membership
--- /dev/null
+++ b/tarragontrail/membership/view_keeper.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "tarragontrail/config/table_calls.hpp"
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/membership/view.hpp"
+#include "tarragontrail/membership/view_change.hpp"
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace tarragontrail::membership {
+
+/// Settings of view_keeper.
+struct view_keeper_settings
+{
+    std::chrono::milliseconds m_poll_interval{2000}; ///< Interval of version polls.
+    std::chrono::milliseconds m_call_timeout{1500};  ///< Wait for a reply of the table service.
+    std::chrono::milliseconds m_first_delay{200};    ///< Largest delay of the first to write.
+    std::chrono::milliseconds m_other_delay{4000};   ///< Largest further delay of the others.
+};
+
+/// Action: a newer view is in force here.
+struct view_changed
+{
+    std::shared_ptr<const view> m_view; ///< The view.
+};
+
+/// Keeps one instance's copy of the agreed view and moves it when it needs a change.
+class view_keeper
+{
+public:
+    using action = std::variant<config::store_read, config::store_write, view_changed>;
+
+    view_keeper(const view_keeper_settings& settings, core::instance_id self, std::uint64_t seed);
+
+    void start(core::time_point now);
+    void on_timer(core::time_point now);
+    void on_store_read(const config::read_reply& reply, core::time_point now);
+    void on_store_written(const config::write_reply& reply, core::time_point now);
+    void on_store_failed(config::operation_id operation, core::time_point now);
+
+    /// Changes that the view needs by now; replaces what was needed before.
+    void set_needed(std::vector<view_change> needed, core::time_point now);
+
+    /// A peer carried this view number; a higher one than the own makes it read the row soon.
+    void on_peer_view(core::view_number number, core::time_point now);
+
+    /// Whether a message that grants or orders may be obeyed: its view is not older than any
+    /// seen.
+    bool accept_view_number(core::view_number number) noexcept;
+
+    /// Current view; never null, number zero before the first.
+    const std::shared_ptr<const view>& current() const noexcept { return m_view; }
+
+    /// Age of the table service's word on the view; none before the first.
+    std::optional<core::duration> age(core::time_point now) const;
+
+    std::vector<action> take_actions();
+    std::optional<core::time_point> next_deadline() const;
+
+private:
+    /// Call to the table service that awaits its reply.
+    struct pending_call
+    {
+        config::operation_id m_operation{}; ///< Its operation.
+        core::time_point m_asked_at{};      ///< Moment of the call.
+        bool m_write = false;               ///< Whether it is a write.
+    };
+
+    void read(bool version_only, core::time_point now);
+    void write(core::time_point now);
+    void adopt(const std::string& text, std::uint64_t revision, core::time_point now);
+    void plan_write(core::time_point now);
+    core::duration write_delay();
+
+    view_keeper_settings m_settings;             ///< Intervals.
+    core::instance_id m_self;                    ///< This instance.
+    core::seeded_random m_random;                ///< Jitter.
+    std::shared_ptr<const view> m_view;          ///< Current view.
+    std::uint64_t m_revision = 0;                ///< Table version of its row.
+    core::view_number m_seen{};                  ///< Highest number seen anywhere.
+    std::vector<view_change> m_needed;           ///< Changes that the view needs.
+    std::optional<pending_call> m_call;          ///< Call under way.
+    std::optional<core::time_point> m_confirmed; ///< Moment of the service's last word.
+    core::time_point m_next_poll{};              ///< Moment of the next poll.
+    std::optional<core::time_point> m_write_at;  ///< Moment of the next write.
+    std::uint64_t m_last_operation = 0;          ///< Last operation id given.
+    std::vector<action> m_actions;               ///< Actions not yet taken.
+};
+
+} // namespace tarragontrail::membership
