--- a/schema/generate.py
+++ b/schema/generate.py
@@ -54,6 +54,14 @@
     return str(value)
 
 
+def bundle_schema():
+    """Header that embeds the bundle's JSON Schema."""
+    text = (ROOT / "schema/bundle.json").read_text()
+    return ("#pragma once\n\nnamespace tarragontrail::config {\n\n/// JSON Schema of the bundle.\n"
+            f'inline constexpr const char* bundle_schema_text = R"schema({text})schema";\n\n'
+            "} // namespace tarragontrail::config\n")
+
+
 def outputs():
     """Pairs of path and content for every generated file."""
     environment = jinja2.Environment(
@@ -73,6 +81,7 @@
         for suffix in ("hpp", "cpp"):
             text = environment.get_template(f"settings.{suffix}.j2").render(schema=schema, kind=kind)
             yield ROOT / f"tarragontrail/config/generated_{kind}_settings.{suffix}", formatted(text)
+    yield ROOT / "tarragontrail/config/generated_bundle_schema.hpp", formatted(bundle_schema())
     yield ROOT / "docs/SETTINGS.md", environment.get_template("settings.md.j2").render(programs=programs)
 
 
--- a/tarragontrail/config/approval.hpp
+++ b/tarragontrail/config/approval.hpp
@@ -9,8 +9,6 @@
 #include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/core/random.hpp"
 
-#include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,7 +68,9 @@
     command_id sign_off(const std::string& draft, const std::string& signer, core::time_point now);
 
     /// Makes a signed draft the head, at the first step of its rollout.
-    command_id roll(const std::string& draft, const std::string& roller, core::time_point now);
+    /// `current` is the bundle in force here; withdrawals that it includes leave the head row.
+    command_id roll(const std::string& draft, const std::shared_ptr<const bundle>& current,
+                    core::time_point now);
 
     /// Moves the rollout of a version on from a step to the next.
     command_id advance(std::uint64_t version, std::uint64_t from_step, core::time_point now);
@@ -89,12 +89,78 @@
     std::optional<core::time_point> next_deadline() const;
 
 private:
-    struct command;
-
-    void step(command& running, core::time_point now);
-
-    approval_settings m_settings; ///< Timeouts and rules.
-    core::seeded_random m_random; ///< Nonces and draft names.
+    /// Call that a command makes next.
+    enum class phase
+    {
+        put_bundle,  ///< Store the whole document.
+        put_change,  ///< Store the change from the current bundle.
+        read_draft,  ///< Read the draft's row.
+        read_head,   ///< Read the head row.
+        write_draft, ///< Write the draft's row.
+        write_head,  ///< Write the head row.
+        put_recent,  ///< Store a copy of the head row; the command is answered already.
+        finished,    ///< Nothing is left to do.
+    };
+
+    /// Kind of a command.
+    enum class kind
+    {
+        submit,
+        review,
+        sign_off,
+        roll,
+        advance,
+        status,
+    };
+
+    /// Command under way.
+    struct command
+    {
+        command_id m_id{};                       ///< Its identifier.
+        kind m_kind = kind::status;              ///< Kind.
+        phase m_phase = phase::finished;         ///< Call to make next.
+        std::string m_operator;                  ///< Operator who gave it.
+        std::string m_draft_name;                ///< Draft concerned; may be empty.
+        std::string m_bundle_text;               ///< Document to store.
+        std::string m_change_text;               ///< Change to store; may be empty.
+        std::uint64_t m_version = 0;             ///< Version whose rollout is moved.
+        std::uint64_t m_from_step = 0;           ///< Step that it is moved from.
+        std::shared_ptr<const bundle> m_current; ///< Bundle in force when it was given.
+        std::optional<draft_row> m_draft;        ///< Draft as last read or written.
+        std::uint64_t m_draft_revision = 0;      ///< Table version of the draft as read.
+        std::optional<head_row> m_head;          ///< Head as last read or written.
+        std::optional<settled_write> m_write;    ///< Write under way.
+        bool m_raced = false;                    ///< Whether another write came first.
+        bool m_answered = false;                 ///< Whether the answer was given.
+        std::optional<operation_id> m_operation; ///< Call under way.
+        core::time_point m_next_at{};            ///< Moment at which it fails or is made again.
+        core::time_point m_deadline{};           ///< Moment at which the command ends.
+    };
+
+    command_id begin(command started, core::time_point now);
+    void make_call(command& running, core::time_point now);
+    void retry(command& running, core::time_point now);
+    void enter(command& running, phase next, core::time_point now);
+    void finish_write(command& running, write_outcome outcome, core::time_point now);
+    void on_draft_read(command& running, const read_reply& reply, core::time_point now);
+    void on_head_read(command& running, const read_reply& reply, core::time_point now);
+    void write_approval(command& running, std::uint64_t revision, core::time_point now);
+    void write_roll(command& running, std::uint64_t revision, core::time_point now);
+    void write_step(command& running, std::uint64_t revision, core::time_point now);
+    void begin_draft_write(command& running, std::uint64_t revision, core::time_point now);
+    void begin_head_write(command& running, std::uint64_t revision, core::time_point now);
+    void succeed(command& running);
+    void refuse(command& running, approval_refusal refusal);
+    void expire(command& running);
+    command* find(operation_id operation);
+    void drop_finished();
+
+    approval_settings m_settings;       ///< Timeouts and rules.
+    core::seeded_random m_random;       ///< Nonces and draft names.
+    std::vector<command> m_commands;    ///< Commands under way.
+    std::uint64_t m_last_command = 0;   ///< Last command id given.
+    std::uint64_t m_last_operation = 0; ///< Last operation id given.
+    std::vector<action> m_actions;      ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/approval_steps.cpp
@@ -0,0 +1,288 @@
+// Part of approval that carries a command from call to call.
+#include "tarragontrail/config/approval.hpp"
+#include "tarragontrail/config/withdrawal_set.hpp"
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::config {
+
+namespace {
+
+row_trail trail_of_draft(const std::string& value)
+{
+    return read_draft(value).m_trail;
+}
+
+row_trail trail_of_head(const std::string& value)
+{
+    return read_head(value).m_trail;
+}
+
+/// Whether every instance that applies the bundle refuses the key without the withdrawal.
+bool includes(const bundle& current, const withdrawal& known)
+{
+    const auto key =
+        std::find_if(current.m_keys.begin(), current.m_keys.end(), [&](const key_entry& each) {
+            return prefix_of(each.m_digest) == prefix_of(known);
+        });
+    if (key != current.m_keys.end())
+    {
+        return key->m_state == key_state::withdrawn;
+    }
+    return current.m_version > known.m_bundle_version;
+}
+
+} // namespace
+
+void approval::make_call(command& running, core::time_point now)
+{
+    const operation_id operation{++m_last_operation};
+    running.m_operation = operation;
+    running.m_next_at = now + m_settings.m_call_timeout;
+    if (running.m_write)
+    {
+        std::visit([this](auto call) { m_actions.emplace_back(std::move(call)); },
+                   running.m_write->next(operation));
+        return;
+    }
+    switch (running.m_phase)
+    {
+    case phase::put_bundle:
+        m_actions.emplace_back(
+            object_put{operation, running.m_draft->m_ref.m_object, running.m_bundle_text});
+        return;
+    case phase::put_change:
+        m_actions.emplace_back(
+            object_put{operation, running.m_draft->m_ref.m_change_object, running.m_change_text});
+        return;
+    case phase::put_recent:
+        m_actions.emplace_back(object_put{operation, recent_object, write_head(*running.m_head)});
+        return;
+    case phase::read_draft:
+        m_actions.emplace_back(
+            store_read{operation, head_table, draft_key(running.m_draft_name), false});
+        return;
+    default:
+        m_actions.emplace_back(store_read{operation, head_table, head_key, false});
+        return;
+    }
+}
+
+void approval::retry(command& running, core::time_point now)
+{
+    running.m_operation.reset();
+    running.m_next_at = now + m_settings.m_retry_pause;
+}
+
+void approval::enter(command& running, phase next, core::time_point now)
+{
+    running.m_phase = next;
+    running.m_operation.reset();
+    if (next != phase::finished)
+    {
+        make_call(running, now);
+    }
+}
+
+void approval::on_draft_read(command& running, const read_reply& reply, core::time_point now)
+{
+    if (!reply.m_found)
+    {
+        refuse(running, approval_refusal::no_such_draft);
+        return;
+    }
+    running.m_draft = read_draft(reply.m_value);
+    if (running.m_kind == kind::review || running.m_kind == kind::sign_off)
+    {
+        write_approval(running, reply.m_version, now);
+        return;
+    }
+    if (running.m_kind == kind::roll && running.m_draft->m_state != draft_state::signed_off)
+    {
+        refuse(running, approval_refusal::wrong_state);
+        return;
+    }
+    running.m_draft_revision = reply.m_version;
+    enter(running, phase::read_head, now);
+}
+
+void approval::on_head_read(command& running, const read_reply& reply, core::time_point now)
+{
+    running.m_head.reset();
+    if (reply.m_found)
+    {
+        running.m_head = read_head(reply.m_value);
+    }
+    const std::uint64_t revision = reply.m_found ? reply.m_version : 0;
+    if (running.m_kind == kind::status)
+    {
+        succeed(running);
+        return;
+    }
+    if (running.m_kind == kind::roll)
+    {
+        write_roll(running, revision, now);
+        return;
+    }
+    write_step(running, revision, now);
+}
+
+void approval::write_approval(command& running, std::uint64_t revision, core::time_point now)
+{
+    draft_row& draft = *running.m_draft;
+    const bool is_review = running.m_kind == kind::review;
+    if (draft.m_state != (is_review ? draft_state::submitted : draft_state::reviewed))
+    {
+        refuse(running, approval_refusal::wrong_state);
+        return;
+    }
+    const bool is_author = running.m_operator == draft.m_author;
+    const bool repeats = running.m_operator == draft.m_reviewer;
+    if (is_author || (repeats && !m_settings.m_signer_may_be_reviewer))
+    {
+        refuse(running, approval_refusal::same_operator);
+        return;
+    }
+    (is_review ? draft.m_reviewer : draft.m_signer) = running.m_operator;
+    draft.m_state = is_review ? draft_state::reviewed : draft_state::signed_off;
+    begin_draft_write(running, revision, now);
+}
+
+void approval::write_roll(command& running, std::uint64_t revision, core::time_point now)
+{
+    const bundle_ref& next = running.m_draft->m_ref;
+    const std::uint64_t head_version = running.m_head ? running.m_head->m_current.m_version : 0;
+    if (head_version != next.m_base_version)
+    {
+        refuse(running,
+               running.m_raced ? approval_refusal::lost_race : approval_refusal::stale_base);
+        return;
+    }
+    TARRAGONTRAIL_INVARIANT(next.m_version == head_version + 1, "bundle head grows by one");
+    head_row row = running.m_head.value_or(head_row());
+    if (row.everywhere() && running.m_current && running.m_current->m_version == head_version)
+    {
+        std::erase_if(row.m_withdrawals,
+                      [&](const withdrawal& each) { return includes(*running.m_current, each); });
+    }
+    row.m_previous = row.everywhere() ? row.m_current : row.m_previous;
+    row.m_current = next;
+    row.m_steps = running.m_draft->m_steps;
+
+    // The first bundle of a fleet has no predecessor to stay on, so it goes everywhere at once.
+    row.m_step = row.m_previous.m_version == 0 ? row.m_steps.size() : 0;
+    running.m_head = std::move(row);
+    begin_head_write(running, revision, now);
+}
+
+void approval::write_step(command& running, std::uint64_t revision, core::time_point now)
+{
+    if (!running.m_head)
+    {
+        refuse(running, approval_refusal::no_bundle);
+        return;
+    }
+    head_row& row = *running.m_head;
+    if (row.m_current.m_version != running.m_version || row.m_step != running.m_from_step ||
+        row.everywhere())
+    {
+        refuse(running,
+               running.m_raced ? approval_refusal::lost_race : approval_refusal::stale_step);
+        return;
+    }
+    ++row.m_step;
+    begin_head_write(running, revision, now);
+}
+
+void approval::begin_draft_write(command& running, std::uint64_t revision, core::time_point now)
+{
+    const std::uint64_t nonce = m_random();
+    running.m_draft->m_trail.add(revision, nonce);
+    store_write write{
+        {}, head_table, draft_key(running.m_draft_name), revision, write_draft(*running.m_draft)};
+    running.m_write.emplace(std::move(write), nonce, trail_of_draft);
+    enter(running, phase::write_draft, now);
+}
+
+void approval::begin_head_write(command& running, std::uint64_t revision, core::time_point now)
+{
+    const std::uint64_t nonce = m_random();
+    running.m_head->m_trail.add(revision, nonce);
+    store_write write{{}, head_table, head_key, revision, write_head(*running.m_head)};
+    running.m_write.emplace(std::move(write), nonce, trail_of_head);
+    enter(running, phase::write_head, now);
+}
+
+void approval::finish_write(command& running, write_outcome outcome, core::time_point now)
+{
+    if (outcome == write_outcome::pending)
+    {
+        make_call(running, now);
+        return;
+    }
+    running.m_write.reset();
+    if (running.m_answered)
+    {
+        // Marking the draft as rolled is a courtesy to readers: the head alone decides.
+        enter(running, phase::put_recent, now);
+        return;
+    }
+    if (outcome == write_outcome::unknown)
+    {
+        refuse(running, approval_refusal::outcome_unknown);
+        return;
+    }
+    if (outcome == write_outcome::conflict && running.m_phase == phase::write_head)
+    {
+        // The other write may have been a withdrawal, which leaves room for this one.
+        running.m_raced = true;
+        enter(running, phase::read_head, now);
+        return;
+    }
+    if (outcome == write_outcome::conflict)
+    {
+        refuse(running, approval_refusal::lost_race);
+        return;
+    }
+    succeed(running);
+    if (running.m_phase == phase::write_head && running.m_kind == kind::roll)
+    {
+        running.m_draft->m_state = draft_state::rolled;
+        begin_draft_write(running, running.m_draft_revision, now);
+        return;
+    }
+    const bool moved_head = running.m_kind == kind::roll || running.m_kind == kind::advance;
+    enter(running, moved_head ? phase::put_recent : phase::finished, now);
+}
+
+void approval::succeed(command& running)
+{
+    if (!std::exchange(running.m_answered, true))
+    {
+        m_actions.emplace_back(command_done{running.m_id, running.m_draft, running.m_head});
+    }
+    if (running.m_kind == kind::status)
+    {
+        running.m_phase = phase::finished;
+    }
+}
+
+void approval::refuse(command& running, approval_refusal refusal)
+{
+    if (!std::exchange(running.m_answered, true))
+    {
+        m_actions.emplace_back(command_failed{running.m_id, approval_error(refusal)});
+    }
+    running.m_phase = phase::finished;
+}
+
+void approval::expire(command& running)
+{
+    const bool may_have_happened = running.m_write && running.m_write->was_sent();
+    refuse(running,
+           may_have_happened ? approval_refusal::outcome_unknown : approval_refusal::not_stored);
+}
+
+} // namespace tarragontrail::config
--- a/tarragontrail/config/bundle_agent.hpp
+++ b/tarragontrail/config/bundle_agent.hpp
@@ -103,8 +103,11 @@
     void on_object(operation_id operation, const std::string& bytes, core::time_point now);
     void on_object_failed(operation_id operation, core::time_point now);
 
-    /// Messages of peers; the word travels with every heartbeat.
-    void on_peer_word(const freshness_word& word, core::time_point now);
+    /// A peer's word arrived with a heartbeat; `asked_at` is set when it answers an own one.
+    void on_peer_word(const freshness_word& word, std::optional<core::time_point> asked_at,
+                      core::time_point now);
+
+    /// Messages of peers.
     void on_state_request(const state_request& request, core::time_point now);
     void on_state_answer(const state_answer& answer, core::time_point now);
     void on_bundle_request(const bundle_request& request, core::time_point now);
@@ -141,26 +144,38 @@
     std::optional<core::time_point> next_deadline() const;
 
 private:
-    /// Call to the table service that awaits its reply.
+    /// Call to the platform's services that awaits its reply.
     struct pending_call
     {
         operation_id m_operation{};      ///< Its operation.
         core::time_point m_asked_at{};   ///< Moment of the call.
         core::time_point m_expires_at{}; ///< Moment at which it counts as failed.
+        std::string m_subject;           ///< Object asked for, or row text being written.
     };
 
-    operation_id next_operation() noexcept;
-    void poll(bool version_only, core::time_point now);
+    // Table service.
+    pending_call make_call(core::time_point now, std::string subject);
+    void read_head_row(bool version_only, core::time_point now);
     void adopt_head(const std::string& text, std::uint64_t revision, core::time_point now);
-    void merge_withdrawal(const withdrawal& learned, bool spread, core::time_point now);
     void confirm_store(core::time_point asked_at);
+    void ask_for_hint(core::time_point now);
+
+    // Documents.
+    const bundle_ref* target() const noexcept;
+    bool is_current() const noexcept;
     void fetch_target(core::time_point now);
     void make_attempt(core::time_point now);
     void accept_object(const std::string& object, const std::string& bytes, core::time_point now);
-    void apply(bundle next, std::string text);
-    void request_state(core::instance_id peer, core::time_point now);
+    bundle read_document(const std::string& bytes) const;
+    void apply(bundle next, core::time_point now);
+
+    // Withdrawals and peers.
+    void merge_withdrawal(const withdrawal& learned, bool spread, core::time_point now);
+    bool is_persisted(const withdrawal& held) const;
+    void plan_persist(core::duration longest, core::time_point now);
     void persist_withdrawals(core::time_point now);
-    bool holds_all_of(const freshness_word& word) const;
+    void request_state(core::instance_id peer, core::time_point now);
+    core::duration up_to(core::duration longest);
 
     bundle_agent_settings m_settings;             ///< Intervals.
     core::instance_id m_self;                     ///< This instance.
@@ -171,14 +186,20 @@
     std::optional<head_row> m_head;               ///< Head row as last learned.
     std::string m_head_text;                      ///< Its text.
     std::uint64_t m_head_revision = 0;            ///< Its table version.
+    std::optional<head_row> m_hint;               ///< Copy of unknown age from the object store.
     std::optional<pending_call> m_read;           ///< Read under way.
     std::optional<pending_call> m_write;          ///< Write under way.
-    std::optional<operation_id> m_object;         ///< Object call under way.
-    std::string m_object_name;                    ///< Object that it fetches.
+    std::optional<pending_call> m_object;         ///< Object call under way.
     core::time_point m_next_poll{};               ///< Moment of the next poll.
-    core::time_point m_next_request{};            ///< Earliest moment of a state request.
     std::optional<core::time_point> m_persist_at; ///< Moment to write unwritten withdrawals.
-    std::string m_applied_text;                   ///< Document in force, for peers.
+    core::time_point m_next_request{};            ///< Earliest moment of a state request.
+    core::time_point m_requested_at{};            ///< Moment of the last state request.
+    std::uint64_t m_request_sequence = 0;         ///< Sequence of the last state request.
+    std::string m_applied_object;                 ///< Object name of the document in force.
+    std::string m_change_object;                  ///< Object name of the change that led to it.
+    std::string m_change_text;                    ///< That change, for peers.
+    bool m_was_ready = false;                     ///< Whether the bundle in force was ever held.
+    std::size_t m_failed_reads = 0;               ///< Reads that failed in a row.
     std::uint64_t m_last_operation = 0;           ///< Last operation id given.
     std::vector<action> m_actions;                ///< Actions not yet taken.
 };
--- /dev/null
+++ b/tarragontrail/config/bundle_agent_documents.cpp
@@ -0,0 +1,134 @@
+// Part of bundle_agent that fetches and applies documents.
+#include "tarragontrail/config/bundle_agent.hpp"
+#include "tarragontrail/config/bundle_change.hpp"
+#include "tarragontrail/config/bundle_error.hpp"
+#include "tarragontrail/core/invariant.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace tarragontrail::config {
+
+const bundle_ref* bundle_agent::target() const noexcept
+{
+    const std::optional<head_row>& row = m_head ? m_head : m_hint;
+    return row ? &row->target_of(m_failure_domain) : nullptr;
+}
+
+bool bundle_agent::is_current() const noexcept
+{
+    return m_head && applied_version() > 0 && applied_version() >= target()->m_version;
+}
+
+void bundle_agent::fetch_target(core::time_point now)
+{
+    const bundle_ref* wanted = target();
+    if (wanted == nullptr || wanted->m_version <= applied_version())
+    {
+        m_fetch.stop();
+        return;
+    }
+    m_fetch.want(*wanted, applied_version(), now);
+}
+
+void bundle_agent::make_attempt(core::time_point now)
+{
+    const std::optional<fetch_attempt> attempt = m_fetch.next_attempt(now);
+    if (!attempt)
+    {
+        return;
+    }
+    if (attempt->m_peer)
+    {
+        m_actions.emplace_back(send_bundle_request{*attempt->m_peer, {m_self, attempt->m_object}});
+        return;
+    }
+    m_object = make_call(now, attempt->m_object);
+    m_object->m_expires_at = now + m_settings.m_fetch.m_whole_timeout;
+    m_actions.emplace_back(object_get{m_object->m_operation, attempt->m_object});
+}
+
+void bundle_agent::accept_object(const std::string& object, const std::string& bytes,
+                                 core::time_point now)
+{
+    if (!m_fetch.is_wanted(object))
+    {
+        return;
+    }
+    if (!matches_name(object, bytes))
+    {
+        m_fetch.on_failed(object, now);
+        return;
+    }
+    const bool was_change = m_fetch.uses_change();
+    try
+    {
+        bundle next = read_document(bytes);
+        m_applied_object = m_fetch.target()->m_object;
+        m_change_object = was_change ? object : std::string();
+        m_change_text = was_change ? bytes : std::string();
+        apply(std::move(next), now);
+    }
+    catch (const bundle_error&)
+    {
+        // A change may not fit what is held here; the whole document always does.
+        was_change ? m_fetch.give_up_change(now) : m_fetch.on_failed(object, now);
+    }
+}
+
+bundle bundle_agent::read_document(const std::string& bytes) const
+{
+    const bundle_ref& wanted = *m_fetch.target();
+    if (!m_fetch.uses_change())
+    {
+        bundle read = parse_bundle(bytes);
+        if (read.m_version != wanted.m_version)
+        {
+            throw bundle_error("/version", "is not the version of the head");
+        }
+        return read;
+    }
+    bundle changed = apply_change(*m_keys.applied(), bytes);
+    if (object_name("bundle", serialise(changed)) != wanted.m_object)
+    {
+        throw bundle_error("", "the change does not lead to the wanted bundle");
+    }
+    return changed;
+}
+
+void bundle_agent::apply(bundle next, core::time_point now)
+{
+    TARRAGONTRAIL_INVARIANT(next.m_version > applied_version(),
+                            "applied bundle version only grows");
+    const std::uint64_t version = next.m_version;
+    m_keys.apply(std::make_shared<const bundle>(std::move(next)));
+    m_was_ready = m_was_ready || is_current();
+    m_actions.emplace_back(bundle_applied{version});
+    fetch_target(now);
+}
+
+void bundle_agent::on_bundle_request(const bundle_request& request, core::time_point /*now*/)
+{
+    bundle_answer answer{m_self, request.m_object, {}};
+    if (!m_change_object.empty() && request.m_object == m_change_object)
+    {
+        answer.m_bytes = m_change_text;
+    }
+    else if (m_keys.applied() && request.m_object == m_applied_object)
+    {
+        answer.m_bytes = serialise(*m_keys.applied());
+    }
+    m_actions.emplace_back(send_bundle_answer{request.m_sender, std::move(answer)});
+}
+
+void bundle_agent::on_bundle_answer(const bundle_answer& answer, core::time_point now)
+{
+    if (answer.m_bytes.empty())
+    {
+        m_fetch.on_failed(answer.m_object, now);
+        return;
+    }
+    accept_object(answer.m_object, answer.m_bytes, now);
+}
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/bundle_agent_peers.cpp
@@ -0,0 +1,161 @@
+// Part of bundle_agent that exchanges words and withdrawals with peers.
+#include "tarragontrail/config/bundle_agent.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::config {
+
+void bundle_agent::on_peer_word(const freshness_word& word,
+                                std::optional<core::time_point> asked_at, core::time_point now)
+{
+    m_fetch.note_peer(word.m_sender, word.m_applied_version);
+    const bool holds_all = word.m_head_revision <= m_head_revision &&
+                           word.m_withdrawals_hash == m_keys.withdrawals().hash();
+    if (!holds_all)
+    {
+        request_state(word.m_sender, now);
+        return;
+    }
+    if (asked_at && is_current())
+    {
+        m_keys.ages().on_peer_word(word, *asked_at);
+    }
+}
+
+void bundle_agent::on_state_request(const state_request& request, core::time_point now)
+{
+    state_answer answer{request.m_sequence, word(now), m_head_text, m_keys.withdrawals().all()};
+    m_actions.emplace_back(send_state_answer{request.m_sender, std::move(answer)});
+}
+
+void bundle_agent::on_state_answer(const state_answer& answer, core::time_point now)
+{
+    m_fetch.note_peer(answer.m_word.m_sender, answer.m_word.m_applied_version);
+    if (answer.m_word.m_head_revision > m_head_revision)
+    {
+        adopt_head(answer.m_head_row, answer.m_word.m_head_revision, now);
+    }
+    for (const withdrawal& each : answer.m_withdrawals)
+    {
+        merge_withdrawal(each, true, now);
+    }
+    if (answer.m_sequence == m_request_sequence && is_current())
+    {
+        m_keys.ages().on_peer_word(answer.m_word, m_requested_at);
+    }
+}
+
+void bundle_agent::on_withdrawal(const withdrawal& learned, core::time_point now)
+{
+    merge_withdrawal(learned, false, now);
+}
+
+void bundle_agent::withdraw(key_prefix key, core::time_point now)
+{
+    merge_withdrawal(m_keys.make_withdrawal(key), true, now);
+    if (m_persist_at)
+    {
+        m_persist_at = now;
+    }
+}
+
+void bundle_agent::set_members(const std::vector<core::instance_id>& members)
+{
+    m_fetch.keep_peers(members);
+}
+
+freshness_word bundle_agent::word(core::time_point now) const
+{
+    freshness_word word;
+    word.m_sender = m_self;
+    word.m_domain = core::id_of<core::failure_domain_id>(m_failure_domain);
+    word.m_head_revision = m_head_revision;
+    word.m_withdrawals_hash = m_keys.withdrawals().hash();
+    word.m_applied_version = applied_version();
+    m_keys.ages().fill(word, now);
+    return word;
+}
+
+bool bundle_agent::withdrawals_persisted() const
+{
+    const std::vector<withdrawal>& held = m_keys.withdrawals().all();
+    return std::all_of(held.begin(), held.end(),
+                       [this](const withdrawal& each) { return is_persisted(each); });
+}
+
+void bundle_agent::merge_withdrawal(const withdrawal& learned, bool spread, core::time_point now)
+{
+    if (!m_keys.withdraw(learned))
+    {
+        return;
+    }
+    if (spread)
+    {
+        m_actions.emplace_back(spread_withdrawal{learned});
+    }
+    plan_persist(m_settings.m_persist_delay, now);
+}
+
+bool bundle_agent::is_persisted(const withdrawal& held) const
+{
+    return m_head && std::any_of(m_head->m_withdrawals.begin(), m_head->m_withdrawals.end(),
+                                 [&](const withdrawal& each) {
+                                     return prefix_of(each) == prefix_of(held) &&
+                                            each.m_bundle_version >= held.m_bundle_version;
+                                 });
+}
+
+void bundle_agent::plan_persist(core::duration longest, core::time_point now)
+{
+    if (withdrawals_persisted())
+    {
+        m_persist_at.reset();
+        return;
+    }
+    if (!m_persist_at || *m_persist_at <= now)
+    {
+        m_persist_at = now + up_to(longest);
+    }
+}
+
+void bundle_agent::persist_withdrawals(core::time_point now)
+{
+    m_persist_at.reset();
+    if (m_write || withdrawals_persisted())
+    {
+        return;
+    }
+    if (!is_current())
+    {
+        plan_persist(m_settings.m_persist_delay, now);
+        return;
+    }
+    head_row row = *m_head;
+    for (const withdrawal& each : m_keys.withdrawals().all())
+    {
+        if (is_persisted(each))
+        {
+            continue;
+        }
+        std::erase_if(row.m_withdrawals,
+                      [&](const withdrawal& old) { return prefix_of(old) == prefix_of(each); });
+        row.m_withdrawals.push_back(each);
+    }
+    row.m_trail.add(m_head_revision, m_random());
+    m_write = make_call(now, write_head(row));
+    m_actions.emplace_back(store_write{m_write->m_operation, head_table, head_key, m_head_revision,
+                                       m_write->m_subject});
+}
+
+void bundle_agent::request_state(core::instance_id peer, core::time_point now)
+{
+    if (now < m_next_request)
+    {
+        return;
+    }
+    m_next_request = now + m_settings.m_request_interval;
+    m_requested_at = now;
+    m_actions.emplace_back(send_state_request{peer, {m_self, ++m_request_sequence}});
+}
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/bundle_checks.cpp
@@ -0,0 +1,274 @@
+#include "tarragontrail/config/bundle_checks.hpp"
+
+#include "tarragontrail/config/bundle_error.hpp"
+#include "tarragontrail/core/ids.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <fmt/core.h>
+#include <numeric>
+#include <unordered_set>
+
+namespace tarragontrail::config {
+
+namespace {
+
+/// Whether a name has only the characters that every part of the system can carry unescaped.
+bool is_name(std::string_view text) noexcept
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return letter || (c >= '0' && c <= '9') ||
+               std::string_view("._/:-").find(c) != std::string_view::npos;
+    });
+}
+
+/// Names of one kind, each well formed and unique also by its hash.
+class name_set
+{
+public:
+    /// Adds the name found at `path`.
+    void add(const std::string& name, const std::string& path)
+    {
+        if (!is_name(name))
+        {
+            throw bundle_error(path, "has a character that names may not have");
+        }
+        if (!m_hashes.insert(core::hash_name(name)).second)
+        {
+            throw bundle_error(path, fmt::format("repeats '{}' or collides with its hash", name));
+        }
+    }
+
+    /// Throws unless the name, used at `path`, was added.
+    void require(const std::string& name, const std::string& path) const
+    {
+        if (!m_hashes.contains(core::hash_name(name)))
+        {
+            throw bundle_error(path, fmt::format("refers to unknown '{}'", name));
+        }
+    }
+
+private:
+    std::unordered_set<std::uint64_t> m_hashes; ///< Hashes of the names.
+};
+
+/// All names that other parts may refer to.
+struct known_names
+{
+    name_set m_regions;  ///< Regions.
+    name_set m_domains;  ///< Failure domains.
+    name_set m_models;   ///< Models.
+    name_set m_services; ///< Plain services.
+};
+
+void check_places(const bundle& read, known_names& names)
+{
+    std::size_t index = 0;
+    for (const region& each : read.m_regions)
+    {
+        const std::string path = fmt::format("/regions/{}", index++);
+        names.m_regions.add(each.m_name, path + "/name");
+        std::size_t position = 0;
+        for (const std::string& domain : each.m_failure_domains)
+        {
+            names.m_domains.add(domain, fmt::format("{}/failure_domains/{}", path, position++));
+        }
+    }
+}
+
+void check_workspaces(const bundle& read)
+{
+    name_set names;
+    std::size_t index = 0;
+    for (const workspace& each : read.m_workspaces)
+    {
+        const std::string path = fmt::format("/workspaces/{}", index++);
+        names.add(each.m_name, path + "/name");
+        std::unordered_set<std::uint32_t> ids;
+        for (std::uint32_t i = 0; i < each.m_key_count; ++i)
+        {
+            if (!ids.insert(read.m_keys[each.m_first_key + i].m_id).second)
+            {
+                throw bundle_error(fmt::format("{}/keys/{}/id", path, i), "repeats an id");
+            }
+        }
+    }
+}
+
+/// Withdrawals name a key by half its digest, so the halves must be unique too.
+void check_digests(const bundle& read)
+{
+    std::vector<std::uint32_t> order(read.m_keys.size());
+    std::iota(order.begin(), order.end(), 0U);
+    const auto prefix = [&read](std::uint32_t i) { return prefix_of(read.m_keys[i].m_digest); };
+    std::sort(order.begin(), order.end(),
+              [&](std::uint32_t a, std::uint32_t b) { return prefix(a) < prefix(b); });
+    const auto twin =
+        std::adjacent_find(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
+            return prefix(a) == prefix(b);
+        });
+    if (twin == order.end())
+    {
+        return;
+    }
+    const key_entry& key = read.m_keys[*std::next(twin)];
+    const std::uint32_t position =
+        *std::next(twin) - read.m_workspaces[key.m_workspace].m_first_key;
+    throw bundle_error(fmt::format("/workspaces/{}/keys/{}/sha256", key.m_workspace, position),
+                       "repeats another key's digest");
+}
+
+void check_models(const bundle& read, known_names& names)
+{
+    std::size_t index = 0;
+    for (const model& each : read.m_models)
+    {
+        const std::string path = fmt::format("/models/{}", index++);
+        names.m_models.add(each.m_name, path + "/name");
+        name_set adapters;
+        std::size_t position = 0;
+        for (const std::string& adapter : each.m_adapters)
+        {
+            adapters.add(adapter, fmt::format("{}/adapters/{}", path, position++));
+        }
+    }
+}
+
+bool is_numeric_address(const std::string& text) noexcept
+{
+    in6_addr parsed{};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
+}
+
+/// Throws unless the region of this name has the failure domain.
+void check_place(const bundle& read, const upstream& each, const std::string& path)
+{
+    for (const region& place : read.m_regions)
+    {
+        if (place.m_name != each.m_region)
+        {
+            continue;
+        }
+        const std::vector<std::string>& domains = place.m_failure_domains;
+        if (std::find(domains.begin(), domains.end(), each.m_failure_domain) != domains.end())
+        {
+            return;
+        }
+    }
+    throw bundle_error(path + "/failure_domain", "is not in the upstream's region");
+}
+
+void check_upstreams(const bundle& read, known_names& names)
+{
+    name_set unique;
+    std::size_t index = 0;
+    for (const upstream& each : read.m_upstreams)
+    {
+        const std::string path = fmt::format("/upstreams/{}", index++);
+        unique.add(each.m_name, path + "/name");
+        names.m_regions.require(each.m_region, path + "/region");
+        check_place(read, each, path);
+        if (!is_numeric_address(each.m_address))
+        {
+            throw bundle_error(path + "/address", "is not a numeric IP address");
+        }
+        if (!each.m_model.empty())
+        {
+            names.m_models.require(each.m_model, path + "/model");
+        }
+        if (each.m_kind == upstream_kind::service)
+        {
+            names.m_services.add(each.m_name, path + "/name");
+        }
+    }
+}
+
+void check_path(const std::string& text, const std::string& path)
+{
+    if (text.front() != '/')
+    {
+        throw bundle_error(path, "does not begin with '/'");
+    }
+}
+
+void check_routes(const bundle& read, const known_names& names)
+{
+    std::size_t index = 0;
+    for (const std::string& route : read.m_open_routes)
+    {
+        check_path(route, fmt::format("/open_routes/{}", index++));
+    }
+    index = 0;
+    std::unordered_set<std::string> prefixes;
+    for (const service_route& each : read.m_service_routes)
+    {
+        const std::string path = fmt::format("/service_routes/{}", index++);
+        check_path(each.m_path_prefix, path + "/path_prefix");
+        if (!prefixes.insert(each.m_path_prefix).second)
+        {
+            throw bundle_error(path + "/path_prefix", "repeats another route's prefix");
+        }
+        std::size_t position = 0;
+        for (const std::string& name : each.m_upstreams)
+        {
+            names.m_services.require(name, fmt::format("{}/upstreams/{}", path, position++));
+        }
+    }
+}
+
+void check_rollout(const bundle& read, const known_names& names)
+{
+    std::size_t index = 0;
+    for (const rollout_step& step : read.m_rollout)
+    {
+        std::size_t position = 0;
+        for (const std::string& domain : step.m_failure_domains)
+        {
+            names.m_domains.require(
+                domain, fmt::format("/rollout/{}/failure_domains/{}", index, position++));
+        }
+        ++index;
+    }
+}
+
+} // namespace
+
+void normalise(bundle& read)
+{
+    std::vector<workspace> sorted = std::move(read.m_workspaces);
+    std::sort(sorted.begin(), sorted.end(),
+              [](const workspace& a, const workspace& b) { return a.m_name < b.m_name; });
+    std::vector<key_entry> keys;
+    keys.reserve(read.m_keys.size());
+    std::uint32_t index = 0;
+    for (workspace& each : sorted)
+    {
+        const std::uint32_t first = each.m_first_key;
+        each.m_first_key = static_cast<std::uint32_t>(keys.size());
+        for (std::uint32_t i = 0; i < each.m_key_count; ++i)
+        {
+            keys.push_back(read.m_keys[first + i]);
+            keys.back().m_workspace = index;
+        }
+        ++index;
+    }
+    sorted.shrink_to_fit();
+    read.m_workspaces = std::move(sorted);
+    read.m_keys = std::move(keys);
+}
+
+void check_bundle(const bundle& read)
+{
+    known_names names;
+    check_places(read, names);
+    check_workspaces(read);
+    check_digests(read);
+    check_models(read, names);
+    check_upstreams(read, names);
+    check_routes(read, names);
+    check_rollout(read, names);
+}
+
+} // namespace tarragontrail::config
--- a/tarragontrail/config/bundle_fetch.hpp
+++ b/tarragontrail/config/bundle_fetch.hpp
@@ -65,6 +65,12 @@
     std::optional<core::time_point> next_deadline() const;
 
 private:
+    /// Object being fetched.
+    const std::string& wanted_object() const;
+
+    /// Random pause of at most this many retry pauses.
+    core::duration pause(std::uint64_t factor);
+
     /// A peer that applies the target, chosen at random; none when no peer is known to.
     std::optional<core::instance_id> pick_peer();
 
--- /dev/null
+++ b/tarragontrail/config/draft_row.cpp
@@ -0,0 +1,64 @@
+#include "tarragontrail/config/draft_row.hpp"
+
+#include "tarragontrail/config/row_json.hpp"
+
+#include <array>
+#include <fmt/core.h>
+
+namespace tarragontrail::config {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<const char*, 4> state_names{"submitted", "reviewed", "signed_off", "rolled"};
+
+draft_state read_state(const std::string& name)
+{
+    for (std::size_t i = 0; i < state_names.size(); ++i)
+    {
+        if (name == state_names[i])
+        {
+            return static_cast<draft_state>(i);
+        }
+    }
+    throw bundle_error("/state", "is no state of a draft");
+}
+
+} // namespace
+
+std::string draft_key(std::string_view name)
+{
+    return fmt::format("draft/{}", name);
+}
+
+std::string write_draft(const draft_row& row)
+{
+    const json written = {{"name", row.m_name},
+                          {"state", state_names[static_cast<std::size_t>(row.m_state)]},
+                          {"author", row.m_author},
+                          {"reviewer", row.m_reviewer},
+                          {"signer", row.m_signer},
+                          {"ref", write_ref(row.m_ref)},
+                          {"steps", write_steps(row.m_steps)},
+                          {"trail", write_trail(row.m_trail)}};
+    return written.dump();
+}
+
+draft_row read_draft(std::string_view text)
+{
+    return read_row(text, [](const json& from) {
+        draft_row row;
+        row.m_name = from.at("name");
+        row.m_state = read_state(from.at("state"));
+        row.m_author = from.at("author");
+        row.m_reviewer = from.at("reviewer");
+        row.m_signer = from.at("signer");
+        row.m_ref = read_ref(from.at("ref"));
+        row.m_steps = read_steps(from.at("steps"));
+        row.m_trail = read_trail(from.at("trail"));
+        return row;
+    });
+}
+
+} // namespace tarragontrail::config
--- /dev/null
+++ b/tarragontrail/config/head_row.cpp
@@ -0,0 +1,73 @@
+#include "tarragontrail/config/head_row.hpp"
+
+#include "tarragontrail/config/row_json.hpp"
+
+#include <algorithm>
+#include <fmt/core.h>
+
+namespace tarragontrail::config {
+
+using nlohmann::json;
+
+const bundle_ref& head_row::target_of(std::string_view failure_domain) const noexcept
+{
+    if (everywhere())
+    {
+        return m_current;
+    }
+    for (std::size_t i = 0; i <= m_step; ++i)
+    {
+        const std::vector<std::string>& domains = m_steps[i].m_failure_domains;
+        if (std::find(domains.begin(), domains.end(), failure_domain) != domains.end())
+        {
+            return m_current;
+        }
+    }
+    return m_previous;
+}
+
+std::string write_head(const head_row& row)
+{
+    json withdrawals = json::array();
+    for (const withdrawal& each : row.m_withdrawals)
+    {
+        withdrawals.push_back({each.m_prefix_high, each.m_prefix_low, each.m_bundle_version});
+    }
+    const json written = {
+        {"current", write_ref(row.m_current)}, {"previous", write_ref(row.m_previous)},
+        {"steps", write_steps(row.m_steps)},   {"step", row.m_step},
+        {"withdrawals", withdrawals},          {"trail", write_trail(row.m_trail)}};
+    return written.dump();
+}
+
+head_row read_head(std::string_view text)
+{
+    return read_row(text, [](const json& from) {
+        head_row row;
+        row.m_current = read_ref(from.at("current"));
+        row.m_previous = read_ref(from.at("previous"));
+        row.m_steps = read_steps(from.at("steps"));
+        row.m_step = from.at("step").get<std::uint64_t>();
+        for (const json& each : from.at("withdrawals"))
+        {
+            row.m_withdrawals.push_back({each.at(0).get<std::uint64_t>(),
+                                         each.at(1).get<std::uint64_t>(),
+                                         each.at(2).get<std::uint64_t>()});
+        }
+        row.m_trail = read_trail(from.at("trail"));
+        return row;
+    });
+}
+
+std::string object_name(std::string_view kind, std::string_view bytes)
+{
+    return fmt::format("{}/{}", kind, to_hex(sha256(bytes)));
+}
+
+bool matches_name(std::string_view object, std::string_view bytes)
+{
+    const std::size_t slash = object.rfind('/');
+    return slash != std::string_view::npos && object.substr(slash + 1) == to_hex(sha256(bytes));
+}
+
+} // namespace tarragontrail::config
--- a/tarragontrail/config/head_row.hpp
+++ b/tarragontrail/config/head_row.hpp
@@ -41,6 +41,9 @@
 inline constexpr const char* head_table = "bundle";
 inline constexpr const char* head_key = "head";
 
+/// Object with a copy of the head row, for instances that start while the table is down.
+inline constexpr const char* recent_object = "recent/head";
+
 /// Text of the row.
 std::string write_head(const head_row& row);
 
--- a/tarragontrail/config/key_freshness.hpp
+++ b/tarragontrail/config/key_freshness.hpp
@@ -13,8 +13,6 @@
 {
     /// Oldest word of the store, or of a failure domain, on which keyed routes are served.
     std::chrono::milliseconds m_limit{10000};
-    /// Added to the age in a peer's word for the time it travelled.
-    std::chrono::milliseconds m_transit_allowance{500};
 };
 
 /// Ground on which keyed routes are served or refused.
@@ -27,20 +25,22 @@
 
 /// Knows how old this instance's word of the store and of every failure domain is.
 ///
-/// Ages are kept against the own monotonic clock; a peer's word carries an age, never a time.
+/// Ages are kept against the own monotonic clock. A peer's word carries an age, never a time, and
+/// counts from the moment at which it was asked for, so that a word delayed on its way never
+/// looks fresher than it is.
 class key_freshness
 {
 public:
-    key_freshness(const key_freshness_settings& settings, core::failure_domain_id own_domain);
+    explicit key_freshness(const key_freshness_settings& settings) : m_settings(settings) {}
 
-    /// Sets the failure domains in which the platform lists live instances.
-    void set_domains(std::vector<core::failure_domain_id> listed);
+    /// Sets the failure domains in which the platform lists live instances other than this one.
+    void set_domains(const std::vector<core::failure_domain_id>& listed);
 
     /// The store itself confirmed at `asked_at` that this instance holds all it has.
     void on_store_confirmed(core::time_point asked_at);
 
-    /// A peer's word arrived whose withdrawals and head this instance holds too.
-    void on_peer_word(const freshness_word& word, core::time_point now);
+    /// A peer answered a question of `asked_at`, and this instance holds all that the peer has.
+    void on_peer_word(const freshness_word& word, core::time_point asked_at);
 
     /// Verdict at a moment.
     freshness state(core::time_point now) const;
@@ -60,11 +60,14 @@
         std::optional<core::time_point> m_heard_at; ///< Moment; none when never heard.
     };
 
+    /// Mark of a failure domain, made when it is new.
+    domain_mark& mark_of(core::failure_domain_id domain);
+
     /// Keeps the later of the known moment and `heard_at`.
     void mark_domain(core::failure_domain_id domain, core::time_point heard_at);
 
     key_freshness_settings m_settings;                ///< Limits.
-    core::failure_domain_id m_own_domain;             ///< Domain of this instance.
+    bool m_list_known = false;                        ///< Whether the list was ever read.
     std::optional<core::time_point> m_store_heard_at; ///< Latest moment of the store's word.
     std::vector<domain_mark> m_domains;               ///< All domains known.
 };
--- a/tarragontrail/config/key_table.hpp
+++ b/tarragontrail/config/key_table.hpp
@@ -32,14 +32,18 @@
 class key_table
 {
 public:
-    key_table(const key_freshness_settings& settings, core::failure_domain_id own_domain);
+    explicit key_table(const key_freshness_settings& settings) : m_freshness(settings) {}
 
     /// Replaces the bundle by a newer one; an older version breaks an invariant.
     void apply(std::shared_ptr<const bundle> applied);
 
-    /// Records a withdrawal; returns whether it was new.
+    /// Records a withdrawal; returns whether it was new. One that the bundle in force includes is
+    /// not recorded.
     bool withdraw(const withdrawal& added);
 
+    /// Withdrawal of a key to be made now, kept until a bundle includes it.
+    withdrawal make_withdrawal(key_prefix key) const noexcept;
+
     /// Verdict on a key's digest.
     key_check check(const sha256_digest& digest, core::time_point now) const;
 
@@ -59,6 +63,15 @@
     std::size_t memory_bytes() const noexcept;
 
 private:
+    /// Slot at which the search for a digest begins.
+    std::size_t first_slot(key_prefix prefix) const noexcept;
+
+    /// Key with this digest prefix, or null.
+    const key_entry* find(key_prefix prefix) const noexcept;
+
+    /// Whether the bundle in force makes the withdrawal needless.
+    bool includes(const withdrawal& known) const noexcept;
+
     /// Key with this digest, or null.
     const key_entry* find(const sha256_digest& digest) const noexcept;
 
--- a/tarragontrail/config/messages.hpp
+++ b/tarragontrail/config/messages.hpp
@@ -41,11 +41,13 @@
 struct state_request
 {
     core::instance_id m_sender{}; ///< Sender.
+    std::uint64_t m_sequence = 0; ///< Echoed in the answer.
 };
 
 /// Answers state_request; the word is stamped when the answer is sent.
 struct state_answer
 {
+    std::uint64_t m_sequence = 0;          ///< Sequence of the request.
     freshness_word m_word;                 ///< Sender's freshness.
     std::string m_head_row;                ///< Value of the head row as last read; may be empty.
     std::vector<withdrawal> m_withdrawals; ///< All withdrawals of the sender.
--- /dev/null
+++ b/tarragontrail/config/settled_write.cpp
@@ -0,0 +1,62 @@
+#include "tarragontrail/config/settled_write.hpp"
+
+#include <utility>
+
+namespace tarragontrail::config {
+
+settled_write::settled_write(store_write write, std::uint64_t nonce, trail_reader reader)
+    : m_write(std::move(write)), m_nonce(nonce), m_reader(reader)
+{}
+
+std::variant<store_read, store_write> settled_write::next(operation_id operation)
+{
+    if (m_reading_back)
+    {
+        return store_read{operation, m_write.m_table, m_write.m_key, false};
+    }
+    m_was_sent = true;
+    m_write.m_operation = operation;
+    return m_write;
+}
+
+write_outcome settled_write::on_written(const write_reply& reply)
+{
+    if (reply.m_ok)
+    {
+        m_seen_version = reply.m_version;
+        m_seen_value = m_write.m_value;
+        return write_outcome::ok;
+    }
+    return judge(reply.m_version, reply.m_value);
+}
+
+write_outcome settled_write::on_read(const read_reply& reply)
+{
+    const std::uint64_t version = reply.m_found ? reply.m_version : 0;
+    if (version == m_write.m_expected_version)
+    {
+        // Not written so far, though the first copy may still arrive: send the same write again.
+        m_reading_back = false;
+        return write_outcome::pending;
+    }
+    return judge(version, reply.m_value);
+}
+
+write_outcome settled_write::judge(std::uint64_t version, const std::string& value)
+{
+    m_seen_version = version;
+    m_seen_value = value;
+    if (version == 0)
+    {
+        return write_outcome::unknown;
+    }
+    const std::optional<std::uint64_t> writer =
+        m_reader(value).writer_of(m_write.m_expected_version);
+    if (!writer)
+    {
+        return write_outcome::unknown;
+    }
+    return *writer == m_nonce ? write_outcome::ok : write_outcome::conflict;
+}
+
+} // namespace tarragontrail::config
--- a/tarragontrail/config/settled_write.hpp
+++ b/tarragontrail/config/settled_write.hpp
@@ -40,6 +40,9 @@
     /// The call got no reply; the row is read back next.
     void on_failed() noexcept { m_reading_back = true; }
 
+    /// Whether the write was ever sent, so that it may have taken effect.
+    bool was_sent() const noexcept { return m_was_sent; }
+
     /// Row version that the last reply showed.
     std::uint64_t seen_version() const noexcept { return m_seen_version; }
 
@@ -54,6 +57,7 @@
     std::uint64_t m_nonce;            ///< Its mark in the row's trail.
     trail_reader m_reader;            ///< Reads trails.
     bool m_reading_back = false;      ///< Whether the next call is a read.
+    bool m_was_sent = false;          ///< Whether the write was ever sent.
     std::uint64_t m_seen_version = 0; ///< Version last seen.
     std::string m_seen_value;         ///< Value last seen.
 };
--- a/tarragontrail/config/withdrawal_set.hpp
+++ b/tarragontrail/config/withdrawal_set.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "tarragontrail/config/bundle.hpp"
 #include "tarragontrail/config/key_digest.hpp"
 #include "tarragontrail/config/messages.hpp"
 
 #include <cstdint>
-#include <string>
-#include <string_view>
 #include <vector>
 
 namespace tarragontrail::config {
@@ -21,8 +18,13 @@
     /// Whether the key is withdrawn.
     bool contains(key_prefix prefix) const noexcept;
 
-    /// Drops what a newer bundle includes: keys that it lists as withdrawn or no longer lists.
-    void prune(const bundle& applied);
+    /// Drops the withdrawals for which `included` holds.
+    template <class Predicate>
+    void drop_if(Predicate included)
+    {
+        std::erase_if(m_entries, included);
+        rehash();
+    }
 
     /// Order-free hash of the set.
     std::uint64_t hash() const noexcept { return m_hash; }
@@ -31,14 +33,17 @@
     const std::vector<withdrawal>& all() const noexcept { return m_entries; }
 
 private:
+    /// Computes the hash anew.
+    void rehash() noexcept;
+
     std::vector<withdrawal> m_entries; ///< Sorted by prefix.
     std::uint64_t m_hash = 0;          ///< Exclusive or over the entries' hashes.
 };
 
-/// Row text of withdrawals.
-std::string write_withdrawals(const std::vector<withdrawal>& entries);
-
-/// Reads a row text; throws bundle_error when it is malformed.
-std::vector<withdrawal> read_withdrawals(std::string_view text);
+/// Leading half of the withdrawn key's digest.
+constexpr key_prefix prefix_of(const withdrawal& from) noexcept
+{
+    return {from.m_prefix_high, from.m_prefix_low};
+}
 
 } // namespace tarragontrail::config
