Lay the interfaces of prefix routing

Cause: the shell and the load tool need the router's events, actions and messages early. Ruled out: a callback from the router to the shell for local lookups; a pointer to the local index keeps the core free of calls outward.

--- /dev/null
+++ b/tarragontrail/routing/engine_index.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/routing/actions.hpp"
+#include "tarragontrail/routing/flat_table.hpp"
+#include "tarragontrail/routing/lifetime_estimator.hpp"
+#include "tarragontrail/routing/messages.hpp"
+#include "tarragontrail/routing/settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace tarragontrail::routing {
+
+/// Blocks that one engine holds, kept by the instance that watches it.
+///
+/// It answers only while it has seen every event since an empty cache or a snapshot. A gap makes
+/// it unknown until a snapshot and the batches after it close the gap.
+class engine_index
+{
+public:
+    engine_index(core::upstream_id engine, const engine_index_settings& settings);
+
+    /// Takes in one batch of the engine's events, in any order and any number of times.
+    void on_event(const cache_event& event, core::time_point now);
+
+    /// Takes in a snapshot, asked for or not.
+    void on_snapshot(const cache_snapshot& snapshot, core::time_point now);
+
+    /// Notes the last sequence number the engine has used, for example from a load report.
+    void on_last_sequence(core::incarnation incarnation, std::uint64_t sequence,
+                          core::time_point now);
+
+    /// Notes a lost connection to the event stream; entries are not believed until a snapshot.
+    void on_stream_lost(core::time_point now);
+
+    /// Asks again for a snapshot that did not come.
+    void on_timer(core::time_point now);
+
+    /// Moment at which on_timer has work to do.
+    std::optional<core::time_point> next_deadline() const noexcept { return m_retry_at; }
+
+    /// Requests made since the last call.
+    std::vector<request_snapshot> take_actions();
+
+    /// Number of leading pieces of a chain that are cached; zero while unknown.
+    std::size_t depth(std::span<const std::uint64_t> hashes) const noexcept;
+
+    /// Whether one block is cached; false while unknown.
+    bool contains(std::uint64_t hash) const noexcept { return m_known && m_blocks.contains(hash); }
+
+    /// Whether the index has seen every event.
+    bool known() const noexcept { return m_known; }
+
+    /// Incarnation that the entries belong to.
+    core::incarnation incarnation() const noexcept { return m_incarnation; }
+
+    core::upstream_id engine() const noexcept { return m_engine; }
+    std::size_t size() const noexcept { return m_blocks.size(); }
+    std::size_t bytes() const noexcept { return m_blocks.bytes(); }
+
+    /// Stored blocks left out since the byte budget was spent.
+    std::uint64_t refused_blocks() const noexcept { return m_refused; }
+
+    /// Time from store to eviction; zero before any eviction is seen.
+    std::chrono::milliseconds block_lifetime() const noexcept { return m_lifetime.value(); }
+
+private:
+    void start_incarnation(core::incarnation incarnation);
+    void await_snapshot(core::time_point now);
+    void apply(const cache_event& event, core::time_point now);
+    void buffer(const cache_event& event);
+    void replay_buffered(core::time_point now);
+
+    core::upstream_id m_engine;                 ///< Engine watched.
+    engine_index_settings m_settings;           ///< Limits.
+    core::incarnation m_incarnation{};          ///< Incarnation of the entries.
+    std::uint64_t m_applied = 0;                ///< Last batch contained in the entries.
+    std::uint64_t m_highest = 0;                ///< Highest sequence number heard of.
+    bool m_known = false;                       ///< Whether the entries may be believed.
+    flat_table<no_value> m_blocks;              ///< Hashes of the blocks held.
+    std::vector<cache_event> m_buffered;        ///< Batches after a gap, by sequence number.
+    lifetime_estimator m_lifetime;              ///< Learned time from store to eviction.
+    std::optional<core::time_point> m_retry_at; ///< When to ask for the snapshot again.
+    std::vector<request_snapshot> m_actions;    ///< Actions not yet taken.
+    std::uint64_t m_refused = 0;                ///< Blocks left out.
+};
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/flat_table.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace tarragontrail::routing {
+
+/// Value of a table that is used as a set.
+struct no_value
+{};
+
+/// Open-addressing table keyed by 64-bit hashes or ids, with linear probing in one array.
+///
+/// Erasing moves later entries back, so there are no tombstones. It grows by half when four fifths
+/// of the slots are in use, up to a byte budget; beyond it new keys are refused.
+template <class Value>
+class flat_table
+{
+public:
+    /// `max_bytes` bounds the array of slots, also during growth.
+    explicit flat_table(std::size_t capacity = 0, std::size_t max_bytes = ~std::size_t{0})
+        : m_max_slots(max_bytes / sizeof(slot))
+    {
+        m_slots.resize(std::min(slots_for(capacity), m_max_slots));
+    }
+
+    /// Pointer to a key's value, or null.
+    Value* find(std::uint64_t key) noexcept
+    {
+        const std::size_t position = locate(stored_key(key));
+        return position == missing ? nullptr : &m_slots[position].m_value;
+    }
+
+    /// Pointer to a key's value, or null.
+    const Value* find(std::uint64_t key) const noexcept
+    {
+        const std::size_t position = locate(stored_key(key));
+        return position == missing ? nullptr : &m_slots[position].m_value;
+    }
+
+    bool contains(std::uint64_t key) const noexcept { return locate(stored_key(key)) != missing; }
+
+    /// Adds or replaces; false when the budget has no room for a new key.
+    bool insert(std::uint64_t key, Value value = {})
+    {
+        if (Value* const present = find(key))
+        {
+            *present = std::move(value);
+            return true;
+        }
+        if (!make_room())
+        {
+            return false;
+        }
+        place(stored_key(key), std::move(value));
+        ++m_size;
+        return true;
+    }
+
+    /// Removes a key; false when it is not there.
+    bool erase(std::uint64_t key) noexcept
+    {
+        const std::size_t position = locate(stored_key(key));
+        if (position == missing)
+        {
+            return false;
+        }
+        close_gap(position);
+        --m_size;
+        return true;
+    }
+
+    /// Removes all keys and keeps the memory.
+    void clear() noexcept
+    {
+        std::fill(m_slots.begin(), m_slots.end(), slot{});
+        m_size = 0;
+    }
+
+    std::size_t size() const noexcept { return m_size; }
+
+    /// Memory of the slots.
+    std::size_t bytes() const noexcept { return m_slots.capacity() * sizeof(slot); }
+
+private:
+    struct slot
+    {
+        std::uint64_t m_key = 0;               ///< Key; zero marks an empty slot.
+        [[no_unique_address]] Value m_value{}; ///< Value of the key.
+    };
+
+    static constexpr std::size_t missing = ~std::size_t{0};
+    static constexpr std::size_t min_slots = 16;
+    static constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // 2^64 / golden ratio
+
+    static constexpr std::uint64_t stored_key(std::uint64_t key) noexcept
+    {
+        return key == 0 ? multiplier : key;
+    }
+
+    static constexpr std::size_t slots_for(std::size_t keys) noexcept
+    {
+        return std::max(min_slots, keys + keys / 4 + 1);
+    }
+
+    std::size_t home(std::uint64_t key) const noexcept
+    {
+        __extension__ using wide = unsigned __int128;
+        return static_cast<std::size_t>((wide{key * multiplier} * m_slots.size()) >> 64);
+    }
+
+    std::size_t next(std::size_t position) const noexcept
+    {
+        return position + 1 == m_slots.size() ? 0 : position + 1;
+    }
+
+    std::size_t locate(std::uint64_t key) const noexcept
+    {
+        if (m_size == 0)
+        {
+            return missing;
+        }
+        for (std::size_t position = home(key);; position = next(position))
+        {
+            if (m_slots[position].m_key == key)
+            {
+                return position;
+            }
+            if (m_slots[position].m_key == 0)
+            {
+                return missing;
+            }
+        }
+    }
+
+    bool make_room()
+    {
+        if ((m_size + 1) * 5 <= m_slots.size() * 4)
+        {
+            return true;
+        }
+        const std::size_t wanted = std::max(min_slots, m_slots.size() + m_slots.size() / 2);
+        const std::size_t slots = std::min(wanted, m_max_slots);
+        if ((m_size + 1) * 5 > slots * 4)
+        {
+            return false;
+        }
+        rebuild(slots);
+        return true;
+    }
+
+    void rebuild(std::size_t slots)
+    {
+        std::vector<slot> old(slots);
+        old.swap(m_slots);
+        for (slot& entry : old)
+        {
+            if (entry.m_key == 0)
+            {
+                continue;
+            }
+            place(entry.m_key, std::move(entry.m_value));
+        }
+    }
+
+    void place(std::uint64_t key, Value&& value)
+    {
+        std::size_t position = home(key);
+        while (m_slots[position].m_key != 0)
+        {
+            position = next(position);
+        }
+        m_slots[position].m_key = key;
+        m_slots[position].m_value = std::move(value);
+    }
+
+    /// Distance from a key's home to a position, going round the end.
+    std::size_t distance(std::uint64_t key, std::size_t position) const noexcept
+    {
+        const std::size_t start = home(key);
+        return position >= start ? position - start : position + m_slots.size() - start;
+    }
+
+    void close_gap(std::size_t gap) noexcept
+    {
+        std::size_t steps = 1;
+        for (std::size_t position = next(gap); m_slots[position].m_key != 0;
+             position = next(position), ++steps)
+        {
+            if (distance(m_slots[position].m_key, position) < steps)
+            {
+                continue;
+            }
+            m_slots[gap] = std::move(m_slots[position]);
+            gap = position;
+            steps = 0;
+        }
+        m_slots[gap] = slot{};
+    }
+
+    std::vector<slot> m_slots; ///< Array of slots.
+    std::size_t m_size = 0;    ///< Keys held.
+    std::size_t m_max_slots;   ///< Most slots within the byte budget.
+};
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/least_cost_policy.cpp
@@ -0,0 +1,72 @@
+#include "tarragontrail/routing/least_cost_policy.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::routing {
+
+void least_cost_policy::select(const selection& input, candidate_list& candidates,
+                               core::seeded_random& random) const
+{
+    // Engines of the hashing key, and of the key before a change of depth.
+    const auto options = input.preferred();
+    const candidate_origin origin = input.preferred_origin(candidate_origin::hashed);
+    add_by_rendezvous(options, input.m_key, input.m_count, origin, candidates);
+    if (input.m_previous_key.has_value())
+    {
+        add_by_rendezvous(options, *input.m_previous_key, input.m_count, origin, candidates);
+    }
+
+    // More engines of the region only under overload.
+    if (!all_overloaded(options, candidates))
+    {
+        return;
+    }
+    const candidate_origin spilled = input.preferred_origin(candidate_origin::spilled);
+    add_less_loaded_of_two(options, spilled, candidates, random);
+    add_less_loaded_of_two(input.m_remote, candidate_origin::other_region, candidates, random);
+}
+
+std::size_t least_cost_policy::choose(std::span<const candidate> candidates,
+                                      core::seeded_random& random) const
+{
+    core::duration lowest = core::duration::max();
+    for (const candidate& item : candidates)
+    {
+        lowest = std::min(lowest, item.m_cost);
+    }
+
+    // Candidates stand in rendezvous order, so the first of the cheapest keeps the affinity.
+    std::array<std::size_t, max_candidates> equal{};
+    std::size_t count = 0;
+    for (std::size_t position = 0; position < candidates.size(); ++position)
+    {
+        if (candidates[position].m_cost > lowest + m_tie_margin)
+        {
+            continue;
+        }
+        equal[count] = position;
+        ++count;
+    }
+    const std::size_t first = equal[0];
+    const std::size_t other = equal[random.below(count)];
+    return candidates[other].m_wait < candidates[first].m_wait ? other : first;
+}
+
+bool least_cost_policy::all_overloaded(std::span<const engine_option> options,
+                                       const candidate_list& candidates) const noexcept
+{
+    for (const engine_option& option : options)
+    {
+        const auto items = candidates.items();
+        const bool listed = std::any_of(items.begin(), items.end(), [&](const candidate& item) {
+            return item.m_engine == option.m_engine;
+        });
+        if (listed && option.m_wait <= m_overload_wait)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/rendezvous_policy.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "tarragontrail/routing/routing_policy.hpp"
+
+namespace tarragontrail::routing {
+
+/// The engine with the highest rendezvous score for the prefix key, whatever its load.
+class rendezvous_policy
+{
+public:
+    static constexpr policy_kind m_kind = policy_kind::rendezvous; ///< Name in log lines.
+    static constexpr bool m_uses_depths = false;                   ///< Depths do not matter.
+
+    void select(const selection& input, candidate_list& candidates,
+                core::seeded_random& /*random*/) const
+    {
+        // A prefix stays on its old engine until its own moment of the change comes.
+        const std::uint64_t key = input.m_previous_key.value_or(input.m_key);
+        add_by_rendezvous(input.preferred(), key, 1,
+                          input.preferred_origin(candidate_origin::hashed), candidates);
+    }
+
+    std::size_t choose(std::span<const candidate> /*candidates*/,
+                       core::seeded_random& /*random*/) const
+    {
+        return 0;
+    }
+};
+
+static_assert(routing_policy<rendezvous_policy>);
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/request_table.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "tarragontrail/routing/flat_table.hpp"
+#include "tarragontrail/routing/route_request.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace tarragontrail::routing {
+
+/// Requests from begin to finish, in records that are reused, with their lookup timeouts in order.
+class request_table
+{
+public:
+    /// Record for a new request; throws duplicate_request when its id is in use.
+    request_record& add(core::request_id request_id);
+
+    /// Frees a request's record.
+    void remove(request_record& request);
+
+    /// Record of a request, or null.
+    request_record* find(core::request_id request_id) noexcept;
+
+    /// Record whose lookups have this base, or null.
+    request_record* find_lookup(std::uint64_t lookup_base) noexcept;
+
+    /// Starts the lookups of a request that time out at `deadline`, no earlier than those before.
+    void start_lookups(request_record& request, core::time_point deadline);
+
+    /// Ends the lookups of a request; later replies find nothing.
+    void end_lookups(request_record& request);
+
+    /// Next request whose lookups have timed out, or null.
+    request_record* next_timed_out(core::time_point now);
+
+    /// Earliest timeout of running lookups; may name lookups that have ended.
+    std::optional<core::time_point> next_deadline() const noexcept;
+
+    std::size_t size() const noexcept { return m_by_request.size(); }
+
+private:
+    /// Timeout of one request's lookups.
+    struct timeout
+    {
+        core::time_point m_deadline{};   ///< When they time out.
+        std::uint64_t m_lookup_base = 0; ///< Which lookups.
+    };
+
+    void drop_ended_timeouts();
+
+    std::deque<request_record> m_records;   ///< Records; references stay valid.
+    std::vector<std::uint32_t> m_free;      ///< Records without a request.
+    flat_table<std::uint32_t> m_by_request; ///< Records by request id.
+    flat_table<std::uint32_t> m_by_lookup;  ///< Records by lookup base.
+    std::deque<timeout> m_timeouts;         ///< Timeouts, earliest first.
+    std::uint64_t m_next_lookup_base = 0;   ///< Base of the next lookups.
+};
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/routing_policy.cpp
@@ -0,0 +1,62 @@
+#include "tarragontrail/routing/routing_policy.hpp"
+
+#include "tarragontrail/core/hash.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::routing {
+
+namespace {
+
+/// Option and its rendezvous score.
+struct scored_option
+{
+    std::uint64_t m_score = 0;    ///< Score for the key.
+    core::upstream_id m_engine{}; ///< Engine; breaks ties.
+
+    auto operator<=>(const scored_option&) const = default;
+};
+
+} // namespace
+
+void add_by_rendezvous(std::span<const engine_option> options, std::uint64_t key, std::size_t count,
+                       candidate_origin origin, candidate_list& candidates) noexcept
+{
+    // Keeps the best so far in descending order by insertion.
+    std::array<scored_option, max_candidates> best{};
+    std::size_t held = 0;
+    count = std::min(count, max_candidates);
+    for (const engine_option& option : options)
+    {
+        const scored_option scored{core::rendezvous_score(key, core::value_of(option.m_engine)),
+                                   option.m_engine};
+        if (held == count && (count == 0 || scored < best[held - 1]))
+        {
+            continue;
+        }
+        std::size_t place = held < count ? held++ : count - 1;
+        for (; place > 0 && best[place - 1] < scored; --place)
+        {
+            best[place] = best[place - 1];
+        }
+        best[place] = scored;
+    }
+    for (const scored_option& scored : std::span(best).first(held))
+    {
+        candidates.add(scored.m_engine, origin);
+    }
+}
+
+void add_less_loaded_of_two(std::span<const engine_option> options, candidate_origin origin,
+                            candidate_list& candidates, core::seeded_random& random) noexcept
+{
+    if (options.empty())
+    {
+        return;
+    }
+    const engine_option& first = options[random.below(options.size())];
+    const engine_option& second = options[random.below(options.size())];
+    candidates.add(second.m_wait < first.m_wait ? second.m_engine : first.m_engine, origin);
+}
+
+} // namespace tarragontrail::routing
