Add the cores of prefix routing: index, lookups, predictions, loads, anchors, policies, router

Keying hashing depths by the weights' root; a new version would forget every depth, so the group leaves it out.

--- a/tarragontrail/routing/anchor_learner.hpp
+++ b/tarragontrail/routing/anchor_learner.hpp
@@ -25,9 +25,12 @@
     std::optional<std::uint64_t> m_previous_key; ///< Key before a recent change of depth.
 };
 
-/// Learns at which depth the chains of a root branch, and agrees on it with other instances.
+/// Group of chains that share a hashing depth: an identity without its weights version.
+std::uint64_t anchor_group_of(const prefix_identity& identity) noexcept;
+
+/// Learns at which depth the chains of a group branch, and agrees on it with other instances.
 ///
-/// The key's depth is the first at which a root has many distinct prefixes that are still shared.
+/// The key's depth is the first at which a group has many distinct prefixes that are still shared.
 /// Hints are ordered by epoch, samples, depth and proposer; every instance keeps the greatest, so
 /// all end with the same depth whatever the order of messages. After a change each prefix moves to
 /// its new key at its own moment within the overlap, and until then both keys are used.
@@ -37,7 +40,7 @@
     anchor_learner(core::instance_id self, const anchor_settings& settings);
 
     /// Counts a chain and returns its keys; a chain without pieces has the given fallback key.
-    anchor_keys on_chain(const prefix_chain& chain, std::uint64_t fallback_key,
+    anchor_keys on_chain(std::uint64_t group, const prefix_chain& chain, std::uint64_t fallback_key,
                          core::time_point now);
 
     /// Merges a peer's hint; true when it replaced the own one.
@@ -46,8 +49,8 @@
     /// Up to `limit` agreed hints, continuing after those of the last call.
     std::vector<anchor_hint> next_hints(std::size_t limit);
 
-    /// Agreed depth of a root.
-    std::uint64_t depth(std::uint64_t root) const noexcept;
+    /// Agreed depth of a group.
+    std::uint64_t depth(std::uint64_t group) const noexcept;
 
     /// Memory held.
     std::size_t bytes() const noexcept;
@@ -55,10 +58,10 @@
 private:
     static constexpr std::size_t bitmap_bits = 256;
 
-    /// Chains of one root in the current window.
+    /// Chains of one group in the current window.
     struct window
     {
-        std::uint64_t m_root = 0;              ///< Root; zero for a free place.
+        std::uint64_t m_group = 0;             ///< Group; zero for a free place.
         std::uint64_t m_chains = 0;            ///< Chains seen.
         std::uint64_t m_last_depth = 0;        ///< Depth of the last evaluation.
         std::uint64_t m_equal_evaluations = 0; ///< Evaluations in a row with that depth.
@@ -66,7 +69,7 @@
         std::array<std::bitset<bitmap_bits>, max_anchor_depth> m_seen{}; ///< Prefixes at a depth.
     };
 
-    /// Agreed depth of one root.
+    /// Agreed depth of one group.
     struct agreement
     {
         anchor_hint m_hint;                 ///< Greatest hint.
@@ -74,21 +77,22 @@
         core::time_point m_changed_at{};    ///< Time of the last change here.
     };
 
-    window* window_of(std::uint64_t root);
+    window& window_of(std::uint64_t group);
     void count(window& counts, const prefix_chain& chain) const;
     std::uint64_t evaluate(const window& counts) const;
     void finish_window(window& counts, core::time_point now);
     void propose(const window& counts, core::time_point now);
     void adopt(const anchor_hint& hint, core::time_point now);
     bool moved(const agreement& agreed, std::uint64_t key, core::time_point now) const noexcept;
-    const agreement* find(std::uint64_t root) const noexcept;
-
-    core::instance_id m_self;                   ///< This instance, as proposer.
-    anchor_settings m_settings;                 ///< Thresholds.
-    std::vector<window> m_windows;              ///< Windows by root.
-    std::vector<agreement> m_agreements;        ///< Agreed depths, in order of arrival.
-    flat_table<std::uint32_t> m_agreed_by_root; ///< Positions in m_agreements.
-    std::size_t m_next_hint = 0;                ///< Where next_hints continues.
+    const agreement* find(std::uint64_t group) const noexcept;
+
+    core::instance_id m_self;                    ///< This instance, as proposer.
+    anchor_settings m_settings;                  ///< Thresholds.
+    std::vector<window> m_windows;               ///< Windows by group.
+    std::vector<agreement> m_agreements;         ///< Agreed depths, in order of arrival.
+    flat_table<std::uint32_t> m_agreed_by_group; ///< Positions in m_agreements.
+    std::size_t m_next_hint = 0;                 ///< Where next_hints continues.
+    std::size_t m_next_replaced = 0;             ///< Agreement that makes room for the next group.
 };
 
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/candidate.hpp
+++ b/tarragontrail/routing/candidate.hpp
@@ -18,7 +18,6 @@
 {
     core::upstream_id m_engine{}; ///< Engine.
     core::duration m_wait{};      ///< Estimated time in its queue.
-    std::uint64_t m_tokens = 0;   ///< Prompt tokens of this instance there.
 };
 
 /// How an engine became a candidate.
@@ -38,6 +37,7 @@
     bool m_replied = false;                ///< Whether its watcher answered.
     bool m_known = false;                  ///< Whether the watcher's index is whole.
     bool m_asked = false;                  ///< Whether an answer is outstanding.
+    std::uint64_t m_round = 0;             ///< Questions put to its watcher before the last one.
     depth_bracket m_bracket;               ///< Depth by the watcher's answers.
     bool m_predicted = false;              ///< Whether predictions deepen the hit.
     std::uint64_t m_hit_pieces = 0;        ///< Pieces expected in the cache.
--- /dev/null
+++ b/tarragontrail/routing/engine_index.cpp
@@ -0,0 +1,207 @@
+#include "tarragontrail/routing/engine_index.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::routing {
+
+engine_index::engine_index(core::upstream_id engine, const engine_index_settings& settings)
+    : m_engine(engine), m_settings(settings),
+      m_blocks(settings.m_expected_blocks, settings.m_max_bytes), m_lifetime(settings)
+{}
+
+void engine_index::on_event(const cache_event& event, core::time_point now)
+{
+    if (event.m_incarnation < m_incarnation)
+    {
+        return;
+    }
+    if (event.m_incarnation > m_incarnation)
+    {
+        start_incarnation(event.m_incarnation);
+    }
+    m_highest = std::max(m_highest, event.m_sequence);
+
+    // Duplicates change nothing; batches that are not next in order wait for those before them.
+    if (event.m_sequence <= m_applied)
+    {
+        return;
+    }
+    if (m_known && event.m_sequence == m_applied + 1)
+    {
+        apply(event, now);
+        return;
+    }
+    buffer(event);
+    settle(now);
+}
+
+void engine_index::on_snapshot(const cache_snapshot& snapshot, core::time_point now)
+{
+    if (snapshot.m_incarnation < m_incarnation)
+    {
+        return;
+    }
+    if (snapshot.m_incarnation > m_incarnation)
+    {
+        start_incarnation(snapshot.m_incarnation);
+    }
+
+    // Older states than the one held are of no use.
+    const bool newer = snapshot.m_sequence > m_applied;
+    if (!newer && (m_has_base || snapshot.m_sequence < m_applied))
+    {
+        return;
+    }
+
+    m_blocks.clear();
+    for (const std::uint64_t hash : snapshot.m_blocks)
+    {
+        m_refused += m_blocks.insert(hash) ? 0 : 1;
+    }
+    m_applied = snapshot.m_sequence;
+    m_highest = std::max(m_highest, m_applied);
+    m_has_base = true;
+    m_retry_at.reset();
+    settle(now);
+}
+
+void engine_index::on_last_sequence(core::incarnation incarnation, std::uint64_t sequence,
+                                    core::time_point now)
+{
+    if (incarnation < m_incarnation)
+    {
+        return;
+    }
+    if (incarnation > m_incarnation)
+    {
+        start_incarnation(incarnation);
+    }
+    m_highest = std::max(m_highest, sequence);
+    settle(now);
+}
+
+void engine_index::on_stream_lost(core::time_point now)
+{
+    m_has_base = false;
+    await_snapshot(now);
+}
+
+void engine_index::on_timer(core::time_point now)
+{
+    if (!m_retry_at.has_value() || now < *m_retry_at)
+    {
+        return;
+    }
+    m_retry_at.reset();
+    await_snapshot(now);
+}
+
+std::vector<request_snapshot> engine_index::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::size_t engine_index::depth(std::span<const std::uint64_t> hashes) const noexcept
+{
+    std::size_t depth = 0;
+    for (const std::uint64_t hash : hashes)
+    {
+        if (!contains(hash))
+        {
+            break;
+        }
+        ++depth;
+    }
+    return depth;
+}
+
+void engine_index::start_incarnation(core::incarnation incarnation)
+{
+    m_incarnation = incarnation;
+    m_blocks.clear();
+    m_buffered.clear();
+    m_lifetime.clear_sample();
+    m_applied = 0;
+    m_highest = 0;
+    m_has_base = true;
+    m_known = true;
+    m_retry_at.reset();
+}
+
+void engine_index::await_snapshot(core::time_point now)
+{
+    m_known = false;
+    if (m_retry_at.has_value())
+    {
+        return;
+    }
+    m_retry_at = now + m_settings.m_snapshot_retry;
+    m_actions.push_back({m_engine});
+}
+
+void engine_index::apply(const cache_event& event, core::time_point now)
+{
+    TARRAGONTRAIL_INVARIANT(event.m_incarnation == m_incarnation, "index_entry_of_one_incarnation");
+    TARRAGONTRAIL_INVARIANT(event.m_sequence == m_applied + 1, "index_events_without_gap");
+    for (const std::uint64_t hash : event.m_stored)
+    {
+        m_refused += m_blocks.insert(hash) ? 0 : 1;
+        m_lifetime.on_stored(hash, now);
+    }
+    for (const std::uint64_t hash : event.m_evicted)
+    {
+        m_blocks.erase(hash);
+        m_lifetime.on_evicted(hash, now);
+    }
+    m_applied = event.m_sequence;
+}
+
+void engine_index::buffer(const cache_event& event)
+{
+    const auto place = std::lower_bound(
+        m_buffered.begin(), m_buffered.end(), event.m_sequence,
+        [](const cache_event& held, std::uint64_t sequence) { return held.m_sequence < sequence; });
+    if (place != m_buffered.end() && place->m_sequence == event.m_sequence)
+    {
+        return;
+    }
+    m_buffered.insert(place, event);
+    if (m_buffered.size() > m_settings.m_max_buffered_events)
+    {
+        m_buffered.erase(m_buffered.begin());
+    }
+}
+
+void engine_index::replay_buffered(core::time_point now)
+{
+    for (const cache_event& event : m_buffered)
+    {
+        if (event.m_sequence != m_applied + 1)
+        {
+            continue;
+        }
+        apply(event, now);
+    }
+    std::erase_if(m_buffered,
+                  [&](const cache_event& event) { return event.m_sequence <= m_applied; });
+}
+
+void engine_index::settle(core::time_point now)
+{
+    if (m_has_base)
+    {
+        replay_buffered(now);
+    }
+    m_known = m_has_base && m_applied >= m_highest;
+    if (m_known)
+    {
+        m_retry_at.reset();
+        return;
+    }
+    await_snapshot(now);
+}
+
+} // namespace tarragontrail::routing
--- a/tarragontrail/routing/engine_index.hpp
+++ b/tarragontrail/routing/engine_index.hpp
@@ -17,7 +17,7 @@
 /// Blocks that one engine holds, kept by the instance that watches it.
 ///
 /// It answers only while it has seen every event since an empty cache or a snapshot. A gap makes
-/// it unknown until a snapshot and the batches after it close the gap.
+/// it unknown and asks for a snapshot, until the snapshot or the missing batches close the gap.
 class engine_index
 {
 public:
@@ -73,16 +73,18 @@
     void apply(const cache_event& event, core::time_point now);
     void buffer(const cache_event& event);
     void replay_buffered(core::time_point now);
-
-    core::upstream_id m_engine;                 ///< Engine watched.
-    engine_index_settings m_settings;           ///< Limits.
-    core::incarnation m_incarnation{};          ///< Incarnation of the entries.
-    std::uint64_t m_applied = 0;                ///< Last batch contained in the entries.
-    std::uint64_t m_highest = 0;                ///< Highest sequence number heard of.
-    bool m_known = false;                       ///< Whether the entries may be believed.
-    flat_table<no_value> m_blocks;              ///< Hashes of the blocks held.
-    std::vector<cache_event> m_buffered;        ///< Batches after a gap, by sequence number.
-    lifetime_estimator m_lifetime;              ///< Learned time from store to eviction.
+    void settle(core::time_point now);
+
+    core::upstream_id m_engine;          ///< Engine watched.
+    engine_index_settings m_settings;    ///< Limits.
+    core::incarnation m_incarnation{};   ///< Incarnation of the entries.
+    std::uint64_t m_applied = 0;         ///< Last batch contained in the entries.
+    std::uint64_t m_highest = 0;         ///< Highest sequence number heard of.
+    bool m_has_base = false;             ///< Whether the entries were whole at batch m_applied.
+    bool m_known = false;                ///< Whether the entries may be believed.
+    flat_table<no_value> m_blocks;       ///< Hashes of the blocks held.
+    std::vector<cache_event> m_buffered; ///< Batches after a gap, by sequence number.
+    lifetime_estimator m_lifetime;       ///< Learned time from store to eviction.
     std::optional<core::time_point> m_retry_at; ///< When to ask for the snapshot again.
     std::vector<request_snapshot> m_actions;    ///< Actions not yet taken.
     std::uint64_t m_refused = 0;                ///< Blocks left out.
--- /dev/null
+++ b/tarragontrail/routing/engine_load.cpp
@@ -0,0 +1,108 @@
+#include "tarragontrail/routing/engine_load.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/routing/transfer_choice.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::routing {
+
+void engine_load::on_report(const load_report& report)
+{
+    if (m_reported && report.m_reported_at < m_report.m_reported_at)
+    {
+        return;
+    }
+    m_report = report;
+    m_reported = true;
+
+    // What was routed before the report's moment is part of its figures.
+    m_unreported_tokens = 0;
+    for (charged_request& request : m_requests)
+    {
+        request.m_unreported = request.m_charged_at >= report.m_reported_at;
+        m_unreported_tokens += request.m_unreported ? request.m_tokens : 0;
+    }
+}
+
+void engine_load::charge(core::request_id request_id, std::uint64_t tokens, core::time_point now)
+{
+    const auto charged = static_cast<std::int64_t>(tokens);
+    m_requests.push_back({request_id, charged, true, now});
+    m_in_flight_tokens += charged;
+    m_unreported_tokens += charged;
+}
+
+void engine_load::on_first_token(core::request_id request_id)
+{
+    charged_request* const request = find(request_id);
+    if (request != nullptr)
+    {
+        release_tokens(*request);
+    }
+}
+
+void engine_load::on_finished(core::request_id request_id)
+{
+    charged_request* const request = find(request_id);
+    if (request == nullptr)
+    {
+        return;
+    }
+    release_tokens(*request);
+    *request = m_requests.back();
+    m_requests.pop_back();
+    TARRAGONTRAIL_INVARIANT(!m_requests.empty() || m_in_flight_tokens == 0,
+                            "account_returns_to_zero");
+}
+
+void engine_load::clear()
+{
+    m_requests.clear();
+    m_in_flight_tokens = 0;
+    m_unreported_tokens = 0;
+    m_report = {};
+    m_reported = false;
+}
+
+core::duration engine_load::wait(double default_prefill_rate, core::time_point now) const noexcept
+{
+    // The reported queue has shrunk at the prefill rate since the report.
+    const double rate = prefill_rate(default_prefill_rate);
+    const double age =
+        std::max(0.0, std::chrono::duration<double>(now - m_report.m_reported_at).count());
+    const double reported =
+        m_reported ? std::max(0.0, static_cast<double>(m_report.m_queued_tokens) - rate * age)
+                   : 0.0;
+    const auto tokens = reported + static_cast<double>(m_unreported_tokens);
+    return prefill_time(static_cast<std::uint64_t>(tokens), rate);
+}
+
+double engine_load::prefill_rate(double default_rate) const noexcept
+{
+    const double reported = m_report.m_prefill_tokens_per_second;
+    return reported > 0 ? reported : std::max(default_rate, 1.0);
+}
+
+void engine_load::release_tokens(charged_request& request)
+{
+    m_in_flight_tokens -= request.m_tokens;
+    m_unreported_tokens -= request.m_unreported ? request.m_tokens : 0;
+    request.m_tokens = 0;
+    TARRAGONTRAIL_INVARIANT(m_in_flight_tokens >= 0, "account_not_negative");
+    TARRAGONTRAIL_INVARIANT(m_unreported_tokens >= 0, "unreported_account_not_negative");
+}
+
+engine_load::charged_request* engine_load::find(core::request_id request_id) noexcept
+{
+    for (charged_request& request : m_requests)
+    {
+        if (request.m_request_id == request_id)
+        {
+            return &request;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace tarragontrail::routing
--- a/tarragontrail/routing/engine_set.hpp
+++ b/tarragontrail/routing/engine_set.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "tarragontrail/routing/engine_entry.hpp"
-#include "tarragontrail/routing/engine_index.hpp"
 #include "tarragontrail/routing/engine_load.hpp"
 #include "tarragontrail/routing/flat_table.hpp"
 
@@ -18,7 +17,6 @@
     engine_entry m_entry;                         ///< Membership and placement.
     engine_load m_load;                           ///< Load.
     std::chrono::milliseconds m_block_lifetime{}; ///< Learned by its watcher; zero if unknown.
-    const engine_index* m_local_index = nullptr;  ///< Index kept by this instance, if it watches.
 };
 
 /// Engines known to the router, found by id.
--- a/tarragontrail/routing/flat_table.hpp
+++ b/tarragontrail/routing/flat_table.hpp
@@ -20,7 +20,7 @@
 class flat_table
 {
 public:
-    /// `max_bytes` bounds the array of slots, also during growth.
+    /// `max_bytes` bounds the array of slots.
     explicit flat_table(std::size_t capacity = 0, std::size_t max_bytes = ~std::size_t{0})
         : m_max_slots(max_bytes / sizeof(slot))
     {
--- a/tarragontrail/routing/link_budget.hpp
+++ b/tarragontrail/routing/link_budget.hpp
@@ -16,7 +16,7 @@
     bool allows(std::uint64_t bytes, core::time_point now) const noexcept;
 
     /// Takes `bytes`; false and unchanged when they exceed what is left.
-    bool take(std::uint64_t bytes, core::time_point now) noexcept;
+    bool take(std::uint64_t bytes, core::time_point now);
 
 private:
     double available(core::time_point now) const noexcept;
--- a/tarragontrail/routing/messages.hpp
+++ b/tarragontrail/routing/messages.hpp
@@ -35,11 +35,11 @@
     bool operator==(const lookup_reply&) const = default;
 };
 
-/// Agreed hashing depth of one chain root, spread by gossip.
+/// Agreed hashing depth of one group of chains, spread by gossip.
 struct anchor_hint
 {
-    std::uint64_t m_root = 0;       ///< Root of the chains.
-    std::uint64_t m_epoch = 0;      ///< Number of changes of this root's depth.
+    std::uint64_t m_group = 0;      ///< Group of chains: an identity without its weights version.
+    std::uint64_t m_epoch = 0;      ///< Number of changes of this group's depth.
     std::uint64_t m_samples = 0;    ///< Chains seen by the proposer.
     std::uint64_t m_depth = 0;      ///< Pieces in the hashing key.
     core::instance_id m_proposer{}; ///< Instance that proposed the depth.
--- /dev/null
+++ b/tarragontrail/routing/predicted_blocks.cpp
@@ -0,0 +1,81 @@
+#include "tarragontrail/routing/predicted_blocks.hpp"
+
+#include "tarragontrail/core/hash.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace tarragontrail::routing {
+
+namespace {
+
+std::uint64_t key_of(std::uint64_t engine_key, std::uint64_t hash) noexcept
+{
+    return core::hash_pair(engine_key, hash);
+}
+
+std::uint64_t engine_key_of(core::upstream_id engine, core::incarnation incarnation) noexcept
+{
+    return core::hash_pair(core::value_of(engine), core::value_of(incarnation));
+}
+
+} // namespace
+
+predicted_blocks::predicted_blocks(std::size_t capacity)
+    : m_entries(capacity), m_order(std::max<std::size_t>(capacity, 1))
+{}
+
+void predicted_blocks::insert(core::upstream_id engine, core::incarnation incarnation,
+                              std::span<const std::uint64_t> hashes, core::time_point now)
+{
+    // Deepest first, so that the ring drops the end of a chain before its start.
+    const std::uint64_t engine_key = engine_key_of(engine, incarnation);
+    for (const std::uint64_t hash : std::views::reverse(hashes))
+    {
+        insert_key(key_of(engine_key, hash), now);
+    }
+}
+
+std::size_t predicted_blocks::depth(core::upstream_id engine, core::incarnation incarnation,
+                                    std::span<const std::uint64_t> hashes, core::duration max_age,
+                                    core::time_point now) const noexcept
+{
+    // Whole chains are entered and dropped from the end, so the predicted part is a prefix.
+    const std::uint64_t engine_key = engine_key_of(engine, incarnation);
+    const auto end = std::ranges::partition_point(hashes, [&](std::uint64_t hash) {
+        const core::time_point* const inserted_at = m_entries.find(key_of(engine_key, hash));
+        return inserted_at != nullptr && now - *inserted_at <= max_age;
+    });
+    return static_cast<std::size_t>(end - hashes.begin());
+}
+
+std::size_t predicted_blocks::bytes() const noexcept
+{
+    return m_entries.bytes() + m_order.capacity() * sizeof(inserted);
+}
+
+void predicted_blocks::insert_key(std::uint64_t key, core::time_point now)
+{
+    if (m_count == m_order.size())
+    {
+        drop_oldest();
+    }
+    m_entries.insert(key, now);
+    m_order[(m_first + m_count) % m_order.size()] = {key, now};
+    ++m_count;
+}
+
+void predicted_blocks::drop_oldest() noexcept
+{
+    // An entry made again since then stays until its later insertion is dropped.
+    const inserted& oldest = m_order[m_first];
+    const core::time_point* const inserted_at = m_entries.find(oldest.m_key);
+    if (inserted_at != nullptr && *inserted_at == oldest.m_inserted_at)
+    {
+        m_entries.erase(oldest.m_key);
+    }
+    m_first = (m_first + 1) % m_order.size();
+    --m_count;
+}
+
+} // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/prefix_probe.cpp
@@ -0,0 +1,96 @@
+#include "tarragontrail/routing/prefix_probe.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::routing {
+
+namespace {
+
+void add_depth(std::span<const std::uint64_t> hashes, std::uint64_t depth, lookup_request& request)
+{
+    request.m_depths.push_back(depth);
+    request.m_hashes.push_back(hashes[depth - 1]);
+}
+
+/// Whether the depths ascend from above the known depth and each has a hash.
+bool well_formed(const lookup_request& request) noexcept
+{
+    if (request.m_depths.empty() || request.m_depths.size() != request.m_hashes.size())
+    {
+        return false;
+    }
+    std::uint64_t last = request.m_depth_lower;
+    for (const std::uint64_t depth : request.m_depths)
+    {
+        if (depth <= last)
+        {
+            return false;
+        }
+        last = depth;
+    }
+    return true;
+}
+
+} // namespace
+
+void fill_first_probe(std::span<const std::uint64_t> hashes, lookup_request& request)
+{
+    request.m_depth_lower = 0;
+    request.m_depths.reserve(max_probe_hashes);
+    request.m_hashes.reserve(max_probe_hashes);
+    for (std::uint64_t depth = 1; depth < hashes.size(); depth *= 2)
+    {
+        add_depth(hashes, depth, request);
+    }
+    if (!hashes.empty())
+    {
+        add_depth(hashes, hashes.size(), request);
+    }
+}
+
+void fill_settling_probe(std::span<const std::uint64_t> hashes, const depth_bracket& bracket,
+                         lookup_request& request)
+{
+    const std::uint64_t upper = std::min<std::uint64_t>(bracket.m_upper, hashes.size());
+    request.m_depth_lower = bracket.m_lower;
+    if (bracket.m_lower >= upper)
+    {
+        return;
+    }
+    const std::uint64_t width = upper - bracket.m_lower;
+    const std::uint64_t count = std::min<std::uint64_t>(width, max_probe_hashes);
+    for (std::uint64_t step = 1; step <= count; ++step)
+    {
+        add_depth(hashes, bracket.m_lower + width * step / count, request);
+    }
+}
+
+lookup_reply answer_lookup(const lookup_request& request, const engine_index& index)
+{
+    lookup_reply reply;
+    reply.m_lookup_id = request.m_lookup_id;
+    reply.m_engine = request.m_engine;
+    reply.m_incarnation = index.incarnation();
+    reply.m_block_lifetime = index.block_lifetime();
+    reply.m_known = index.known() && index.engine() == request.m_engine && well_formed(request);
+    if (!reply.m_known)
+    {
+        return reply;
+    }
+
+    // What the asker knew of another incarnation says nothing of this one.
+    reply.m_depth_lower = request.m_incarnation == index.incarnation() ? request.m_depth_lower : 0;
+    reply.m_depth_upper = request.m_depths.back();
+    for (std::size_t position = 0; position < request.m_depths.size(); ++position)
+    {
+        if (!index.contains(request.m_hashes[position]))
+        {
+            reply.m_depth_upper = request.m_depths[position] - 1;
+            break;
+        }
+        reply.m_depth_lower = request.m_depths[position];
+    }
+    return reply;
+}
+
+} // namespace tarragontrail::routing
--- a/tarragontrail/routing/request_table.hpp
+++ b/tarragontrail/routing/request_table.hpp
@@ -10,10 +10,17 @@
 
 namespace tarragontrail::routing {
 
+constexpr std::uint64_t lookup_ids = 8; ///< Lookup ids of one request, one for each round.
+
 /// Requests from begin to finish, in records that are reused, with their lookup timeouts in order.
 class request_table
 {
 public:
+    /// Lookup ids follow a random start, so that replies to an earlier process match none.
+    explicit request_table(std::uint64_t random_start)
+        : m_next_lookup_base(random_start / lookup_ids * lookup_ids)
+    {}
+
     /// Record for a new request; throws duplicate_request when its id is in use.
     request_record& add(core::request_id request_id);
 
@@ -55,7 +62,7 @@
     flat_table<std::uint32_t> m_by_request; ///< Records by request id.
     flat_table<std::uint32_t> m_by_lookup;  ///< Records by lookup base.
     std::deque<timeout> m_timeouts;         ///< Timeouts, earliest first.
-    std::uint64_t m_next_lookup_base = 0;   ///< Base of the next lookups.
+    std::uint64_t m_next_lookup_base;       ///< Base of the last lookups.
 };
 
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/router.hpp
+++ b/tarragontrail/routing/router.hpp
@@ -5,6 +5,7 @@
 #include "tarragontrail/core/random.hpp"
 #include "tarragontrail/routing/actions.hpp"
 #include "tarragontrail/routing/anchor_learner.hpp"
+#include "tarragontrail/routing/engine_index.hpp"
 #include "tarragontrail/routing/engine_set.hpp"
 #include "tarragontrail/routing/hot_prefixes.hpp"
 #include "tarragontrail/routing/link_budget.hpp"
@@ -114,31 +115,41 @@
     eligibility check(const engine_record& engine, const request_record& request) const noexcept;
     std::optional<unroutable_reason> collect_options(const request_record& request,
                                                      core::time_point now);
-    bool remote_allowed() const noexcept;
-    void select_candidates(request_record& request, const anchor_keys& keys, core::time_point now);
+    bool remote_allowed(const request_record& request, core::time_point now) const noexcept;
+    std::size_t candidates_at(double rate) const noexcept;
+    std::optional<unroutable_reason> select_candidates(request_record& request,
+                                                       core::time_point now);
     void ask_watchers(request_record& request, core::time_point now);
-    bool ask_next(request_record& request, candidate& item, std::uint64_t round);
-    void take_reply(request_record& request, candidate& item, const lookup_reply& reply);
+    bool ask_locally(const request_record& request, candidate& item);
+    void ask_next(const request_record& request, candidate& item);
+    void take_reply(const request_record& request, candidate& item, const lookup_reply& reply);
+    static bool is_asking(const request_record& request) noexcept;
+    void learn_lifetime(core::upstream_id engine, std::chrono::milliseconds lifetime);
+
     void decide(request_record& request, core::time_point now);
-    void refresh_candidates(request_record& request, core::time_point now);
+    std::optional<unroutable_reason> refresh_candidates(request_record& request,
+                                                        core::time_point now);
     void estimate(const request_record& request, candidate& item, core::time_point now) const;
-    void weigh_transfers(request_record& request) const;
-    void finish_routed(request_record& request, std::size_t chosen, core::time_point now);
+    void weigh_transfer(const request_record& request, candidate& item) const;
+    void add_up_cost(candidate& item) const noexcept;
+    void finish_routed(request_record& request, const candidate& chosen, core::time_point now);
+    routed describe(const request_record& request, const candidate& chosen) const noexcept;
     void give_up(request_record& request, unroutable_reason reason);
     std::uint64_t link_bytes(const request_record& request) const noexcept;
 
-    router_identity m_self;               ///< This instance.
-    routing_settings m_settings;          ///< Settings.
-    policy_variant m_policy;              ///< Policy in force.
-    core::seeded_random m_random;         ///< Random source of the policies.
-    engine_set m_engines;                 ///< Known engines.
-    request_table m_requests;             ///< Requests from begin to finish.
-    anchor_learner m_anchors;             ///< Hashing depths.
-    predicted_blocks m_predicted;         ///< Own dispatches.
-    hot_prefixes m_hot;                   ///< Rates of hashing keys.
-    link_budget m_link;                   ///< Share of the link between regions.
-    option_buffers m_options;             ///< Buffers of the request in hand.
-    std::vector<router_action> m_actions; ///< Actions not yet taken.
+    router_identity m_self;                          ///< This instance.
+    routing_settings m_settings;                     ///< Settings.
+    policy_variant m_policy;                         ///< Policy in force.
+    core::seeded_random m_random;                    ///< Random source of the policies.
+    engine_set m_engines;                            ///< Known engines.
+    flat_table<const engine_index*> m_local_indexes; ///< Indexes of engines watched here.
+    request_table m_requests;                        ///< Requests from begin to finish.
+    anchor_learner m_anchors;                        ///< Hashing depths.
+    predicted_blocks m_predicted;                    ///< Own dispatches.
+    hot_prefixes m_hot;                              ///< Rates of hashing keys.
+    link_budget m_link;                              ///< Share of the link between regions.
+    option_buffers m_options;                        ///< Buffers of the request in hand.
+    std::vector<router_action> m_actions;            ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::routing
--- /dev/null
+++ b/tarragontrail/routing/router_decision.cpp
@@ -0,0 +1,233 @@
+// Decisions of the router once lookups are answered or have timed out.
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/routing/router.hpp"
+#include "tarragontrail/routing/transfer_choice.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::routing {
+
+namespace {
+
+/// Prompt tokens after the given number of pieces.
+std::uint64_t tokens_after(std::uint64_t pieces, std::uint64_t prompt_tokens) noexcept
+{
+    return prompt_tokens - std::min(prompt_tokens, pieces * tokens_per_piece);
+}
+
+route_reason reason_of(policy_kind policy, const candidate& chosen, bool timed_out) noexcept
+{
+    if (chosen.m_origin == candidate_origin::other_region)
+    {
+        return route_reason::other_region;
+    }
+    if (policy == policy_kind::random)
+    {
+        return route_reason::random;
+    }
+    if (chosen.m_origin == candidate_origin::spilled)
+    {
+        return route_reason::load;
+    }
+    if (chosen.m_hit_pieces > 0)
+    {
+        return chosen.m_predicted ? route_reason::predicted_prefix : route_reason::cached_prefix;
+    }
+    return timed_out ? route_reason::lookup_timeout : route_reason::hashed;
+}
+
+} // namespace
+
+void router::decide(request_record& request, core::time_point now)
+{
+    m_requests.end_lookups(request);
+    const std::optional<unroutable_reason> reason = refresh_candidates(request, now);
+    if (reason.has_value())
+    {
+        give_up(request, *reason);
+        return;
+    }
+    for (candidate& item : request.m_candidates.items())
+    {
+        estimate(request, item, now);
+    }
+    for (candidate& item : request.m_candidates.items())
+    {
+        weigh_transfer(request, item);
+        add_up_cost(item);
+    }
+    const std::size_t chosen = std::visit(
+        [&](const auto& policy) { return policy.choose(request.m_candidates.items(), m_random); },
+        m_policy);
+    finish_routed(request, request.m_candidates.items()[chosen], now);
+}
+
+std::optional<unroutable_reason> router::refresh_candidates(request_record& request,
+                                                            core::time_point now)
+{
+    if (request.m_deadline <= now)
+    {
+        return unroutable_reason::deadline_passed;
+    }
+
+    // Engines may have left, and the link's budget may be spent, while lookups were under way.
+    const bool crossing = m_link.allows(link_bytes(request), now);
+    request.m_candidates.retain([&](const candidate& item) {
+        const engine_record* const engine = m_engines.find(item.m_engine);
+        const bool usable = engine != nullptr && check(*engine, request) == eligibility::usable;
+        return usable && (crossing || item.m_origin != candidate_origin::other_region);
+    });
+    if (!request.m_candidates.empty())
+    {
+        return std::nullopt;
+    }
+    return select_candidates(request, now);
+}
+
+void router::estimate(const request_record& request, candidate& item, core::time_point now) const
+{
+    const engine_record& engine = *m_engines.find(item.m_engine);
+    const core::incarnation incarnation = engine.m_entry.m_incarnation;
+
+    // A watcher's answer counts for the incarnation that it was given for only.
+    const bool known = item.m_known && item.m_incarnation == incarnation;
+    const std::uint64_t cached = known ? item.m_bracket.m_lower : 0;
+
+    // A watcher that sees all events has had the time to confirm older predictions.
+    const core::duration lifetime = engine.m_block_lifetime > std::chrono::milliseconds::zero()
+                                        ? core::duration(engine.m_block_lifetime)
+                                        : core::duration(m_settings.m_predicted_lifetime);
+    const core::duration max_age =
+        known ? std::min<core::duration>(lifetime, m_settings.m_event_lag) : lifetime;
+    const std::uint64_t predicted =
+        m_predicted.depth(item.m_engine, incarnation, request.m_hashes, max_age, now);
+
+    item.m_known = known;
+    item.m_incarnation = incarnation;
+    item.m_predicted = predicted > cached;
+    item.m_hit_pieces = std::max(cached, predicted);
+    const double default_rate = m_settings.m_default_prefill_tokens_per_second;
+    item.m_wait = engine.m_load.wait(default_rate, now);
+    item.m_recompute = prefill_time(tokens_after(item.m_hit_pieces, request.m_prompt_tokens),
+                                    engine.m_load.prefill_rate(default_rate));
+}
+
+void router::weigh_transfer(const request_record& request, candidate& item) const
+{
+    // The source must hold the blocks by its watcher's word, in this region.
+    const candidate* source = nullptr;
+    for (const candidate& other : request.m_candidates.items())
+    {
+        if (!other.m_known || other.m_bracket.m_lower <= item.m_hit_pieces ||
+            other.m_origin == candidate_origin::other_region)
+        {
+            continue;
+        }
+        if (source == nullptr || other.m_bracket.m_lower > source->m_bracket.m_lower)
+        {
+            source = &other;
+        }
+    }
+    if (source == nullptr || item.m_origin == candidate_origin::other_region)
+    {
+        return;
+    }
+    const std::uint64_t pieces = source->m_bracket.m_lower - item.m_hit_pieces;
+    const double rate = m_engines.find(item.m_engine)
+                            ->m_load.prefill_rate(m_settings.m_default_prefill_tokens_per_second);
+    const transfer_choice choice = choose_transfer(pieces, rate, m_settings.m_transfer);
+    if (choice.m_source == block_source::recompute)
+    {
+        return;
+    }
+    item.m_transfer_source = source->m_engine;
+    item.m_transfer_pieces = pieces;
+    item.m_recompute += choice.m_transfer_time - choice.m_recompute_time;
+}
+
+void router::add_up_cost(candidate& item) const noexcept
+{
+    const std::chrono::duration<double, core::duration::period> recompute(item.m_recompute);
+    item.m_cost = item.m_wait + std::chrono::duration_cast<core::duration>(
+                                    recompute * m_settings.m_recompute_weight);
+    if (item.m_origin == candidate_origin::other_region)
+    {
+        item.m_cost += m_settings.m_region_crossing_cost;
+    }
+}
+
+void router::finish_routed(request_record& request, const candidate& chosen, core::time_point now)
+{
+    engine_record& engine = *m_engines.find(chosen.m_engine);
+    const engine_entry& entry = engine.m_entry;
+    TARRAGONTRAIL_INVARIANT(entry.m_state == engine_state::ready, "no_work_to_leaving_engine");
+    TARRAGONTRAIL_INVARIANT(chosen.m_incarnation == entry.m_incarnation,
+                            "belief_of_current_incarnation");
+    TARRAGONTRAIL_INVARIANT(entry.m_weights_version == request.m_identity.m_weights_version &&
+                                entry.m_model_id == request.m_identity.m_model_id,
+                            "engine_serves_identity");
+    TARRAGONTRAIL_INVARIANT(chosen.m_hit_pieces <= request.m_hashes.size(), "hit_within_chain");
+
+    routed decision = describe(request, chosen);
+    if (chosen.m_origin == candidate_origin::other_region)
+    {
+        decision.m_link_bytes = link_bytes(request);
+        TARRAGONTRAIL_INVARIANT(m_link.take(decision.m_link_bytes, now),
+                                "region_crossing_within_budget");
+    }
+    engine.m_load.charge(request.m_request_id,
+                         tokens_after(chosen.m_hit_pieces, request.m_prompt_tokens), now);
+    request.m_stage = request_stage::routed;
+    request.m_engine = chosen.m_engine;
+    request.m_incarnation = entry.m_incarnation;
+    m_actions.emplace_back(decision);
+}
+
+routed router::describe(const request_record& request, const candidate& chosen) const noexcept
+{
+    routed decision;
+    decision.m_request_id = request.m_request_id;
+    decision.m_engine = chosen.m_engine;
+    decision.m_incarnation = chosen.m_incarnation;
+    decision.m_expected_hit_pieces = chosen.m_hit_pieces;
+    decision.m_pieces = request.m_hashes.size();
+    decision.m_expected_wait = chosen.m_wait;
+    decision.m_policy = m_settings.m_policy;
+    decision.m_reason = reason_of(m_settings.m_policy, chosen, request.m_timed_out);
+    decision.m_candidates = request.m_candidates.size();
+    decision.m_anchor_depth = request.m_anchor_depth;
+    decision.m_cost = chosen.m_cost;
+    decision.m_recompute = chosen.m_recompute;
+    decision.m_transfer_source = chosen.m_transfer_source;
+    decision.m_transfer_pieces = chosen.m_transfer_pieces;
+    const candidate* runner_up = nullptr;
+    for (const candidate& item : request.m_candidates.items())
+    {
+        decision.m_replies += item.m_replied ? 1 : 0;
+        const bool better = runner_up == nullptr || item.m_cost < runner_up->m_cost;
+        if (&item != &chosen && better)
+        {
+            runner_up = &item;
+        }
+    }
+    if (runner_up != nullptr)
+    {
+        decision.m_runner_up = runner_up->m_engine;
+        decision.m_runner_up_cost = runner_up->m_cost;
+    }
+    return decision;
+}
+
+void router::give_up(request_record& request, unroutable_reason reason)
+{
+    m_actions.emplace_back(unroutable{request.m_request_id, reason});
+    m_requests.remove(request);
+}
+
+std::uint64_t router::link_bytes(const request_record& request) const noexcept
+{
+    return request.m_prompt_tokens * bytes_per_token +
+           request.m_max_output_tokens * m_settings.m_output_bytes_per_token;
+}
+
+} // namespace tarragontrail::routing
--- a/tarragontrail/routing/settings.hpp
+++ b/tarragontrail/routing/settings.hpp
@@ -31,14 +31,14 @@
 struct anchor_settings
 {
     std::uint64_t m_default_depth = 2;   ///< Pieces in the hashing key before anything is learned.
-    std::uint64_t m_max_roots = 256;     ///< Chain roots tracked at once.
-    std::uint64_t m_max_agreed = 65'536; ///< Chain roots whose agreed depth is kept.
-    std::uint64_t m_window_chains = 128; ///< Chains of a root between two evaluations.
-    std::uint64_t m_min_branches = 8;    ///< Distinct prefixes that spread a root's load enough.
+    std::uint64_t m_max_windows = 256;   ///< Groups of chains counted at once.
+    std::uint64_t m_max_agreed = 65'536; ///< Groups whose agreed depth is kept.
+    std::uint64_t m_window_chains = 128; ///< Chains of a group between two evaluations.
+    std::uint64_t m_min_branches = 8;    ///< Distinct prefixes that spread a group's load enough.
     double m_min_reuse = 2.0; ///< Chains for each distinct prefix below which it is not shared.
     std::uint64_t m_confirmations = 2; ///< Equal evaluations in a row before a change.
     std::chrono::milliseconds m_min_interval{
-        60'000}; ///< Shortest time between two changes of a root.
+        60'000}; ///< Shortest time between two changes of a group.
     std::chrono::milliseconds m_overlap{
         60'000}; ///< Time over which prefixes move to the new depth.
 };
