--- /dev/null
+++ b/tarragontrail/limits/admission_control.cpp
@@ -0,0 +1,308 @@
+#include "tarragontrail/limits/admission_control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::limits {
+
+admission_control::admission_control(const limit_settings& settings, core::instance_id self,
+                                     std::uint64_t loan_seed)
+    : m_settings(settings), m_self(self), m_ownership(settings, self), m_next_loan_id(loan_seed)
+{}
+
+void admission_control::set_genesis(std::vector<member> members, core::time_point now)
+{
+    m_ownership.set_genesis(std::move(members));
+    follow_ownership(now);
+}
+
+void admission_control::set_view(const std::vector<member>& members, core::view_number view,
+                                 core::time_point now)
+{
+    if (view < m_view)
+    {
+        return;
+    }
+    m_view = view;
+    m_ownership.set_members(members, now);
+    follow_ownership(now);
+}
+
+void admission_control::set_listed(const std::vector<core::instance_id>& listed,
+                                   core::time_point now)
+{
+    m_ownership.set_listed(listed, now);
+    follow_ownership(now);
+}
+
+void admission_control::confirm_rows(core::time_point now)
+{
+    m_ownership.confirm_rows(now);
+    follow_ownership(now);
+}
+
+void admission_control::on_share_row(const share_row& row, core::time_point now)
+{
+    m_ownership.on_row(row, now);
+    follow_ownership(now);
+}
+
+void admission_control::on_share_row_missing(core::workspace_id workspace, core::time_point now)
+{
+    m_ownership.on_row_missing(workspace, now);
+    follow_ownership(now);
+}
+
+void admission_control::on_peer_share_row(const share_row& row, core::time_point now)
+{
+    m_ownership.on_peer_row(row, now);
+    follow_ownership(now);
+}
+
+void admission_control::set_limit(core::workspace_id workspace, std::uint64_t tokens_per_second,
+                                  std::uint64_t burst_tokens, std::uint64_t limit_epoch,
+                                  core::time_point now)
+{
+    const workspace_quota quota{
+        {std::min(tokens_per_second, LARGEST_LIMIT_TOKENS) * MICRO_TOKENS_PER_TOKEN,
+         std::min(burst_tokens, LARGEST_LIMIT_TOKENS) * MICRO_TOKENS_PER_TOKEN},
+        limit_epoch};
+    const auto [place, added] = m_limits.try_emplace(workspace, quota);
+    if (added)
+    {
+        m_ownership.track(workspace, now);
+        follow_ownership(now);
+        return;
+    }
+    place->second.set_quota(quota, context_of(*m_ownership.find_row(workspace), now));
+}
+
+void admission_control::remove_workspace(core::workspace_id workspace, core::time_point now)
+{
+    give_up_all(workspace, now);
+    m_limits.erase(workspace);
+    m_homes.erase(workspace);
+    m_ownership.untrack(workspace);
+}
+
+void admission_control::admit(core::request_id request, core::workspace_id workspace,
+                              std::uint64_t charge_tokens, core::time_point deadline,
+                              core::time_point now)
+{
+    workspace_limit* limit = find_limit(workspace);
+    if (limit == nullptr)
+    {
+        refuse(request, refusal_reason::unknown_workspace, {});
+        return;
+    }
+    if (charge_tokens > limit->quota().m_limit.m_burst / MICRO_TOKENS_PER_TOKEN)
+    {
+        refuse(request, refusal_reason::above_burst, {});
+        return;
+    }
+    if (deadline <= now)
+    {
+        refuse(request, refusal_reason::deadline_expired, {});
+        return;
+    }
+    const auto [place, added] = m_requests.try_emplace(request);
+    if (!added)
+    {
+        return;
+    }
+
+    // The share held here pays what it can; the rest is borrowed.
+    request_state& state = place->second;
+    state.m_workspace = workspace;
+    state.m_charge = charge_tokens * MICRO_TOKENS_PER_TOKEN;
+    state.m_deadline = deadline;
+    if (home_share* share = limit->usable_share(m_settings, now))
+    {
+        state.m_own = share->bucket().reserve(state.m_charge);
+        state.m_own_generation = limit->share_generation();
+    }
+    gather(place, now);
+}
+
+void admission_control::settle(core::request_id request, std::uint64_t used_tokens,
+                               core::time_point now)
+{
+    const auto place = m_requests.find(request);
+    if (place == m_requests.end() || !place->second.m_is_admitted)
+    {
+        return;
+    }
+    request_state& state = place->second;
+    const std::uint64_t charged = state.m_charge / MICRO_TOKENS_PER_TOKEN;
+    const std::uint64_t used = std::min(used_tokens, charged) * MICRO_TOKENS_PER_TOKEN;
+    refund(state, state.m_charge - used, now);
+    m_requests.erase(place);
+}
+
+void admission_control::cancel(core::request_id request, core::time_point now)
+{
+    const auto place = m_requests.find(request);
+    if (place == m_requests.end())
+    {
+        return;
+    }
+    if (place->second.m_is_admitted)
+    {
+        settle(request, 0, now);
+        return;
+    }
+    release(place->second);
+    m_requests.erase(place);
+}
+
+void admission_control::on_loan_request(core::instance_id from, const loan_request& message,
+                                        core::time_point now)
+{
+    workspace_limit* limit = find_limit(message.m_workspace);
+    home_share* share = limit == nullptr ? nullptr : limit->share();
+    if (share == nullptr)
+    {
+        m_actions.emplace_back(
+            send_to<loan_reply>{from, {message.m_loan_id, message.m_workspace, false, 0, 0, {}}});
+        return;
+    }
+    m_actions.emplace_back(send_to<loan_reply>{from, share->lend(from, message, m_settings, now)});
+}
+
+void admission_control::on_loan_settle(core::instance_id from, const loan_settle& message,
+                                       core::time_point now)
+{
+    workspace_limit* limit = find_limit(message.m_workspace);
+    home_share* share = limit == nullptr ? nullptr : limit->share();
+    if (share != nullptr)
+    {
+        share->settle(from, message, m_settings, now);
+    }
+}
+
+void admission_control::on_share_hint(core::instance_id from, const share_hint& message,
+                                      core::time_point now)
+{
+    workspace_limit* limit = find_limit(message.m_workspace);
+    if (limit == nullptr)
+    {
+        return;
+    }
+    const share_row& row = *m_ownership.find_row(message.m_workspace);
+    limit->on_hint(from, message, context_of(row, now));
+
+    // A hint from an instance that the known row does not name means that the row is old.
+    const bool is_named =
+        std::any_of(row.m_slots.begin(), row.m_slots.end(),
+                    [&](const share_slot& slot) { return slot.m_holder == from; });
+    if (!is_named)
+    {
+        m_ownership.refresh(message.m_workspace, now);
+    }
+}
+
+std::optional<core::time_point> admission_control::next_deadline() const
+{
+    std::optional<core::time_point> earliest = m_ownership.next_deadline();
+    const auto consider = [&](core::time_point due) {
+        earliest = earliest ? std::min(*earliest, due) : due;
+    };
+    if (!m_timeouts.empty())
+    {
+        consider(m_timeouts.front().m_due);
+    }
+    if (!m_homes.empty())
+    {
+        consider(m_next_hints);
+    }
+    return earliest;
+}
+
+void admission_control::on_timer(core::time_point now)
+{
+    m_ownership.on_timer(now);
+    follow_ownership(now);
+    time_out_asks(now);
+    if (now >= m_next_hints)
+    {
+        m_next_hints = now + m_settings.m_hint_interval;
+        send_hints(now);
+    }
+}
+
+std::vector<action> admission_control::take_actions()
+{
+    std::vector<action> taken = std::exchange(m_actions, {});
+    for (action& each : m_ownership.take_actions())
+    {
+        taken.push_back(std::move(each));
+    }
+    return taken;
+}
+
+const workspace_limit* admission_control::find(core::workspace_id workspace) const
+{
+    const auto found = m_limits.find(workspace);
+    return found == m_limits.end() ? nullptr : &found->second;
+}
+
+limit_context admission_control::context_of(const share_row& row, core::time_point now) const
+{
+    return {m_settings, m_ownership, row, now};
+}
+
+workspace_limit* admission_control::find_limit(core::workspace_id workspace)
+{
+    const auto found = m_limits.find(workspace);
+    return found == m_limits.end() ? nullptr : &found->second;
+}
+
+void admission_control::follow_ownership(core::time_point now)
+{
+    for (const core::workspace_id workspace : m_ownership.take_changed())
+    {
+        workspace_limit* limit = find_limit(workspace);
+        const share_row* row = m_ownership.find_row(workspace);
+        if (limit == nullptr || row == nullptr)
+        {
+            continue;
+        }
+        limit->set_row(context_of(*row, now));
+        if (limit->share() != nullptr)
+        {
+            m_homes.insert(workspace);
+            continue;
+        }
+        m_homes.erase(workspace);
+    }
+}
+
+void admission_control::refuse(core::request_id request, refusal_reason reason,
+                               std::chrono::milliseconds retry_after)
+{
+    ++m_counts.m_refused;
+    m_actions.emplace_back(refused{request, reason, retry_after});
+}
+
+void admission_control::send_hints(core::time_point now)
+{
+    for (const core::workspace_id workspace : m_homes)
+    {
+        workspace_limit& limit = m_limits.at(workspace);
+        if (!limit.needs_hint(m_settings, now))
+        {
+            continue;
+        }
+        const share_hint hint = limit.make_hint(workspace, m_view, now);
+        for (const share_slot& slot : m_ownership.find_row(workspace)->m_slots)
+        {
+            if (slot.m_holder == m_self)
+            {
+                continue;
+            }
+            m_actions.emplace_back(send_to<share_hint>{slot.m_holder, hint});
+        }
+    }
+}
+
+} // namespace tarragontrail::limits
--- /dev/null
+++ b/tarragontrail/limits/admission_control.hpp
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "tarragontrail/limits/actions.hpp"
+#include "tarragontrail/limits/limit_settings.hpp"
+#include "tarragontrail/limits/share_ownership.hpp"
+#include "tarragontrail/limits/workspace_limit.hpp"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace tarragontrail::limits {
+
+/// Counts since the start, for metrics.
+struct admission_counts
+{
+    std::uint64_t m_admitted = 0;       ///< Requests admitted.
+    std::uint64_t m_refused = 0;        ///< Requests refused.
+    std::uint64_t m_loans_asked = 0;    ///< Loan requests sent.
+    std::uint64_t m_loans_granted = 0;  ///< Loans received in time.
+    std::uint64_t m_asks_timed_out = 0; ///< Loan requests without an answer in time.
+};
+
+/// Admits requests under the fleet-wide rate and burst of their workspaces, one object an instance.
+///
+/// A charge is taken from the share held here and, for what is missing, from loans of other homes.
+/// Admission is the moment that counts: no window sees more than burst + rate * window admitted.
+class admission_control
+{
+public:
+    /// `loan_seed` must differ between two processes of one instance.
+    admission_control(const limit_settings& settings, core::instance_id self,
+                      std::uint64_t loan_seed);
+
+    /// Membership and rows, see share_ownership.
+    void set_genesis(std::vector<member> members, core::time_point now);
+    void set_view(const std::vector<member>& members, core::view_number view, core::time_point now);
+    void set_listed(const std::vector<core::instance_id>& listed, core::time_point now);
+    void confirm_rows(core::time_point now);
+    void on_share_row(const share_row& row, core::time_point now);
+    void on_share_row_missing(core::workspace_id workspace, core::time_point now);
+    void on_peer_share_row(const share_row& row, core::time_point now);
+
+    /// Sets a workspace's limit; an epoch that is not newer than the known one has no effect.
+    void set_limit(core::workspace_id workspace, std::uint64_t tokens_per_second,
+                   std::uint64_t burst_tokens, std::uint64_t limit_epoch, core::time_point now);
+    void remove_workspace(core::workspace_id workspace, core::time_point now);
+
+    /// Asks to run a request; answered by `admitted` or `refused`, at once or after loans.
+    void admit(core::request_id request, core::workspace_id workspace, std::uint64_t charge_tokens,
+               core::time_point deadline, core::time_point now);
+
+    /// Ends an admitted request and refunds what it did not use.
+    void settle(core::request_id request, std::uint64_t used_tokens, core::time_point now);
+
+    /// Withdraws a request that has not been dispatched; everything is refunded.
+    void cancel(core::request_id request, core::time_point now);
+
+    void on_loan_request(core::instance_id from, const loan_request& message, core::time_point now);
+    void on_loan_reply(core::instance_id from, const loan_reply& message, core::time_point now);
+    void on_loan_settle(core::instance_id from, const loan_settle& message, core::time_point now);
+    void on_share_hint(core::instance_id from, const share_hint& message, core::time_point now);
+
+    std::optional<core::time_point> next_deadline() const;
+    void on_timer(core::time_point now);
+    std::vector<action> take_actions();
+
+    const admission_counts& counts() const noexcept { return m_counts; }
+    const share_ownership& ownership() const noexcept { return m_ownership; }
+
+    /// Workspace's state here, nothing when it is unknown.
+    const workspace_limit* find(core::workspace_id workspace) const;
+
+private:
+    /// Tokens received from one lender for one request.
+    struct loan_part
+    {
+        core::instance_id m_lender{};
+        std::uint64_t m_loan_id = 0;
+        std::uint64_t m_amount = 0;
+        core::time_point m_usable_until;
+    };
+
+    /// Lender asked for one request.
+    struct asked_lender
+    {
+        core::instance_id m_lender{};
+        std::uint64_t m_loan_id = 0;
+    };
+
+    /// Request that is gathering tokens or has been admitted.
+    struct request_state
+    {
+        core::workspace_id m_workspace{};
+        std::uint64_t m_charge = 0;         ///< Micro-tokens to gather.
+        std::uint64_t m_own = 0;            ///< Micro-tokens from the share held here.
+        std::uint64_t m_own_overflow = 0;   ///< Overflow account of the share at admission.
+        std::uint32_t m_own_generation = 0; ///< Share that the own part came from.
+        bool m_is_admitted = false;         ///< Admitted, not yet settled.
+        bool m_met_timeout = false;         ///< Some lender did not answer in time.
+        core::time_point m_deadline;        ///< Latest time of admission.
+        std::vector<loan_part> m_loans;     ///< Loans received.
+        std::vector<asked_lender> m_asked;  ///< Lenders asked so far.
+        std::uint64_t m_open_amount = 0;    ///< Micro-tokens asked for and not yet answered.
+        std::uint32_t m_open_asks = 0;      ///< Loan requests not yet answered.
+    };
+
+    using request_map = std::unordered_map<core::request_id, request_state>;
+
+    enum class ask_state : std::uint8_t
+    {
+        open,      ///< The answer is awaited.
+        taken,     ///< The loan belongs to its request.
+        abandoned, ///< A loan that still arrives goes back.
+    };
+
+    /// Loan request that was sent, remembered until its loan could not be used any more.
+    struct ask
+    {
+        core::request_id m_request{};
+        core::workspace_id m_workspace{};
+        core::instance_id m_lender{};
+        std::uint64_t m_amount = 0;
+        core::time_point m_asked_at;
+        ask_state m_state = ask_state::open;
+    };
+
+    struct timed_ask
+    {
+        core::time_point m_due;
+        std::uint64_t m_loan_id = 0;
+    };
+
+    /// Lender that may be asked next.
+    struct candidate
+    {
+        core::instance_id m_instance{};
+        std::uint64_t m_burst = 0;
+        std::uint64_t m_estimate = 0;
+        bool m_is_paused = false;
+    };
+
+    limit_context context_of(const share_row& row, core::time_point now) const;
+    workspace_limit* find_limit(core::workspace_id workspace);
+    void follow_ownership(core::time_point now);
+    void refuse(core::request_id request, refusal_reason reason,
+                std::chrono::milliseconds retry_after);
+
+    void gather(request_map::iterator place, core::time_point now);
+    void ask_more(core::request_id request, request_state& state, core::time_point now);
+    void ask_one(core::request_id request, request_state& state, core::instance_id lender,
+                 std::uint64_t amount, core::time_point now);
+    void give_up_all(core::workspace_id workspace, core::time_point now);
+    void drop_stale_parts(request_state& state, core::time_point now);
+    void finish_admission(core::request_id request, request_state& state);
+    void give_up(request_map::iterator place, core::time_point now);
+    void release(request_state& state);
+    void abandon_asks(request_state& state);
+    void refund(request_state& state, std::uint64_t unused, core::time_point now);
+    home_share* own_share(const request_state& state);
+    void time_out_asks(core::time_point now);
+    void send_hints(core::time_point now);
+    void send_settle(core::instance_id lender, core::workspace_id workspace, std::uint64_t loan_id,
+                     std::uint64_t used);
+    static std::uint64_t missing(const request_state& state);
+
+    limit_settings m_settings;                                        ///< Settings.
+    core::instance_id m_self;                                         ///< This instance.
+    core::view_number m_view{};                                       ///< Agreed view.
+    share_ownership m_ownership;                                      ///< Who holds which share.
+    std::unordered_map<core::workspace_id, workspace_limit> m_limits; ///< All workspaces.
+    std::unordered_set<core::workspace_id> m_homes; ///< Workspaces with a share here.
+    request_map m_requests;                         ///< Requests not yet settled.
+    std::unordered_map<std::uint64_t, ask> m_asks;  ///< Loan requests by loan id.
+    std::deque<timed_ask> m_timeouts;               ///< Asks in order of timing out.
+    std::deque<timed_ask> m_forgetting;             ///< Asks in order of being forgotten.
+    paused_lenders m_paused;                        ///< Lenders that timed out.
+    std::uint64_t m_next_loan_id;                   ///< Next loan id.
+    std::vector<candidate> m_candidates;            ///< Buffer of ask_more.
+    core::time_point m_next_hints;                  ///< Next round of hints.
+    admission_counts m_counts;                      ///< For metrics.
+    std::vector<action> m_actions;                  ///< Actions not yet taken.
+};
+
+} // namespace tarragontrail::limits
--- /dev/null
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -0,0 +1,342 @@
+// Gathering of one request's charge from the own share and from loans.
+#include "tarragontrail/limits/admission_control.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::limits {
+namespace {
+
+/// Time in which a workspace's whole rate brings `amount`, rounded up to a millisecond.
+std::chrono::milliseconds time_to_accrue(std::uint64_t amount, std::uint64_t rate)
+{
+    constexpr double MILLISECONDS_PER_SECOND = 1000.0;
+    if (rate == 0)
+    {
+        return {};
+    }
+    const double wait =
+        static_cast<double>(amount) / static_cast<double>(rate) * MILLISECONDS_PER_SECOND;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(wait) + 1);
+}
+
+} // namespace
+
+void admission_control::on_loan_reply(core::instance_id from, const loan_reply& message,
+                                      core::time_point now)
+{
+    const auto found = m_asks.find(message.m_loan_id);
+    if (found == m_asks.end() || found->second.m_lender != from)
+    {
+        return;
+    }
+    ask& asked = found->second;
+    m_paused.resume(from);
+    if (workspace_limit* limit = find_limit(asked.m_workspace))
+    {
+        limit->lenders(context_of(*m_ownership.find_row(asked.m_workspace), now))
+            .note(from, message.m_left, now);
+    }
+
+    // Nobody waits for an abandoned loan; it goes back.
+    const core::time_point usable_until = asked.m_asked_at + m_settings.m_loan_lifetime;
+    if (asked.m_state == ask_state::abandoned ||
+        (asked.m_state == ask_state::open && now >= usable_until))
+    {
+        send_settle(from, asked.m_workspace, message.m_loan_id, 0);
+    }
+    if (asked.m_state != ask_state::open)
+    {
+        return;
+    }
+    const auto place = m_requests.find(asked.m_request);
+    request_state& state = place->second;
+    --state.m_open_asks;
+    state.m_open_amount -= asked.m_amount;
+    asked.m_state = ask_state::abandoned;
+    if (message.m_granted && now < usable_until)
+    {
+        ++m_counts.m_loans_granted;
+        asked.m_state = ask_state::taken;
+        state.m_loans.push_back(
+            {from, message.m_loan_id, std::min(message.m_amount, asked.m_amount), usable_until});
+    }
+    gather(place, now);
+}
+
+void admission_control::gather(request_map::iterator place, core::time_point now)
+{
+    request_state& state = place->second;
+    if (now >= state.m_deadline)
+    {
+        give_up(place, now);
+        return;
+    }
+    drop_stale_parts(state, now);
+    if (missing(state) == 0)
+    {
+        finish_admission(place->first, state);
+        return;
+    }
+    ask_more(place->first, state, now);
+    if (state.m_open_asks == 0)
+    {
+        give_up(place, now);
+    }
+}
+
+void admission_control::ask_more(core::request_id request, request_state& state,
+                                 core::time_point now)
+{
+    workspace_limit* limit = find_limit(state.m_workspace);
+    const std::uint64_t lacking = missing(state);
+    if (limit == nullptr || state.m_open_amount >= lacking)
+    {
+        return;
+    }
+    const lender_book& book =
+        limit->lenders(context_of(*m_ownership.find_row(state.m_workspace), now));
+    if (state.m_asked.empty() && book.is_surely_dry(lacking, m_settings.m_dry_trust, now))
+    {
+        return;
+    }
+
+    // The fullest first; those that did not answer lately last.
+    m_candidates.clear();
+    for (const lender& home : book.homes())
+    {
+        const bool was_asked =
+            std::any_of(state.m_asked.begin(), state.m_asked.end(),
+                        [&](const asked_lender& each) { return each.m_lender == home.m_instance; });
+        if (was_asked)
+        {
+            continue;
+        }
+        m_candidates.push_back({home.m_instance, home.m_part.m_burst,
+                                lender_book::estimate(home, now),
+                                m_paused.is_paused(home.m_instance, now)});
+    }
+    std::sort(m_candidates.begin(), m_candidates.end(),
+              [](const candidate& left, const candidate& right) {
+                  return std::pair(!left.m_is_paused, left.m_estimate) >
+                         std::pair(!right.m_is_paused, right.m_estimate);
+              });
+
+    // One lender that has enough is asked alone, else as many as are needed.
+    std::uint64_t wanted = lacking - state.m_open_amount;
+    for (std::size_t index = 0; index < m_candidates.size() && wanted > 0; ++index)
+    {
+        const candidate& next = m_candidates[index];
+        const bool is_last = index + 1 == m_candidates.size();
+        const std::uint64_t most = is_last ? next.m_burst : next.m_estimate;
+        const std::uint64_t amount = std::min(wanted, most);
+        if (amount == 0)
+        {
+            continue;
+        }
+        ask_one(request, state, next.m_instance, amount, now);
+        wanted -= amount;
+    }
+}
+
+void admission_control::ask_one(core::request_id request, request_state& state,
+                                core::instance_id lender, std::uint64_t amount,
+                                core::time_point now)
+{
+    const std::uint64_t loan_id = m_next_loan_id++;
+    m_asks.emplace(loan_id, ask{request, state.m_workspace, lender, amount, now, ask_state::open});
+    m_timeouts.push_back({now + m_settings.m_reply_timeout, loan_id});
+    state.m_asked.push_back({lender, loan_id});
+    state.m_open_amount += amount;
+    ++state.m_open_asks;
+    ++m_counts.m_loans_asked;
+    m_actions.emplace_back(
+        send_to<loan_request>{lender, {loan_id, state.m_workspace, amount, m_view}});
+}
+
+void admission_control::drop_stale_parts(request_state& state, core::time_point now)
+{
+    if (state.m_own > 0 && own_share(state) == nullptr)
+    {
+        state.m_own = 0;
+    }
+    for (std::size_t index = 0; index < state.m_loans.size();)
+    {
+        const loan_part part = state.m_loans[index];
+        if (now < part.m_usable_until)
+        {
+            ++index;
+            continue;
+        }
+        send_settle(part.m_lender, state.m_workspace, part.m_loan_id, 0);
+        state.m_loans.erase(state.m_loans.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+void admission_control::finish_admission(core::request_id request, request_state& state)
+{
+    TARRAGONTRAIL_INVARIANT(missing(state) == 0, "limits.admitted_with_whole_charge");
+    abandon_asks(state);
+    if (state.m_own > 0)
+    {
+        token_bucket& bucket = own_share(state)->bucket();
+        bucket.spend_reserved(state.m_own);
+        state.m_own_overflow = bucket.overflow();
+    }
+    state.m_is_admitted = true;
+    ++m_counts.m_admitted;
+    m_actions.emplace_back(admitted{request, state.m_charge / MICRO_TOKENS_PER_TOKEN,
+                                    static_cast<std::uint32_t>(state.m_loans.size())});
+}
+
+void admission_control::give_up(request_map::iterator place, core::time_point now)
+{
+    request_state& state = place->second;
+    const core::request_id request = place->first;
+    const std::uint64_t lacking = missing(state);
+    release(state);
+
+    if (now >= state.m_deadline)
+    {
+        refuse(request, refusal_reason::deadline_expired, {});
+    }
+    else
+    {
+        const workspace_limit* limit = find_limit(state.m_workspace);
+        const std::uint64_t rate = limit == nullptr ? 0 : limit->quota().m_limit.m_rate;
+        refuse(request,
+               state.m_met_timeout ? refusal_reason::homes_unreachable
+                                   : refusal_reason::rate_exceeded,
+               time_to_accrue(lacking, rate));
+    }
+    m_requests.erase(place);
+}
+
+void admission_control::release(request_state& state)
+{
+    abandon_asks(state);
+    home_share* share = own_share(state);
+    if (share != nullptr && state.m_own > 0)
+    {
+        share->bucket().return_reserved(state.m_own);
+    }
+    for (const loan_part& part : state.m_loans)
+    {
+        send_settle(part.m_lender, state.m_workspace, part.m_loan_id, 0);
+    }
+}
+
+void admission_control::give_up_all(core::workspace_id workspace, core::time_point now)
+{
+    for (auto place = m_requests.begin(); place != m_requests.end();)
+    {
+        const auto current = place++;
+        if (current->second.m_workspace != workspace)
+        {
+            continue;
+        }
+        if (!current->second.m_is_admitted)
+        {
+            give_up(current, now);
+            continue;
+        }
+        current->second.m_own = 0;
+        current->second.m_own_generation = 0;
+    }
+}
+
+void admission_control::abandon_asks(request_state& state)
+{
+    if (state.m_open_asks == 0)
+    {
+        return;
+    }
+    for (const asked_lender& each : state.m_asked)
+    {
+        ask& asked = m_asks.at(each.m_loan_id);
+        if (asked.m_state != ask_state::open)
+        {
+            continue;
+        }
+        asked.m_state = ask_state::abandoned;
+        send_settle(each.m_lender, state.m_workspace, each.m_loan_id, 0);
+    }
+    state.m_open_asks = 0;
+    state.m_open_amount = 0;
+}
+
+void admission_control::refund(request_state& state, std::uint64_t unused, core::time_point now)
+{
+    // Loans are refunded first: their lenders wait for the settlement in any case.
+    for (const loan_part& part : state.m_loans)
+    {
+        const std::uint64_t back = std::min(unused, part.m_amount);
+        unused -= back;
+        send_settle(part.m_lender, state.m_workspace, part.m_loan_id, part.m_amount - back);
+    }
+    home_share* share = own_share(state);
+    if (share != nullptr && unused > 0)
+    {
+        share->advance(m_settings, now);
+        share->bucket().refund(unused, state.m_own_overflow);
+    }
+}
+
+home_share* admission_control::own_share(const request_state& state)
+{
+    workspace_limit* limit = find_limit(state.m_workspace);
+    if (limit == nullptr || limit->share_generation() != state.m_own_generation)
+    {
+        return nullptr;
+    }
+    return limit->share();
+}
+
+void admission_control::time_out_asks(core::time_point now)
+{
+    while (!m_timeouts.empty() && m_timeouts.front().m_due <= now)
+    {
+        const timed_ask timed = m_timeouts.front();
+        m_timeouts.pop_front();
+        ask& asked = m_asks.at(timed.m_loan_id);
+        m_forgetting.push_back({asked.m_asked_at + m_settings.m_loan_lifetime, timed.m_loan_id});
+        if (asked.m_state != ask_state::open)
+        {
+            continue;
+        }
+        ++m_counts.m_asks_timed_out;
+        asked.m_state = ask_state::abandoned;
+        m_paused.pause(asked.m_lender, now + m_settings.m_lender_pause);
+        send_settle(asked.m_lender, asked.m_workspace, timed.m_loan_id, 0);
+
+        const auto place = m_requests.find(asked.m_request);
+        --place->second.m_open_asks;
+        place->second.m_open_amount -= asked.m_amount;
+        place->second.m_met_timeout = true;
+        gather(place, now);
+    }
+    while (!m_forgetting.empty() && m_forgetting.front().m_due <= now)
+    {
+        m_asks.erase(m_forgetting.front().m_loan_id);
+        m_forgetting.pop_front();
+    }
+}
+
+void admission_control::send_settle(core::instance_id lender, core::workspace_id workspace,
+                                    std::uint64_t loan_id, std::uint64_t used)
+{
+    m_actions.emplace_back(send_to<loan_settle>{lender, {loan_id, workspace, used}});
+}
+
+std::uint64_t admission_control::missing(const request_state& state)
+{
+    std::uint64_t held = state.m_own;
+    for (const loan_part& part : state.m_loans)
+    {
+        held += part.m_amount;
+    }
+    return state.m_charge - std::min(state.m_charge, held);
+}
+
+} // namespace tarragontrail::limits
--- /dev/null
+++ b/tarragontrail/limits/share_ownership.cpp
@@ -0,0 +1,298 @@
+#include "tarragontrail/limits/share_ownership.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::limits {
+
+void share_ownership::set_genesis(std::vector<member> members)
+{
+    TARRAGONTRAIL_INVARIANT(m_genesis.empty() || m_genesis == members, "limits.genesis_is_fixed");
+    m_genesis = std::move(members);
+    for (auto& [workspace, state] : m_tracked)
+    {
+        if (state.m_row.m_version == 0)
+        {
+            state.m_row = genesis_row(workspace);
+            m_changed.push_back(workspace);
+        }
+    }
+}
+
+void share_ownership::set_members(std::vector<member> members, core::time_point now)
+{
+    if (m_members == members)
+    {
+        return;
+    }
+    m_members = std::move(members);
+    act_on_all(now);
+}
+
+void share_ownership::set_listed(const std::vector<core::instance_id>& listed, core::time_point now)
+{
+    const std::unordered_set<core::instance_id> before =
+        std::exchange(m_listed, {listed.begin(), listed.end()});
+    m_listed_at = now;
+    for (const core::instance_id present : listed)
+    {
+        m_absent.erase(present);
+    }
+    if (before != m_listed)
+    {
+        act_on_all(now);
+    }
+}
+
+void share_ownership::confirm_rows(core::time_point now)
+{
+    if (m_confirmed)
+    {
+        return;
+    }
+    m_confirmed = true;
+    for (const auto& [workspace, state] : m_tracked)
+    {
+        m_changed.push_back(workspace);
+    }
+    act_on_all(now);
+}
+
+void share_ownership::track(core::workspace_id workspace, core::time_point now)
+{
+    const auto [place, added] = m_tracked.try_emplace(workspace);
+    if (!added)
+    {
+        return;
+    }
+    place->second.m_row = genesis_row(workspace);
+    m_changed.push_back(workspace);
+    act(place->second, now);
+}
+
+void share_ownership::untrack(core::workspace_id workspace)
+{
+    m_tracked.erase(workspace);
+    m_due.erase(workspace);
+}
+
+void share_ownership::on_row(const share_row& row, core::time_point now)
+{
+    const auto found = m_tracked.find(row.m_workspace);
+    if (found == m_tracked.end())
+    {
+        return;
+    }
+    found->second.m_awaiting = false;
+    adopt(found->second, row, now);
+    act(found->second, now);
+}
+
+void share_ownership::on_row_missing(core::workspace_id workspace, core::time_point now)
+{
+    const auto found = m_tracked.find(workspace);
+    if (found == m_tracked.end())
+    {
+        return;
+    }
+    found->second.m_awaiting = false;
+    act(found->second, now);
+}
+
+void share_ownership::on_peer_row(const share_row& row, core::time_point now)
+{
+    const auto found = m_tracked.find(row.m_workspace);
+    if (found == m_tracked.end())
+    {
+        return;
+    }
+    adopt(found->second, row, now);
+    act(found->second, now);
+}
+
+void share_ownership::refresh(core::workspace_id workspace, core::time_point now)
+{
+    const auto found = m_tracked.find(workspace);
+    if (found == m_tracked.end() || found->second.m_awaiting)
+    {
+        return;
+    }
+    found->second.m_awaiting = true;
+    m_due[workspace] = now + m_settings.m_row_timeout;
+    m_actions.emplace_back(read_share_row{workspace});
+}
+
+std::optional<core::time_point> share_ownership::next_deadline() const
+{
+    std::optional<core::time_point> earliest;
+    for (const auto& [workspace, due] : m_due)
+    {
+        earliest = earliest ? std::min(*earliest, due) : due;
+    }
+    return earliest;
+}
+
+void share_ownership::on_timer(core::time_point now)
+{
+    std::vector<core::workspace_id> ready;
+    for (const auto& [workspace, due] : m_due)
+    {
+        if (due <= now)
+        {
+            ready.push_back(workspace);
+        }
+    }
+    std::sort(ready.begin(), ready.end());
+    for (const core::workspace_id workspace : ready)
+    {
+        m_due.erase(workspace);
+        tracked& state = m_tracked.at(workspace);
+
+        // The answer was lost or is late: what the table holds settles it.
+        if (std::exchange(state.m_awaiting, false))
+        {
+            refresh(workspace, now);
+            continue;
+        }
+        act(state, now);
+    }
+}
+
+const share_row* share_ownership::find_row(core::workspace_id workspace) const
+{
+    const auto found = m_tracked.find(workspace);
+    return found == m_tracked.end() ? nullptr : &found->second.m_row;
+}
+
+bool share_ownership::may_start(const share_slot& slot) const
+{
+    return m_confirmed && slot.m_holder == m_self && slot.m_claimant == core::instance_id{};
+}
+
+bool share_ownership::is_surely_dead(core::instance_id instance) const
+{
+    const auto absent = m_absent.find(instance);
+    return absent != m_absent.end() && m_listed_at &&
+           *m_listed_at - absent->second >= takeover_wait();
+}
+
+core::duration share_ownership::takeover_wait() const
+{
+    return 2 * m_settings.m_list_lag + m_settings.m_loan_lifetime;
+}
+
+void share_ownership::adopt(tracked& state, const share_row& row, core::time_point now)
+{
+    if (row.m_version <= state.m_row.m_version)
+    {
+        return;
+    }
+    state.m_row = row;
+    m_changed.push_back(row.m_workspace);
+
+    // Every new version restarts the wait of this instance's own claims.
+    const bool claims =
+        std::any_of(row.m_slots.begin(), row.m_slots.end(),
+                    [&](const share_slot& slot) { return slot.m_claimant == m_self; });
+    state.m_claimed_at = claims ? std::optional(now) : std::nullopt;
+}
+
+void share_ownership::act_on_all(core::time_point now)
+{
+    for (auto& [workspace, state] : m_tracked)
+    {
+        act(state, now);
+    }
+}
+
+void share_ownership::act(tracked& state, core::time_point now)
+{
+    if (state.m_awaiting || !m_confirmed || !m_listed_at)
+    {
+        return;
+    }
+    for (std::size_t index = 0; index < state.m_row.m_slots.size(); ++index)
+    {
+        const std::optional<share_slot> next = next_slot(state, index, now);
+        if (!next)
+        {
+            continue;
+        }
+        write(state, index, *next, now);
+        return;
+    }
+}
+
+std::optional<share_slot> share_ownership::next_slot(const tracked& state, std::size_t index,
+                                                     core::time_point now)
+{
+    const share_slot& slot = state.m_row.m_slots[index];
+    const bool is_claimed = slot.m_claimant != core::instance_id{};
+
+    // A claim on an instance that is alive is cancelled by the instance itself.
+    if (slot.m_holder == m_self)
+    {
+        return is_claimed ? std::optional(share_slot{m_self, {}}) : std::nullopt;
+    }
+    if (is_listed(slot.m_holder))
+    {
+        return std::nullopt;
+    }
+    const core::time_point absent_since =
+        m_absent.try_emplace(slot.m_holder, *m_listed_at).first->second;
+    if (slot.m_claimant != m_self)
+    {
+        return claim_slot(state, index);
+    }
+
+    // The list must have been read without the holder for the whole wait.
+    const core::time_point from = std::max(absent_since, state.m_claimed_at.value_or(now));
+    if (*m_listed_at - from >= takeover_wait())
+    {
+        return share_slot{m_self, {}};
+    }
+    m_due[state.m_row.m_workspace] = now + m_settings.m_row_timeout;
+    return std::nullopt;
+}
+
+std::optional<share_slot> share_ownership::claim_slot(const tracked& state, std::size_t index) const
+{
+    const share_slot& slot = state.m_row.m_slots[index];
+    if (slot.m_claimant != core::instance_id{} && is_listed(slot.m_claimant))
+    {
+        return std::nullopt;
+    }
+    std::vector<member> candidates = m_members;
+    std::erase_if(candidates, [&](const member& each) { return !is_listed(each.m_instance); });
+    share_row unclaimed = state.m_row;
+    unclaimed.m_slots[index].m_claimant = {};
+    if (successor_of(unclaimed, index, candidates) != m_self)
+    {
+        return std::nullopt;
+    }
+    return share_slot{slot.m_holder, m_self};
+}
+
+void share_ownership::write(tracked& state, std::size_t index, const share_slot& slot,
+                            core::time_point now)
+{
+    write_share_row request{state.m_row, state.m_row.m_version};
+    request.m_row.m_slots[index] = slot;
+    ++request.m_row.m_version;
+    state.m_awaiting = true;
+    m_due[state.m_row.m_workspace] = now + m_settings.m_row_timeout;
+    m_actions.emplace_back(std::move(request));
+}
+
+share_row share_ownership::genesis_row(core::workspace_id workspace) const
+{
+    share_row row{workspace, 0, {}};
+    for (const core::instance_id home : homes_of(workspace, m_genesis, m_settings.m_homes))
+    {
+        row.m_slots.push_back({home, {}});
+    }
+    return row;
+}
+
+} // namespace tarragontrail::limits
--- /dev/null
+++ b/tarragontrail/limits/token_bucket.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+
+#include <cstdint>
+
+namespace tarragontrail::limits {
+
+/// Micro-tokens in one token; all accounts are kept in micro-tokens.
+constexpr std::uint64_t MICRO_TOKENS_PER_TOKEN = 1'000'000;
+
+/// Largest rate and burst of a workspace, in tokens.
+constexpr std::uint64_t LARGEST_LIMIT_TOKENS = 1'000'000'000;
+
+/// Rate and burst of one bucket.
+struct bucket_limit
+{
+    std::uint64_t m_rate = 0;  ///< Micro-tokens added a second.
+    std::uint64_t m_burst = 0; ///< Micro-tokens at most.
+
+    bool operator==(const bucket_limit&) const = default;
+};
+
+/// Token bucket in integers: no drift, and reserved tokens count against the burst.
+///
+/// A refund gives back no more than the bucket would hold had the smaller amount been taken at
+/// first: what overflowed since then is lost. So for every window, what was taken less what was
+/// refunded, each counted at the moment of taking, stays within burst + rate * window.
+class token_bucket
+{
+public:
+    /// Makes an empty bucket that fills from `now` on.
+    token_bucket(const bucket_limit& limit, core::time_point now) : m_limit(limit), m_filled_at(now)
+    {}
+
+    /// Adds what has accrued until `now`; an earlier time than the last has no effect.
+    void refill(core::time_point now);
+
+    /// Takes up to `amount` for good; returns what was taken.
+    std::uint64_t take(std::uint64_t amount);
+
+    /// Sets up to `amount` aside: it is gone from the balance but still fills the bucket.
+    std::uint64_t reserve(std::uint64_t amount);
+
+    /// Ends a reservation; its tokens count as taken.
+    void spend_reserved(std::uint64_t amount);
+
+    /// Puts reserved tokens back into the balance; they were never taken.
+    void return_reserved(std::uint64_t amount);
+
+    /// Refunds tokens taken when `overflow()` was `overflow_then`.
+    void refund(std::uint64_t amount, std::uint64_t overflow_then);
+
+    /// Replaces rate and burst; what no longer fits is lost.
+    void set_limit(const bucket_limit& limit);
+
+    std::uint64_t balance() const noexcept { return m_balance; }
+    std::uint64_t reserved() const noexcept { return m_reserved; }
+    const bucket_limit& limit() const noexcept { return m_limit; }
+
+    /// Tokens that accrued or were refunded while there was no room, since the bucket was made.
+    std::uint64_t overflow() const noexcept { return m_overflow; }
+
+    /// Time until the balance reaches `amount`; the longest duration if it never does.
+    core::duration time_until(std::uint64_t amount) const noexcept;
+
+private:
+    /// Tokens that the balance may hold beside the reservations.
+    std::uint64_t room() const noexcept;
+
+    /// Adds to the balance as far as there is room and counts the rest as overflow.
+    void add(std::uint64_t amount);
+
+    void check() const;
+
+    bucket_limit m_limit;         ///< Rate and burst.
+    core::time_point m_filled_at; ///< Time up to which the balance has been refilled.
+    std::uint64_t m_balance = 0;  ///< Micro-tokens that may be taken.
+    std::uint64_t m_reserved = 0; ///< Micro-tokens set aside and neither spent nor returned.
+    std::uint64_t m_overflow = 0; ///< Micro-tokens lost for want of room.
+    std::uint64_t m_carry = 0;    ///< Part of a micro-token accrued, in micro-token nanoseconds.
+};
+
+} // namespace tarragontrail::limits
