Declare the interfaces of call guard, recovery and placement cores

Ruled out: a second write before each dispatch (reserved, then dispatching). The last write before a dispatch can always lose its reply, so a writer that then vanishes leaves the same doubt after two writes as after one; the second write buys nothing. Conclusion: one intent write before the dispatch, one answer write after it; a refused intent is released by its own writer.

--- /dev/null
+++ b/tarragontrail/idempotency/call_guard.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/ids.hpp"
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/idempotency/call_guard_settings.hpp"
+#include "tarragontrail/idempotency/call_row.hpp"
+#include "tarragontrail/idempotency/call_types.hpp"
+#include "tarragontrail/idempotency/guarded_entry.hpp"
+#include "tarragontrail/idempotency/write_batcher.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace tarragontrail::idempotency {
+
+/// Runs each non-idempotent call at most once over all instances and restarts.
+///
+/// A call with an Idempotency-Key is dispatched only after its intent row was seen to hold this
+/// guard's own nonce; nobody else dispatches for that row. Every refusal says what is known of the
+/// call's execution.
+class call_guard
+{
+public:
+    call_guard(call_guard_settings settings, core::instance_id self, core::incarnation started,
+               std::uint64_t seed);
+
+    /// Takes a call on. Exactly one answer or refuse action follows for its request.
+    void begin(const guarded_call& call, core::time_point now);
+
+    /// The service's whole answer arrived.
+    void on_dispatch_finished(core::request_id request, service_answer result,
+                              core::time_point now);
+
+    /// The connection was lost after bytes of the request were sent.
+    void on_dispatch_lost(core::request_id request, core::time_point now);
+
+    /// No byte of the request was sent, for example as the connection was refused.
+    void on_dispatch_not_run(core::request_id request, core::time_point now);
+
+    /// A row was read.
+    void on_store_read(std::uint64_t operation, const read_result& result, core::time_point now);
+
+    /// A transaction was answered.
+    void on_store_written(std::uint64_t operation, const write_result& result,
+                          core::time_point now);
+
+    /// No reply came to a table operation; a write may have taken effect, or still may.
+    void on_store_failed(std::uint64_t operation, core::time_point now);
+
+    /// An object write or read was answered; `found` is false when it failed.
+    void on_object_done(std::uint64_t operation, bool found, std::string content,
+                        core::time_point now);
+
+    /// Handles everything that is due.
+    void on_timer(core::time_point now);
+
+    /// When on_timer is wanted next.
+    std::optional<core::time_point> next_deadline() const;
+
+    /// Actions since the last call.
+    std::vector<call_action> take_actions();
+
+    /// Nothing is held in memory; a graceful shutdown waits for this.
+    bool idle() const noexcept;
+
+private:
+    using entry_map = std::unordered_map<std::uint64_t, guarded_entry>;
+
+    // Callers.
+    guarded_entry& open_entry(const guarded_call& call);
+    void join(guarded_entry& entry, const guarded_call& call, core::time_point now);
+    void answer_all(guarded_entry& entry, const service_answer& result, bool replayed);
+    void refuse_all(guarded_entry& entry, refusal reason, core::execution execution,
+                    core::execution earlier);
+    void expire_waiters(guarded_entry& entry, core::time_point now);
+    void refuse_call(core::request_id request, refusal reason, core::execution execution,
+                     core::execution earlier);
+
+    // Steps of an entry.
+    void start_claim(guarded_entry& entry, row_version base, core::time_point now);
+    void start_dispatch(guarded_entry& entry, core::time_point now);
+    void start_release(guarded_entry& entry, core::time_point now);
+    void start_store(guarded_entry& entry, call_state state, core::time_point now);
+    void start_follow(guarded_entry& entry, core::time_point now);
+    void abandon(guarded_entry& entry, core::time_point now);
+    void run_due(guarded_entry& entry, core::time_point now);
+
+    // Rows.
+    void write_target(guarded_entry& entry, std::chrono::milliseconds window, core::time_point now);
+    void read_row(guarded_entry& entry);
+    void back_off(guarded_entry& entry, core::time_point now);
+    void on_outcome(const write_outcome& outcome, core::time_point now);
+    void on_row(guarded_entry& entry, const read_result& found, core::time_point now);
+    void on_settled(guarded_entry& entry, row_version version, core::time_point now);
+    void on_foreign(guarded_entry& entry, const call_row& row, row_version version,
+                    core::time_point now);
+    void replay(guarded_entry& entry, const call_row& row, core::time_point now);
+
+    // Bookkeeping.
+    guarded_entry* find_dispatched(core::request_id request);
+    void finish_event(core::time_point now);
+    void schedule(guarded_entry& entry);
+    void close(guarded_entry& entry);
+
+    call_guard_settings m_settings;                          ///< Settings.
+    core::instance_id m_self;                                ///< This instance.
+    core::incarnation m_started;                             ///< Its incarnation.
+    core::seeded_random m_random;                            ///< Source of nonces and jitter.
+    write_batcher m_batcher;                                 ///< Groups the writes.
+    entry_map m_entries;                                     ///< Entries by number.
+    std::unordered_map<std::string, std::uint64_t> m_by_key; ///< Entry of a row key.
+    std::unordered_map<core::request_id, std::uint64_t> m_by_dispatch; ///< Entry of a dispatch.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_operations; ///< Entry of a read or object.
+    std::set<std::pair<core::time_point, std::uint64_t>> m_wakes;  ///< Timers of the entries.
+    std::vector<std::uint64_t> m_touched; ///< Entries to look after at the end of the event.
+    std::vector<call_action> m_actions;   ///< Actions not yet taken.
+    std::uint64_t m_next_entry = 1;       ///< Number of the next entry.
+    std::uint64_t m_next_operation = 1;   ///< Number of the next operation.
+    std::size_t m_waiting = 0;            ///< Callers that wait.
+    std::size_t m_answer_bytes = 0;       ///< Bytes of answers not yet stored.
+};
+
+} // namespace tarragontrail::idempotency
--- /dev/null
+++ b/tarragontrail/placement/row_lease.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/ids.hpp"
+#include "tarragontrail/idempotency/table_operations.hpp"
+#include "tarragontrail/placement/lease_row.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace tarragontrail::placement {
+
+/// Settings of row_lease.
+struct row_lease_settings
+{
+    std::chrono::milliseconds m_length{10000};       ///< Length, from the asking.
+    std::chrono::milliseconds m_margin{2000};        ///< The holder stops so long before the lapse.
+    std::chrono::milliseconds m_longest_order{2000}; ///< Work sent at the last moment ends within.
+    std::chrono::milliseconds m_poll{500};           ///< Pause between reads of another's row.
+    std::chrono::milliseconds m_retry{200};          ///< Pause after a failed table operation.
+};
+
+/// Table operation that a lease asks for; its owner numbers it.
+using lease_operation = std::variant<idempotency::store_read, idempotency::store_write>;
+
+/// Lease on one table row, measured by monotonic clocks only.
+///
+/// The holder counts from its own asking, a successor from its own first sight of a row that then
+/// stays unchanged, so no two clocks are compared.
+class row_lease
+{
+public:
+    row_lease(row_lease_settings settings, std::string table, std::string key,
+              core::instance_id self, core::incarnation started, std::uint64_t nonce);
+
+    /// Starts to acquire, and keeps renewing once held.
+    void want(core::time_point now);
+
+    /// Gives up: frees the row when it is held; nothing sent under it may still be under way.
+    void drop(core::time_point now);
+
+    /// Results of the operation asked for last.
+    void on_read(const idempotency::read_result& result, core::time_point now);
+    void on_written(const idempotency::write_result& result, core::time_point now);
+    void on_failed(core::time_point now);
+
+    /// Handles what is due.
+    void on_timer(core::time_point now);
+
+    /// When on_timer is wanted next.
+    std::optional<core::time_point> next_deadline() const;
+
+    /// Operation to carry out; at most one is outstanding.
+    std::optional<lease_operation> take_operation();
+
+    /// The lease is held and work may be sent now.
+    bool holds(core::time_point now) const;
+
+    /// Work may be sent under the lease until this time.
+    core::time_point latest_send() const noexcept { return m_send_until; }
+
+    /// Fencing number of the present holding.
+    std::uint64_t fence() const noexcept { return m_held_fence; }
+
+    /// Another holder's row is being waited for.
+    bool is_blocked() const noexcept { return m_observed_foreign; }
+
+    /// Nothing is outstanding and nothing is wanted.
+    bool idle() const noexcept;
+
+private:
+    /// Step of the lease.
+    enum class step
+    {
+        resting,   ///< Nothing to do until m_due.
+        reading,   ///< A read is outstanding.
+        writing,   ///< A write is outstanding.
+        unsettled, ///< The last write's effect is unknown; a read follows at m_due.
+    };
+
+    void start_read();
+    void start_write(bool free, core::time_point now);
+    void consider(const idempotency::read_result& result, core::time_point now);
+    void consider_foreign(const lease_row& row, core::time_point now);
+    void on_own_write(idempotency::row_version version, core::time_point now);
+    void rest(core::time_point due);
+
+    row_lease_settings m_settings; ///< Settings.
+    std::string m_table;           ///< Table's name.
+    std::string m_key;             ///< Row's key.
+    core::instance_id m_self;      ///< This instance.
+    core::incarnation m_started;   ///< Its incarnation.
+    std::uint64_t m_nonce;         ///< Random number of this object.
+    step m_step = step::resting;   ///< Step.
+    bool m_wanted = false;         ///< The owner wants the lease.
+    bool m_owned = false;          ///< The last row seen is this object's, and not free.
+    core::time_point m_due = core::time_point::max(); ///< When the next step follows.
+    idempotency::row_version m_version = 0;           ///< Version of the last row seen.
+    lease_row m_seen;                                 ///< Last row seen.
+    lease_row m_written;                              ///< Row that is being written.
+    core::time_point m_asked{};                       ///< When that write was first asked for.
+    core::time_point m_send_until = core::time_point::min(); ///< End of the right to send.
+    std::uint64_t m_held_fence = 0;             ///< Fencing number of the present holding.
+    std::uint64_t m_sequence = 0;               ///< Writes of this object.
+    bool m_observed_foreign = false;            ///< Another holder's row is being watched.
+    core::time_point m_observed_since{};        ///< First sight of that row at that version.
+    std::optional<lease_operation> m_operation; ///< Operation not yet taken.
+};
+
+} // namespace tarragontrail::placement
--- /dev/null
+++ b/tarragontrail/recovery/crash_blame.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/ids.hpp"
+#include "tarragontrail/recovery/messages.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+namespace tarragontrail::recovery {
+
+/// Settings of crash_blame.
+struct crash_blame_settings
+{
+    std::uint64_t m_min_crashes = 2;             ///< Distinct crashes that a blamed request was in.
+    std::uint64_t m_max_needed = 4;              ///< Crashes needed at most, when others crash too.
+    std::chrono::seconds m_unrelated_window{30}; ///< Other crashes so near in time raise the need.
+    std::chrono::seconds m_suspect_lapse{600};   ///< A crash is forgotten after this.
+    std::chrono::seconds m_quarantine{1800};     ///< Length of a quarantine.
+    std::chrono::milliseconds m_report_settling{500}; ///< Wait for other instances' reports.
+    std::size_t m_max_crashes = 128;                  ///< Crashes remembered.
+    std::size_t m_max_crash_members = 512;            ///< Requests remembered of one crash.
+    std::size_t m_max_quarantines = 1024;             ///< Quarantines held at once.
+};
+
+/// Asks the shell to send a crash report to the other instances.
+struct share_crash
+{
+    crash_report m_report; ///< Report.
+};
+
+/// Asks the shell to tell the other instances of a quarantine.
+struct share_quarantine
+{
+    quarantine_notice m_notice; ///< Notice.
+};
+
+/// Asks the shell to tell the other instances of cleared suspects.
+struct share_exoneration
+{
+    exoneration_notice m_notice; ///< Notice.
+};
+
+/// What crash_blame asks of its shell.
+using blame_action = std::variant<share_crash, share_quarantine, share_exoneration>;
+
+/// Whether a request may be dispatched to an engine.
+enum class blame_verdict
+{
+    allowed,     ///< Go ahead.
+    hold,        ///< Suspect, and the engine runs another suspect: take another engine or wait.
+    quarantined, ///< Refuse the caller.
+};
+
+/// Quarantine as operators see it.
+struct quarantine_entry
+{
+    std::uint64_t m_fingerprint = 0; ///< Request.
+    std::uint64_t m_crashes = 0; ///< Crashes that it was seen in here; zero for a peer's notice.
+    core::time_point m_until{};  ///< When it ends.
+};
+
+/// Finds requests that crash each engine that runs them, by intersecting distinct crashes.
+///
+/// A fingerprint stands for a whole request of one workspace, so requests that only share a prefix
+/// are told apart. A run to the end clears a suspect.
+class crash_blame
+{
+public:
+    crash_blame(crash_blame_settings settings, core::instance_id self);
+
+    /// Whether the request may go to the engine now; nothing is recorded.
+    blame_verdict check(std::uint64_t fingerprint, core::upstream_id engine,
+                        core::time_point now) const;
+
+    /// The request has an unexpired crash on its record and was not cleared.
+    bool is_suspect(std::uint64_t fingerprint) const;
+
+    /// A request was dispatched to an engine.
+    void on_dispatched(std::uint64_t fingerprint, core::upstream_id engine);
+
+    /// A dispatched request ended without a crash; `completed` when it ran to its end.
+    void on_finished(std::uint64_t fingerprint, core::upstream_id engine, bool completed,
+                     core::time_point now);
+
+    /// An engine's incarnation crashed with this instance's requests in flight.
+    void on_engine_crashed(core::upstream_id engine, core::incarnation started,
+                           core::time_point now);
+
+    /// Another instance's messages.
+    void on_crash_report(const crash_report& report, core::time_point now);
+    void on_quarantine_notice(const quarantine_notice& notice, core::time_point now);
+    void on_exoneration_notice(const exoneration_notice& notice, core::time_point now);
+
+    /// Decides what is due and drops what has lapsed.
+    void on_timer(core::time_point now);
+
+    /// When on_timer is wanted next.
+    std::optional<core::time_point> next_deadline() const;
+
+    /// Quarantines in force, for operators.
+    std::vector<quarantine_entry> list(core::time_point now) const;
+
+    /// An operator lifts a quarantine; returns false when there is none.
+    bool clear(std::uint64_t fingerprint, core::time_point now);
+
+    /// Actions since the last call.
+    std::vector<blame_action> take_actions();
+
+private:
+    /// One engine incarnation's crash, merged from all reports.
+    struct crash
+    {
+        std::uint64_t m_number = 0;                  ///< Counts crashes here.
+        core::upstream_id m_engine{};                ///< Engine.
+        core::incarnation m_started{};               ///< Incarnation that crashed.
+        core::time_point m_seen{};                   ///< First report.
+        std::unordered_set<std::uint64_t> m_members; ///< Requests in flight that were not cleared.
+        std::size_t m_reported = 0;                  ///< Requests reported in all.
+        std::size_t m_cleared = 0;                   ///< Of these, cleared since.
+    };
+
+    /// Suspect's record.
+    struct suspect
+    {
+        std::vector<std::uint64_t> m_crashes; ///< Numbers of its crashes, oldest first.
+    };
+
+    /// Quarantine in force.
+    struct quarantine
+    {
+        core::time_point m_until{};  ///< When it ends.
+        std::uint64_t m_crashes = 0; ///< Crashes that led to it.
+    };
+
+    crash& record_crash(core::upstream_id engine, core::incarnation started, core::time_point now);
+    void add_members(crash& where, const std::vector<std::uint64_t>& fingerprints,
+                     core::time_point now);
+    const crash* find_crash(std::uint64_t number) const;
+    std::uint64_t needed_crashes(const suspect& who) const;
+    bool has_rival(std::uint64_t fingerprint, const suspect& who) const;
+    bool is_blamed(std::uint64_t fingerprint, const suspect& who) const;
+    void judge(core::time_point now);
+    void start_quarantine(std::uint64_t fingerprint, core::time_point until, std::uint64_t crashes);
+    void exonerate(std::uint64_t fingerprint);
+    void drop_oldest_crash();
+
+    crash_blame_settings m_settings;                       ///< Settings.
+    core::instance_id m_self;                              ///< This instance.
+    std::deque<crash> m_crashes;                           ///< Crashes by number, oldest first.
+    std::uint64_t m_next_crash = 1;                        ///< Number of the next crash.
+    std::unordered_map<std::uint64_t, suspect> m_suspects; ///< By fingerprint.
+    std::unordered_map<std::uint64_t, quarantine> m_quarantines; ///< By fingerprint.
+    std::unordered_map<core::upstream_id, std::vector<std::uint64_t>> m_in_flight; ///< By engine.
+    std::optional<core::time_point> m_judge_at; ///< When open cases are judged.
+    std::vector<blame_action> m_actions;        ///< Actions not yet taken.
+};
+
+} // namespace tarragontrail::recovery
