Run guarded calls at most once over instances, restarts and table faults

Ruled out: answering only after the answer is stored. A crash between the run and the stored answer leaves the key in doubt for the same time either way, so waiting adds one table write to each call and protects nobody who has not got an answer. Conclusion: one intent write, one answer write, both grouped.

--- a/tarragontrail/idempotency/call_guard.hpp
+++ b/tarragontrail/idempotency/call_guard.hpp
@@ -33,15 +33,15 @@
     /// Takes a call on. Exactly one answer or refuse action follows for its request.
     void begin(const guarded_call& call, core::time_point now);
 
-    /// The service's whole answer arrived.
-    void on_dispatch_finished(core::request_id request, service_answer result,
-                              core::time_point now);
+    /// The service's whole answer to an attempt arrived.
+    void on_dispatch_finished(core::request_id request, std::uint64_t attempt,
+                              service_answer result, core::time_point now);
 
-    /// The connection was lost after bytes of the request were sent.
-    void on_dispatch_lost(core::request_id request, core::time_point now);
+    /// The attempt's connection was lost after bytes of the request were sent.
+    void on_dispatch_lost(core::request_id request, std::uint64_t attempt, core::time_point now);
 
-    /// No byte of the request was sent, for example as the connection was refused.
-    void on_dispatch_not_run(core::request_id request, core::time_point now);
+    /// No byte of the attempt was sent, for example as the connection was refused.
+    void on_dispatch_not_run(core::request_id request, std::uint64_t attempt, core::time_point now);
 
     /// A row was read.
     void on_store_read(std::uint64_t operation, const read_result& result, core::time_point now);
@@ -72,15 +72,22 @@
 private:
     using entry_map = std::unordered_map<std::uint64_t, guarded_entry>;
 
+    /// What a refused caller is told.
+    struct refusal_state
+    {
+        refusal m_reason;            ///< Why.
+        core::execution m_execution; ///< What is known of its request.
+        core::execution m_earlier;   ///< What is known of earlier requests with its key.
+    };
+
     // Callers.
     guarded_entry& open_entry(const guarded_call& call);
+    void add_waiter(guarded_entry& entry, const guarded_call& call, core::time_point now);
     void join(guarded_entry& entry, const guarded_call& call, core::time_point now);
     void answer_all(guarded_entry& entry, const service_answer& result, bool replayed);
-    void refuse_all(guarded_entry& entry, refusal reason, core::execution execution,
-                    core::execution earlier);
+    void refuse_all(guarded_entry& entry, const refusal_state& state);
     void expire_waiters(guarded_entry& entry, core::time_point now);
-    void refuse_call(core::request_id request, refusal reason, core::execution execution,
-                     core::execution earlier);
+    void refuse_call(core::request_id request, const refusal_state& state);
 
     // Steps of an entry.
     void start_claim(guarded_entry& entry, row_version base, core::time_point now);
@@ -88,25 +95,32 @@
     void start_release(guarded_entry& entry, core::time_point now);
     void start_store(guarded_entry& entry, call_state state, core::time_point now);
     void start_follow(guarded_entry& entry, core::time_point now);
-    void abandon(guarded_entry& entry, core::time_point now);
+    void end_unwanted(guarded_entry& entry, core::time_point now);
     void run_due(guarded_entry& entry, core::time_point now);
 
-    // Rows.
-    void write_target(guarded_entry& entry, std::chrono::milliseconds window, core::time_point now);
+    // Rows and objects.
+    void set_target(guarded_entry& entry, call_state state);
+    void write_target(guarded_entry& entry, core::duration window, core::time_point now);
+    void write_object(guarded_entry& entry);
+    void read_object(guarded_entry& entry);
     void read_row(guarded_entry& entry);
-    void back_off(guarded_entry& entry, core::time_point now);
+    void back_off(guarded_entry& entry, core::duration limit, core::time_point now);
     void on_outcome(const write_outcome& outcome, core::time_point now);
     void on_row(guarded_entry& entry, const read_result& found, core::time_point now);
     void on_settled(guarded_entry& entry, row_version version, core::time_point now);
     void on_foreign(guarded_entry& entry, const call_row& row, row_version version,
                     core::time_point now);
-    void replay(guarded_entry& entry, const call_row& row, core::time_point now);
+    void on_unreadable(guarded_entry& entry);
 
     // Bookkeeping.
-    guarded_entry* find_dispatched(core::request_id request);
+    guarded_entry* find_dispatched(core::request_id request, std::uint64_t attempt);
+    guarded_entry* touch(std::uint64_t number);
+    guarded_entry* touch_operation(std::uint64_t operation);
+    std::uint64_t start_operation(const guarded_entry& entry);
     void finish_event(core::time_point now);
     void schedule(guarded_entry& entry);
-    void close(guarded_entry& entry);
+    static core::time_point limit_of(const guarded_entry& entry, const call_waiter& waiter);
+    void erase(guarded_entry& entry);
 
     call_guard_settings m_settings;                          ///< Settings.
     core::instance_id m_self;                                ///< This instance.
--- /dev/null
+++ b/tarragontrail/idempotency/call_guard_rows.cpp
@@ -0,0 +1,296 @@
+// Steps of call_guard's entries and their rows.
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/idempotency/call_guard.hpp"
+
+#include <algorithm>
+#include <fmt/core.h>
+#include <utility>
+
+namespace tarragontrail::idempotency {
+
+using core::execution;
+
+void call_guard::start_claim(guarded_entry& entry, row_version base, core::time_point now)
+{
+    // A fresh nonce for each claim: an earlier claim's late write never counts for this one.
+    entry.m_phase = entry_phase::claiming;
+    entry.m_intent_settled = false;
+    entry.m_maybe_written = false;
+    entry.m_base = base;
+    entry.m_pause = core::duration::zero();
+    entry.m_target = call_row{};
+    entry.m_target.m_owner = {m_self, m_started, entry.m_dispatch, m_random()};
+    entry.m_target.m_fingerprint = entry.m_fingerprint;
+    set_target(entry, call_state::intended);
+    write_target(entry, m_settings.m_intent_window, now);
+}
+
+void call_guard::start_dispatch(guarded_entry& entry, core::time_point now)
+{
+    expire_waiters(entry, now);
+    if (entry.m_waiters.empty())
+    {
+        return;
+    }
+    TARRAGONTRAIL_INVARIANT(entry.m_row_key.empty() || entry.m_intent_settled,
+                            "dispatch_follows_settled_intent");
+    TARRAGONTRAIL_INVARIANT(entry.m_attempts == 0 || entry.m_phase == entry_phase::pausing,
+                            "dispatch_repeated_only_if_not_run");
+    m_by_dispatch.erase(entry.m_dispatch);
+    entry.m_dispatch = entry.m_waiters.front().m_request;
+    m_by_dispatch[entry.m_dispatch] = entry.m_id;
+    entry.m_phase = entry_phase::dispatched;
+    ++entry.m_attempts;
+    m_actions.emplace_back(
+        dispatch{entry.m_dispatch, entry.m_attempts, entry.m_waiters.front().m_deadline});
+}
+
+void call_guard::start_release(guarded_entry& entry, core::time_point now)
+{
+    if (entry.m_row_key.empty())
+    {
+        entry.m_closed = true;
+        return;
+    }
+    const bool claiming = entry.m_phase == entry_phase::claiming;
+    entry.m_phase = entry_phase::releasing;
+    entry.m_intent_settled = false;
+    entry.m_attempts = 0;
+    set_target(entry, call_state::released);
+    if (!claiming)
+    {
+        write_target(entry, m_settings.m_intent_window, now);
+        return;
+    }
+
+    // A claim that was never sent leaves no trace; one under way is settled first.
+    if (!m_batcher.cancel(entry.m_id))
+    {
+        return;
+    }
+    if (!entry.m_maybe_written)
+    {
+        entry.m_closed = true;
+        return;
+    }
+    write_target(entry, m_settings.m_intent_window, now);
+}
+
+void call_guard::start_store(guarded_entry& entry, call_state state, core::time_point now)
+{
+    if (entry.m_row_key.empty())
+    {
+        entry.m_closed = true;
+        return;
+    }
+    entry.m_phase = entry_phase::storing;
+    entry.m_pause = core::duration::zero();
+    if (state == call_state::answered)
+    {
+        entry.m_held_bytes = entry.m_answer.m_body.size() + entry.m_answer.m_headers.size();
+        m_answer_bytes += entry.m_held_bytes;
+        entry.m_target.m_answer = entry.m_answer;
+        if (entry.m_answer.m_body.size() > m_settings.m_max_row_body_bytes)
+        {
+            entry.m_target.m_answer.m_body.clear();
+            entry.m_target.m_object =
+                fmt::format("{}/{}/{:016x}", m_settings.m_table, entry.m_row_key,
+                            entry.m_target.m_owner.m_attempt_nonce);
+        }
+    }
+    set_target(entry, state);
+    if (!entry.m_target.m_object.empty())
+    {
+        write_object(entry);
+        return;
+    }
+    write_target(entry, m_settings.m_answer_window, now);
+}
+
+void call_guard::start_follow(guarded_entry& entry, core::time_point now)
+{
+    if (entry.m_phase != entry_phase::following)
+    {
+        entry.m_phase = entry_phase::following;
+        entry.m_pause = m_settings.m_poll_first / 2;
+    }
+    back_off(entry, m_settings.m_poll_limit, now);
+}
+
+void call_guard::end_unwanted(guarded_entry& entry, core::time_point now)
+{
+    if (!entry.m_waiters.empty())
+    {
+        return;
+    }
+    switch (entry.m_phase)
+    {
+    case entry_phase::claiming:
+    case entry_phase::pausing:
+        start_release(entry, now);
+        return;
+    case entry_phase::following:
+    case entry_phase::fetching:
+        entry.m_closed = true;
+        return;
+    default:
+        return;
+    }
+}
+
+void call_guard::run_due(guarded_entry& entry, core::time_point now)
+{
+    if (entry.m_phase == entry_phase::pausing)
+    {
+        start_dispatch(entry, now);
+        return;
+    }
+    if (entry.m_phase == entry_phase::fetching)
+    {
+        read_object(entry);
+        return;
+    }
+    if (entry.m_phase == entry_phase::storing && !entry.m_target.m_object.empty() &&
+        !entry.m_object_stored)
+    {
+        write_object(entry);
+        return;
+    }
+    read_row(entry);
+}
+
+void call_guard::set_target(guarded_entry& entry, call_state state)
+{
+    entry.m_target.m_state = state;
+    entry.m_target_bytes = encode_row(entry.m_target);
+}
+
+void call_guard::write_target(guarded_entry& entry, core::duration window, core::time_point now)
+{
+    entry.m_sent_state = entry.m_target.m_state;
+    entry.m_due = core::time_point::max();
+    m_batcher.submit(entry.m_id,
+                     {m_settings.m_table, entry.m_row_key, entry.m_base, entry.m_target_bytes},
+                     now + window);
+}
+
+void call_guard::write_object(guarded_entry& entry)
+{
+    m_actions.emplace_back(
+        object_write{start_operation(entry), entry.m_target.m_object, entry.m_answer.m_body});
+}
+
+void call_guard::read_object(guarded_entry& entry)
+{
+    m_actions.emplace_back(object_read{start_operation(entry), entry.m_target.m_object});
+}
+
+void call_guard::read_row(guarded_entry& entry)
+{
+    m_actions.emplace_back(store_read{start_operation(entry), m_settings.m_table, entry.m_row_key});
+}
+
+void call_guard::back_off(guarded_entry& entry, core::duration limit, core::time_point now)
+{
+    const core::duration first = m_settings.m_retry_first;
+    entry.m_pause = entry.m_pause == core::duration::zero()
+                        ? first
+                        : std::min<core::duration>(entry.m_pause * 2, limit);
+    entry.m_due = now + std::chrono::duration_cast<core::duration>(entry.m_pause *
+                                                                   (0.5 + 0.5 * m_random.unit()));
+}
+
+void call_guard::on_store_read(std::uint64_t operation, const read_result& result,
+                               core::time_point now)
+{
+    guarded_entry* const entry = touch_operation(operation);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    on_row(*entry, result, now);
+    finish_event(now);
+}
+
+void call_guard::on_store_written(std::uint64_t operation, const write_result& result,
+                                  core::time_point now)
+{
+    std::vector<write_outcome> outcomes;
+    m_batcher.on_written(operation, result, now, outcomes);
+    for (const write_outcome& outcome : outcomes)
+    {
+        on_outcome(outcome, now);
+    }
+    finish_event(now);
+}
+
+void call_guard::on_store_failed(std::uint64_t operation, core::time_point now)
+{
+    std::vector<write_outcome> outcomes;
+    m_batcher.on_failed(operation, outcomes);
+    for (const write_outcome& outcome : outcomes)
+    {
+        on_outcome(outcome, now);
+    }
+    if (guarded_entry* const entry = touch_operation(operation))
+    {
+        back_off(*entry, m_settings.m_retry_limit, now);
+    }
+    finish_event(now);
+}
+
+void call_guard::on_object_done(std::uint64_t operation, bool found, std::string content,
+                                core::time_point now)
+{
+    guarded_entry* const entry = touch_operation(operation);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (!found)
+    {
+        back_off(*entry, m_settings.m_retry_limit, now);
+    }
+    else if (entry->m_phase == entry_phase::storing)
+    {
+        entry->m_object_stored = true;
+        write_target(*entry, m_settings.m_answer_window, now);
+    }
+    else if (entry->m_phase == entry_phase::fetching)
+    {
+        entry->m_answer.m_body = std::move(content);
+        answer_all(*entry, entry->m_answer, true);
+        entry->m_closed = true;
+    }
+    finish_event(now);
+}
+
+void call_guard::on_outcome(const write_outcome& outcome, core::time_point now)
+{
+    guarded_entry* const entry = touch(outcome.m_ticket);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    switch (outcome.m_kind)
+    {
+    case write_outcome::kind::written:
+        if (entry->m_sent_state == entry->m_target.m_state)
+        {
+            on_settled(*entry, outcome.m_version, now);
+            return;
+        }
+        entry->m_base = outcome.m_version;
+        write_target(*entry, m_settings.m_intent_window, now);
+        return;
+    case write_outcome::kind::conflict:
+        on_row(*entry, outcome.m_current, now);
+        return;
+    case write_outcome::kind::unknown:
+        entry->m_maybe_written = true;
+        back_off(*entry, m_settings.m_retry_limit, now);
+        return;
+    }
+}
+
+} // namespace tarragontrail::idempotency
--- /dev/null
+++ b/tarragontrail/idempotency/call_guard_settle.cpp
@@ -0,0 +1,146 @@
+// What call_guard concludes from a row that it found.
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/idempotency/call_guard.hpp"
+
+namespace tarragontrail::idempotency {
+
+using core::execution;
+
+void call_guard::on_row(guarded_entry& entry, const read_result& found, core::time_point now)
+{
+    const row_version version = found.m_found ? found.m_version : 0;
+    const bool following = entry.m_phase == entry_phase::following;
+    if (!found.m_found && following)
+    {
+        start_claim(entry, 0, now);
+        return;
+    }
+
+    // The own write took effect, or did not yet: then it is sent again.
+    if (!following && found.m_found && found.m_value == entry.m_target_bytes)
+    {
+        on_settled(entry, version, now);
+        return;
+    }
+    if (!following && (!found.m_found || version == entry.m_base))
+    {
+        entry.m_base = version;
+        write_target(entry, m_settings.m_intent_window, now);
+        return;
+    }
+
+    call_row row;
+    try
+    {
+        row = decode_row(found.m_value);
+    }
+    catch (const call_row_error&)
+    {
+        on_unreadable(entry);
+        return;
+    }
+
+    // An earlier write of this entry is what the next one replaces.
+    if (!following && row.m_owner == entry.m_target.m_owner)
+    {
+        entry.m_base = version;
+        write_target(entry, m_settings.m_intent_window, now);
+        return;
+    }
+    on_foreign(entry, row, version, now);
+}
+
+void call_guard::on_settled(guarded_entry& entry, row_version version, core::time_point now)
+{
+    entry.m_base = version;
+    entry.m_due = core::time_point::max();
+    switch (entry.m_phase)
+    {
+    case entry_phase::claiming:
+        entry.m_intent_settled = true;
+        entry.m_maybe_written = true;
+        start_dispatch(entry, now);
+        if (entry.m_phase == entry_phase::claiming)
+        {
+            // Nobody waits any more: the settled intent is given up.
+            entry.m_phase = entry_phase::pausing;
+        }
+        return;
+    case entry_phase::releasing:
+        if (entry.m_waiters.empty())
+        {
+            entry.m_closed = true;
+            return;
+        }
+        start_claim(entry, version, now);
+        return;
+    default:
+        entry.m_closed = true;
+        return;
+    }
+}
+
+void call_guard::on_foreign(guarded_entry& entry, const call_row& row, row_version version,
+                            core::time_point now)
+{
+    TARRAGONTRAIL_INVARIANT(entry.m_phase != entry_phase::storing,
+                            "dispatched_intent_belongs_to_its_writer");
+    if (entry.m_phase == entry_phase::releasing && entry.m_waiters.empty())
+    {
+        entry.m_closed = true;
+        return;
+    }
+    if (row.m_state == call_state::released)
+    {
+        start_claim(entry, version, now);
+        return;
+    }
+
+    // No write of this entry can take effect any more: the row's version has moved on.
+    entry.m_maybe_written = false;
+    if (row.m_fingerprint != entry.m_fingerprint)
+    {
+        entry.m_phase = entry_phase::following;
+        refuse_all(entry, {refusal::key_reused, execution::not_run, execution::unknown});
+        entry.m_closed = true;
+        return;
+    }
+    const bool writer_gone = row.m_owner.m_instance == m_self && row.m_owner.m_started != m_started;
+    if (row.m_state == call_state::intended && !writer_gone)
+    {
+        start_follow(entry, now);
+        return;
+    }
+    entry.m_phase = entry_phase::fetching;
+    if (row.m_state != call_state::answered)
+    {
+        refuse_all(entry, {refusal::outcome_unknown, execution::unknown, execution::unknown});
+        entry.m_closed = true;
+        return;
+    }
+
+    // The stored answer goes to everyone who waits.
+    entry.m_answer = row.m_answer;
+    if (row.m_object.empty())
+    {
+        answer_all(entry, entry.m_answer, true);
+        entry.m_closed = true;
+        return;
+    }
+    entry.m_target.m_object = row.m_object;
+    entry.m_pause = core::duration::zero();
+    read_object(entry);
+}
+
+void call_guard::on_unreadable(guarded_entry& entry)
+{
+    // Nothing can be concluded from such a row, and it is never overwritten.
+    if (entry.m_phase != entry_phase::storing)
+    {
+        entry.m_phase = entry_phase::following;
+        refuse_all(entry, {refusal::store_unavailable, execution::not_run, execution::unknown});
+    }
+    entry.m_closed = true;
+}
+
+} // namespace tarragontrail::idempotency
--- /dev/null
+++ b/tarragontrail/idempotency/call_row.cpp
@@ -0,0 +1,74 @@
+#include "tarragontrail/idempotency/call_row.hpp"
+
+#include "tarragontrail/wire/cbor_fields.hpp"
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace tarragontrail::idempotency {
+
+namespace {
+
+constexpr std::uint64_t CALL_ROW_FORMAT = 1;
+
+} // namespace
+
+std::string encode_row(const call_row& row)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    wire::put_field(fields, CALL_ROW_FORMAT);
+    wire::put_field(fields, row.m_owner.m_instance);
+    wire::put_field(fields, row.m_owner.m_started);
+    wire::put_field(fields, row.m_owner.m_request);
+    wire::put_field(fields, row.m_owner.m_attempt_nonce);
+    wire::put_field(fields, row.m_fingerprint);
+    wire::put_field(fields, row.m_state);
+    wire::put_field(fields, row.m_answer.m_status);
+    wire::put_field(fields, row.m_answer.m_headers);
+    wire::put_field(fields, row.m_answer.m_body);
+    wire::put_field(fields, row.m_object);
+    std::string bytes;
+    nlohmann::json::to_cbor(fields, bytes);
+    return bytes;
+}
+
+call_row decode_row(const std::string& bytes)
+{
+    call_row row;
+    try
+    {
+        const nlohmann::json fields = wire::parse_cbor(bytes);
+        wire::field_reader reader(fields, 0);
+        std::uint64_t format = 0;
+        reader.get(format);
+        reader.get(row.m_owner.m_instance);
+        reader.get(row.m_owner.m_started);
+        reader.get(row.m_owner.m_request);
+        reader.get(row.m_owner.m_attempt_nonce);
+        reader.get(row.m_fingerprint);
+        reader.get(row.m_state);
+        reader.get(row.m_answer.m_status);
+        reader.get(row.m_answer.m_headers);
+        reader.get(row.m_answer.m_body);
+        reader.get(row.m_object);
+        reader.expect_end();
+        if (format != CALL_ROW_FORMAT || row.m_state < call_state::intended ||
+            row.m_state > call_state::unknown)
+        {
+            throw call_row_error("call row has an unknown format or state");
+        }
+    }
+    catch (const wire::decode_error& cause)
+    {
+        throw call_row_error(cause.what());
+    }
+    return row;
+}
+
+std::string row_key(core::workspace_id workspace, const std::string& key)
+{
+    return fmt::format("{:016x}:{}", core::value_of(workspace), key);
+}
+
+} // namespace tarragontrail::idempotency
--- a/tarragontrail/idempotency/guarded_entry.hpp
+++ b/tarragontrail/idempotency/guarded_entry.hpp
@@ -5,6 +5,7 @@
 #include "tarragontrail/idempotency/call_types.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,20 +36,24 @@
 /// One key's call at this instance.
 struct guarded_entry
 {
-    std::uint64_t m_id = 0;              ///< Number of the entry.
-    std::string m_row_key;               ///< Row in the table; empty for a call without a key.
-    std::uint64_t m_fingerprint = 0;     ///< Hash of method, path and body.
-    entry_phase m_phase{};               ///< Step.
-    std::vector<call_waiter> m_waiters;  ///< Callers that wait, the first call's included.
-    core::request_id m_dispatch{};       ///< Request that is dispatched.
-    std::uint64_t m_attempts = 0;        ///< Dispatches made; all but the last proven not run.
-    call_row m_target;                   ///< Row that is being written.
-    std::string m_target_bytes;          ///< Its bytes.
-    row_version m_base = 0;              ///< Version that the next write expects.
-    bool m_write_sent = false;           ///< A write of this entry may be under way or effective.
-    service_answer m_answer;             ///< Answer, when storing or fetching.
-    bool m_object_stored = false;        ///< The large body is in the object store.
-    std::chrono::milliseconds m_pause{}; ///< Pause before the next step of the same kind.
+    std::uint64_t m_id = 0;             ///< Number of the entry.
+    std::string m_row_key;              ///< Row in the table; empty for a call without a key.
+    std::uint64_t m_fingerprint = 0;    ///< Hash of method, path and body.
+    entry_phase m_phase{};              ///< Step.
+    std::vector<call_waiter> m_waiters; ///< Callers that wait, the first call's included.
+    core::request_id m_dispatch{};      ///< Request that is dispatched.
+    std::uint64_t m_attempts = 0;       ///< Dispatches made; all but the last proven not run.
+    call_row m_target;                  ///< Row that is being written.
+    std::string m_target_bytes;         ///< Its bytes.
+    row_version m_base = 0;             ///< Version that the next write expects.
+    call_state m_sent_state{};          ///< State in the write submitted last.
+    bool m_maybe_written = false;       ///< A write without a reply may be effective, or be yet.
+    service_answer m_answer;            ///< Answer, when storing or fetching.
+    bool m_intent_settled = false;      ///< The row was seen to hold this entry's intent.
+    bool m_object_stored = false;       ///< The large body is in the object store.
+    std::size_t m_held_bytes = 0;       ///< Bytes counted for the answer.
+    bool m_closed = false;              ///< Nothing is left to do; erased after the event.
+    core::duration m_pause{};           ///< Pause before the next step of the same kind.
     core::time_point m_due = core::time_point::max();  ///< When the next step follows.
     core::time_point m_wake = core::time_point::max(); ///< Time registered with the timer set.
 };
--- /dev/null
+++ b/tarragontrail/idempotency/write_batcher.cpp
@@ -0,0 +1,125 @@
+#include "tarragontrail/idempotency/write_batcher.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace tarragontrail::idempotency {
+
+write_batcher::write_batcher(std::size_t max_batch, std::size_t max_transactions)
+    : m_max_batch(std::max<std::size_t>(max_batch, 1)),
+      m_max_transactions(std::max<std::size_t>(max_transactions, 1))
+{}
+
+void write_batcher::submit(std::uint64_t ticket, conditional_write write, core::time_point due)
+{
+    m_queue.push_back({ticket, std::move(write), due});
+    m_earliest = std::min(m_earliest, due);
+}
+
+bool write_batcher::cancel(std::uint64_t ticket)
+{
+    const auto found = std::find_if(m_queue.begin(), m_queue.end(),
+                                    [&](const queued_write& w) { return w.m_ticket == ticket; });
+    if (found == m_queue.end())
+    {
+        return false;
+    }
+    m_queue.erase(found);
+    return true;
+}
+
+void write_batcher::flush(core::time_point now, std::uint64_t& next_operation,
+                          std::vector<call_action>& actions)
+{
+    while (!m_queue.empty() && m_sent.size() < m_max_transactions)
+    {
+        if (m_earliest > now && m_queue.size() < m_max_batch)
+        {
+            return;
+        }
+
+        // The oldest writes go, whether due or not: company costs nothing.
+        const std::size_t count = std::min(m_queue.size(), m_max_batch);
+        const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
+        std::vector<queued_write> batch(std::make_move_iterator(m_queue.begin()),
+                                        std::make_move_iterator(end));
+        m_queue.erase(m_queue.begin(), end);
+
+        store_write transaction;
+        transaction.m_operation = next_operation++;
+        transaction.m_writes.reserve(count);
+        for (const queued_write& queued : batch)
+        {
+            transaction.m_writes.push_back(queued.m_write);
+        }
+        m_sent.emplace(transaction.m_operation, std::move(batch));
+        actions.emplace_back(std::move(transaction));
+
+        m_earliest = core::time_point::max();
+        for (const queued_write& queued : m_queue)
+        {
+            m_earliest = std::min(m_earliest, queued.m_due);
+        }
+    }
+}
+
+void write_batcher::on_written(std::uint64_t operation, const write_result& result,
+                               core::time_point now, std::vector<write_outcome>& outcomes)
+{
+    const auto found = m_sent.find(operation);
+    if (found == m_sent.end())
+    {
+        return;
+    }
+    std::vector<queued_write> batch = std::move(found->second);
+    m_sent.erase(found);
+
+    if (result.m_ok)
+    {
+        for (std::size_t i = 0; i < batch.size(); ++i)
+        {
+            outcomes.push_back({batch[i].m_ticket, write_outcome::kind::written,
+                                result.m_versions.at(i), read_result{}});
+        }
+        return;
+    }
+
+    // Nothing took effect; all but the conflicting write go again at once.
+    outcomes.push_back(
+        {batch.at(result.m_failing).m_ticket, write_outcome::kind::conflict, 0, result.m_current});
+    batch.erase(batch.begin() + static_cast<std::ptrdiff_t>(result.m_failing));
+    for (queued_write& queued : batch)
+    {
+        queued.m_due = now;
+        m_earliest = now;
+    }
+    m_queue.insert(m_queue.begin(), std::make_move_iterator(batch.begin()),
+                   std::make_move_iterator(batch.end()));
+}
+
+void write_batcher::on_failed(std::uint64_t operation, std::vector<write_outcome>& outcomes)
+{
+    const auto found = m_sent.find(operation);
+    if (found == m_sent.end())
+    {
+        return;
+    }
+    for (const queued_write& queued : found->second)
+    {
+        outcomes.push_back(
+            {queued.m_ticket, write_outcome::kind::unknown, row_version{0}, read_result{}});
+    }
+    m_sent.erase(found);
+}
+
+std::optional<core::time_point> write_batcher::next_due() const
+{
+    if (m_queue.empty() || m_sent.size() >= m_max_transactions)
+    {
+        return std::nullopt;
+    }
+    return m_earliest;
+}
+
+} // namespace tarragontrail::idempotency
--- a/tarragontrail/idempotency/write_batcher.hpp
+++ b/tarragontrail/idempotency/write_batcher.hpp
@@ -67,12 +67,10 @@
         core::time_point m_due{};   ///< When it is sent at the latest.
     };
 
-    /// Earliest due time of the queue.
-    core::time_point earliest_due() const;
-
-    std::size_t m_max_batch;          ///< Rows in one transaction.
-    std::size_t m_max_transactions;   ///< Transactions in flight.
-    std::deque<queued_write> m_queue; ///< Writes not yet sent, oldest first.
+    std::size_t m_max_batch;                               ///< Rows in one transaction.
+    std::size_t m_max_transactions;                        ///< Transactions in flight.
+    core::time_point m_earliest = core::time_point::max(); ///< No write is due before this.
+    std::deque<queued_write> m_queue;                      ///< Writes not yet sent, oldest first.
     std::unordered_map<std::uint64_t, std::vector<queued_write>> m_sent; ///< By operation.
 };
 
