--- a/tarragontrail/membership/failure_detector.hpp
+++ b/tarragontrail/membership/failure_detector.hpp
@@ -18,8 +18,8 @@
 {
     alive,     ///< Answers, or was never found silent.
     suspected, ///< Did not answer; may refute.
-    failed,    ///< Did not refute in time.
-    left,      ///< Said that it stops.
+    left,      ///< Said that it stops; still answers until its requests are done.
+    failed,    ///< Did not answer or refute in time.
 };
 
 /// Settings of failure_detector.
@@ -29,6 +29,7 @@
     std::chrono::milliseconds m_ack_timeout{200}; ///< Wait for a direct answer.
     std::chrono::milliseconds m_suspicion{4000};  ///< Time to refute a suspicion.
     std::size_t m_indirect_members = 3;           ///< Members asked to ping a silent one.
+    std::size_t m_max_silent_probes = 2;          ///< Silent members probed besides, each period.
     std::size_t m_max_words = 8;                  ///< Member words in one message.
     std::size_t m_max_item_bytes = 512;           ///< Bytes of gossip items in one message.
 };
@@ -68,6 +69,20 @@
     gossip_item m_item; ///< Item.
 };
 
+/// Action: a peer's freshness arrived.
+struct freshness_received
+{
+    config::freshness_word m_word;              ///< Its word.
+    std::optional<core::time_point> m_asked_at; ///< Moment of the ping that it answers, if any.
+};
+
+/// Action: a peer carried this view number.
+struct view_number_received
+{
+    core::instance_id m_sender{}; ///< Peer.
+    core::view_number m_number{}; ///< Number of its view.
+};
+
 /// Detects failed members at a cost per period that does not grow with the fleet.
 ///
 /// One member is pinged each period, in shuffled rounds; a silent one is pinged through others,
@@ -76,15 +91,15 @@
 class failure_detector
 {
 public:
-    using action =
-        std::variant<send_ping, send_ping_ack, send_ping_request, member_changed, item_received>;
+    using action = std::variant<send_ping, send_ping_ack, send_ping_request, member_changed,
+                                item_received, freshness_received, view_number_received>;
 
     failure_detector(const failure_detector_settings& settings,
                      const gossip_buffer_settings& gossip, core::instance_id self,
                      core::incarnation started, std::uint64_t seed);
 
     /// Replaces the set of members to watch; the own id is ignored.
-    void set_members(const std::vector<core::instance_id>& members, core::time_point now);
+    void set_members(const std::vector<core::instance_id>& members);
 
     /// Carried in every message.
     void set_view(core::view_number number) noexcept { m_view = number; }
@@ -99,10 +114,10 @@
     bool spread(gossip_item item) { return m_gossip.add(std::move(item)); }
 
     /// Tells all instances that this one stops.
-    void leave(core::time_point now);
+    void leave();
 
-    /// What is held of a member; failed when it is none.
-    liveness state_of(core::instance_id member) const noexcept;
+    /// What is held of a member or of this instance; none when it is not watched.
+    std::optional<liveness> state_of(core::instance_id member) const noexcept;
 
     /// Process start last heard of a member; zero when none was.
     core::incarnation incarnation_of(core::instance_id member) const noexcept;
@@ -117,12 +132,12 @@
     /// What is held of one member.
     struct peer
     {
-        core::incarnation m_incarnation{};                 ///< Start of its process.
-        std::uint64_t m_refutation = 0;                    ///< Its refutation count.
-        liveness m_liveness = liveness::alive;             ///< State.
-        bool m_heard = false;                              ///< Whether a message of it arrived.
-        std::optional<core::time_point> m_suspected_since; ///< Set while the own probes fail.
-        std::size_t m_sent = 0;                            ///< Transmissions of the word on it.
+        core::incarnation m_incarnation{};              ///< Start of its process.
+        std::uint64_t m_refutation = 0;                 ///< Its refutation count.
+        liveness m_liveness = liveness::alive;          ///< State.
+        bool m_heard = false;                           ///< Whether a message of it arrived.
+        std::optional<core::time_point> m_silent_since; ///< Set while the own probes fail.
+        std::size_t m_sent = 0;                         ///< Transmissions of the word on it.
     };
 
     /// A probe under way.
@@ -131,7 +146,7 @@
         core::instance_id m_target{}; ///< Member being probed.
         std::uint64_t m_sequence = 0; ///< Sequence of its messages.
         core::time_point m_sent_at{}; ///< Start.
-        bool m_indirect = false;      ///< Whether others were asked already.
+        bool m_repeated = false;      ///< Whether it was sent a second time through others.
     };
 
     /// A ping made for another instance.
@@ -143,15 +158,58 @@
         core::time_point m_expires_at{};        ///< Moment at which it is dropped.
     };
 
+    // Probes.
+    void begin_period(core::time_point now);
+    void start_probe(core::instance_id target, core::time_point now);
+    void repeat_probe(probe& running);
+    void end_probe(const probe& ended, core::time_point now);
+    std::optional<core::instance_id> next_in_round();
+    bool is_probed(core::instance_id member) const noexcept;
+    std::vector<core::instance_id> pick_relays(core::instance_id target);
+    void mark_answered(core::instance_id member);
+
+    // Words.
+    member_word own_word() const noexcept;
+    member_word word_on(core::instance_id member) const;
+    std::vector<member_word> take_words(core::instance_id receiver);
+    void accept_words(const std::vector<member_word>& words);
+    void accept_word(const member_word& word);
+    void refute(const member_word& word);
+    void change(core::instance_id member, const member_word& word);
+    void accept_items(const std::vector<gossip_item>& items);
+    void hear(core::instance_id sender, core::view_number view);
+    void answer_relays(const ping_ack& message, core::time_point now);
+    std::vector<gossip_item> take_items();
+
+    /// Message with its sender, view and gossip filled in.
+    template <class Message>
+    Message make_message(core::instance_id receiver)
+    {
+        Message message;
+        message.m_sender = m_self;
+        message.m_view = m_view;
+        message.m_members = take_words(receiver);
+        if constexpr (requires { message.m_items; })
+        {
+            message.m_items = take_items();
+        }
+        return message;
+    }
+
+    static constexpr std::size_t transmit_factor = 3; ///< Transmissions of a word per bit of n.
+
     failure_detector_settings m_settings;                ///< Periods and bounds.
     gossip_buffer m_gossip;                              ///< Items of other duties.
     core::instance_id m_self;                            ///< This instance.
     core::incarnation m_started;                         ///< Start of this process.
     std::uint64_t m_refutation = 0;                      ///< Own refutation count.
+    bool m_leaving = false;                              ///< Whether this instance stops.
     core::seeded_random m_random;                        ///< Order of probes.
     core::view_number m_view{};                          ///< Carried in messages.
     std::unordered_map<core::instance_id, peer> m_peers; ///< Members watched.
-    std::vector<core::instance_id> m_round;              ///< Members not yet probed this round.
+    std::vector<core::instance_id> m_order;              ///< Members in the order of the round.
+    std::size_t m_position = 0;                          ///< Next member of the round.
+    std::vector<core::instance_id> m_news;               ///< Members whose words are spread.
     std::vector<probe> m_probes;                         ///< Probes under way.
     std::vector<relay> m_relays;                         ///< Pings made for others.
     core::time_point m_next_period{};                    ///< Start of the next period.
--- a/tarragontrail/membership/locator.hpp
+++ b/tarragontrail/membership/locator.hpp
@@ -24,6 +24,7 @@
 {
     std::optional<core::region_id> m_region;         ///< Its region, if known.
     std::optional<core::failure_domain_id> m_domain; ///< Its failure domain, if known.
+    std::uint64_t m_caller = 0;                      ///< Hash of its address; spreads callers.
 };
 
 /// One address for callers.
@@ -47,8 +48,9 @@
 public:
     explicit locator(const locator_settings& settings) : m_settings(settings) {}
 
-    /// Instances for a workspace of this many homes: alive homes, those in the caller's failure
-    /// domain and region first, then other alive members near it.
+    /// Instances for a workspace of this many homes: homes in the caller's region, other members
+    /// there, then homes and others elsewhere; all alive. Callers spread over the homes, twice as
+    /// many to one in their own failure domain.
     locate_answer locate(const view& current, const failure_detector& detector,
                          core::workspace_id workspace, std::size_t homes,
                          const caller_place& place) const;
--- a/tarragontrail/membership/messages.hpp
+++ b/tarragontrail/membership/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragontrail/config/messages.hpp"
 #include "tarragontrail/core/ids.hpp"
 
 #include <cstdint>
@@ -34,6 +35,7 @@
     std::uint64_t m_sequence = 0;       ///< Echoed in the answer.
     std::vector<member_word> m_members; ///< Words on members.
     std::vector<gossip_item> m_items;   ///< Items of other duties.
+    config::freshness_word m_freshness; ///< Stamped by the shell when the message is sent.
 };
 
 /// Answers a ping, also on behalf of `m_subject` after a ping_request.
@@ -45,6 +47,7 @@
     std::uint64_t m_sequence = 0;       ///< Sequence of the ping or ping_request answered.
     std::vector<member_word> m_members; ///< Words on members.
     std::vector<gossip_item> m_items;   ///< Items of other duties.
+    config::freshness_word m_freshness; ///< Stamped by the shell when the message is sent.
 };
 
 /// Asks the receiver to ping a member on the sender's behalf.
@@ -57,4 +60,18 @@
     std::vector<member_word> m_members; ///< Words on members.
 };
 
+/// Asks a peer for its view.
+struct view_request
+{
+    core::instance_id m_sender{}; ///< Sender.
+};
+
+/// Answers view_request.
+struct view_answer
+{
+    core::instance_id m_sender{}; ///< Sender.
+    std::uint64_t m_revision = 0; ///< Table version of the view's row.
+    std::string m_row;            ///< Value of the row.
+};
+
 } // namespace tarragontrail::membership
--- a/tarragontrail/membership/restart_plan.hpp
+++ b/tarragontrail/membership/restart_plan.hpp
@@ -62,9 +62,9 @@
     void start(core::time_point now);
 
     /// Peers that may be asked.
-    void set_peers(std::vector<core::instance_id> peers, core::time_point now);
+    void set_peers(std::vector<core::instance_id> peers);
 
-    void on_fetched(need_id need, core::time_point now);
+    void on_fetched(need_id need);
 
     /// The source failed, does not hold the need, or is too busy.
     void on_fetch_failed(need_id need, std::uint64_t attempt, core::time_point now);
@@ -75,7 +75,7 @@
 
     /// Whether another fetch may be served to a fresh peer now; counts it when so.
     bool begin_serving() noexcept;
-    void end_serving() noexcept;
+    void end_serving();
 
     std::vector<action> take_actions();
     std::optional<core::time_point> next_deadline() const;
@@ -90,6 +90,8 @@
         core::time_point m_next_at{}; ///< Moment of the next attempt.
     };
 
+    core::duration jitter();
+
     restart_plan_settings m_settings;       ///< Waits and bounds.
     core::seeded_random m_random;           ///< Jitter and choice of peers.
     std::vector<progress> m_needs;          ///< All needs.
--- a/tarragontrail/membership/view.hpp
+++ b/tarragontrail/membership/view.hpp
@@ -60,13 +60,13 @@
 public:
     view() = default;
 
-    /// Sorts the members by name; each must be unique.
+    /// Sorts the members by id; throws view_error when two have the same.
     view(core::view_number number, std::vector<member> members);
 
     /// Number of this view.
     core::view_number number() const noexcept { return m_number; }
 
-    /// Members, sorted by name.
+    /// Members, sorted by id.
     const std::vector<member>& members() const noexcept { return m_members; }
 
     /// Member with this id, or null.
@@ -87,7 +87,7 @@
 
 private:
     core::view_number m_number{};  ///< Number of this view.
-    std::vector<member> m_members; ///< Sorted by name.
+    std::vector<member> m_members; ///< Sorted by id.
 };
 
 /// Compact text of a view for its row.
--- /dev/null
+++ b/tarragontrail/membership/view_change.cpp
@@ -0,0 +1,171 @@
+#include "tarragontrail/membership/view_change.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::membership {
+
+namespace {
+
+bool id_before(const listed_instance& each, core::instance_id id) noexcept
+{
+    return each.m_member.m_id < id;
+}
+
+} // namespace
+
+change_planner::change_planner(member self) : m_self(make_member(std::move(self))) {}
+
+void change_planner::on_list(std::vector<listed_instance> listed)
+{
+    std::sort(listed.begin(), listed.end(), [](const listed_instance& a, const listed_instance& b) {
+        return a.m_member.m_id < b.m_member.m_id;
+    });
+    for (const listed_instance& each : listed)
+    {
+        const auto place = std::lower_bound(m_seen.begin(), m_seen.end(), each.m_member.m_id);
+        if (place == m_seen.end() || *place != each.m_member.m_id)
+        {
+            m_seen.insert(place, each.m_member.m_id);
+        }
+    }
+    m_listed = std::move(listed);
+}
+
+std::vector<view_change> change_planner::needed(const view& current,
+                                                const failure_detector& detector) const
+{
+    std::vector<view_change> changes;
+    for (const member& each : current.members())
+    {
+        if (each.m_id == m_self.m_id)
+        {
+            continue;
+        }
+        if (is_gone(each, detector))
+        {
+            changes.push_back({change_kind::remove, each});
+        }
+        else if (detector.incarnation_of(each.m_id) > each.m_incarnation)
+        {
+            member restarted = each;
+            restarted.m_incarnation = detector.incarnation_of(each.m_id);
+            restarted.m_state = member_state::live;
+            changes.push_back({change_kind::put, std::move(restarted)});
+        }
+        else if (each.m_state == member_state::live && is_stopping(each, detector))
+        {
+            changes.push_back({change_kind::drain, each});
+        }
+    }
+    add_newcomers(current, detector, changes);
+    add_own(current, changes);
+    return changes;
+}
+
+bool change_planner::is_gone(const member& each, const failure_detector& detector) const
+{
+    const liveness state = detector.state_of(each.m_id).value_or(liveness::alive);
+    if (state == liveness::failed)
+    {
+        return true;
+    }
+    // A young instance may not be on the list yet; only one that vanished from it counts.
+    const bool was_listed = std::binary_search(m_seen.begin(), m_seen.end(), each.m_id);
+    const bool vanished = was_listed && find_listed(each.m_id) == nullptr;
+    return vanished && state != liveness::alive;
+}
+
+bool change_planner::is_stopping(const member& each, const failure_detector& detector) const
+{
+    const listed_instance* listed = find_listed(each.m_id);
+    const bool listed_leaving = listed != nullptr && listed->m_state == listed_state::leaving;
+    return listed_leaving || detector.state_of(each.m_id) == liveness::left;
+}
+
+void change_planner::add_newcomers(const view& current, const failure_detector& detector,
+                                   std::vector<view_change>& changes) const
+{
+    for (const listed_instance& each : m_listed)
+    {
+        const core::instance_id id = each.m_member.m_id;
+        const bool heard_alive = detector.incarnation_of(id) != core::incarnation{} &&
+                                 detector.state_of(id) <= liveness::suspected;
+        if (!heard_alive || each.m_state != listed_state::live || current.find(id) != nullptr)
+        {
+            continue;
+        }
+        // One write brings in all that are known to have started, not only the writer.
+        member added = each.m_member;
+        added.m_incarnation = detector.incarnation_of(id);
+        changes.push_back({change_kind::put, std::move(added)});
+    }
+}
+
+void change_planner::add_own(const view& current, std::vector<view_change>& changes) const
+{
+    const member* own = current.find(m_self.m_id);
+    const listed_instance* listed = find_listed(m_self.m_id);
+    const bool stopping =
+        m_leaving || (listed != nullptr && listed->m_state == listed_state::leaving);
+    if (stopping && own != nullptr && own->m_state == member_state::live)
+    {
+        changes.push_back({change_kind::drain, *own});
+    }
+    const bool stands = own != nullptr && own->m_incarnation >= m_self.m_incarnation &&
+                        (own->m_state == member_state::live || stopping);
+    if (!stopping && !stands)
+    {
+        changes.push_back({change_kind::put, m_self});
+    }
+}
+
+const listed_instance* change_planner::find_listed(core::instance_id id) const noexcept
+{
+    const auto found = std::lower_bound(m_listed.begin(), m_listed.end(), id, id_before);
+    return found != m_listed.end() && found->m_member.m_id == id ? &*found : nullptr;
+}
+
+view apply_changes(const view& current, const std::vector<view_change>& changes)
+{
+    std::vector<member> members = current.members();
+    bool changed = false;
+    for (const view_change& each : changes)
+    {
+        const auto place = std::find_if(members.begin(), members.end(), [&](const member& known) {
+            return known.m_id == each.m_member.m_id;
+        });
+        const bool present = place != members.end();
+
+        // An order about a process that was replaced since does not touch its successor.
+        if (present && place->m_incarnation > each.m_member.m_incarnation)
+        {
+            continue;
+        }
+        if (each.m_kind == change_kind::put && !present)
+        {
+            members.push_back(each.m_member);
+            changed = true;
+            continue;
+        }
+        if (each.m_kind == change_kind::put && !(*place == each.m_member))
+        {
+            *place = each.m_member;
+            changed = true;
+        }
+        if (each.m_kind == change_kind::drain && present && place->m_state == member_state::live)
+        {
+            place->m_state = member_state::draining;
+            changed = true;
+        }
+        if (each.m_kind == change_kind::remove && present)
+        {
+            members.erase(place);
+            changed = true;
+        }
+    }
+    const std::uint64_t number = core::value_of(current.number()) + (changed ? 1 : 0);
+    return {core::view_number{number}, std::move(members)};
+}
+
+} // namespace tarragontrail::membership
--- a/tarragontrail/membership/view_change.hpp
+++ b/tarragontrail/membership/view_change.hpp
@@ -52,6 +52,19 @@
     std::vector<view_change> needed(const view& current, const failure_detector& detector) const;
 
 private:
+    /// Whether the member must be taken out.
+    bool is_gone(const member& each, const failure_detector& detector) const;
+
+    /// Whether the member must be marked as draining.
+    bool is_stopping(const member& each, const failure_detector& detector) const;
+
+    /// Adds listed instances that were heard and are no members yet.
+    void add_newcomers(const view& current, const failure_detector& detector,
+                       std::vector<view_change>& changes) const;
+
+    /// Adds what the own entry needs.
+    void add_own(const view& current, std::vector<view_change>& changes) const;
+
     const listed_instance* find_listed(core::instance_id id) const noexcept;
 
     member m_self;                         ///< This instance.
--- /dev/null
+++ b/tarragontrail/membership/view_keeper.cpp
@@ -0,0 +1,225 @@
+#include "tarragontrail/membership/view_keeper.hpp"
+
+#include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::membership {
+
+namespace {
+
+constexpr const char* view_table = "membership";
+constexpr const char* view_key = "view";
+
+} // namespace
+
+view_keeper::view_keeper(const view_keeper_settings& settings, core::instance_id self,
+                         std::uint64_t seed)
+    : m_settings(settings), m_self(self), m_random(seed), m_view(std::make_shared<const view>())
+{}
+
+void view_keeper::start(core::time_point now)
+{
+    m_next_poll = now + up_to(m_settings.m_poll_interval / 4);
+}
+
+void view_keeper::on_timer(core::time_point now)
+{
+    if (m_call && m_call->m_asked_at + m_settings.m_call_timeout <= now)
+    {
+        on_store_failed(m_call->m_operation, now);
+    }
+    if (m_call)
+    {
+        return;
+    }
+    if (m_write_at && *m_write_at <= now)
+    {
+        write(now);
+        return;
+    }
+    if (m_next_poll <= now)
+    {
+        read(m_revision > 0, now);
+    }
+}
+
+void view_keeper::on_store_read(const config::read_reply& reply, core::time_point now)
+{
+    if (!m_call || m_call->m_write || m_call->m_operation != reply.m_operation)
+    {
+        return;
+    }
+    const pending_call call = *std::exchange(m_call, std::nullopt);
+    const std::uint64_t revision = reply.m_found ? reply.m_version : 0;
+    if (revision < m_revision)
+    {
+        return;
+    }
+    if (revision > m_revision && reply.m_value.empty())
+    {
+        read(false, now);
+        return;
+    }
+    if (revision > m_revision)
+    {
+        adopt(reply.m_value, revision);
+    }
+    m_confirmed = call.m_asked_at;
+    plan_write(now);
+}
+
+void view_keeper::on_store_written(const config::write_reply& reply, core::time_point now)
+{
+    if (!m_call || !m_call->m_write || m_call->m_operation != reply.m_operation)
+    {
+        return;
+    }
+    const pending_call call = *std::exchange(m_call, std::nullopt);
+    if (reply.m_version > m_revision)
+    {
+        adopt(reply.m_ok ? call.m_row : reply.m_value, reply.m_version);
+    }
+    m_confirmed = call.m_asked_at;
+    plan_write(now);
+}
+
+void view_keeper::on_store_failed(config::operation_id operation, core::time_point now)
+{
+    if (!m_call || m_call->m_operation != operation)
+    {
+        return;
+    }
+    // The next poll shows whether a write took effect.
+    m_call.reset();
+    m_write_at.reset();
+    m_next_poll = now + up_to(m_settings.m_poll_interval);
+}
+
+void view_keeper::set_needed(std::vector<view_change> needed, core::time_point now)
+{
+    m_needed = std::move(needed);
+    plan_write(now);
+}
+
+void view_keeper::on_peer_view(core::instance_id peer, core::view_number number,
+                               core::time_point now)
+{
+    if (number <= m_view->number() || now < m_next_request)
+    {
+        return;
+    }
+    m_next_request = now + m_settings.m_poll_interval / 4;
+    m_actions.emplace_back(send_view_request{peer, {m_self}});
+}
+
+void view_keeper::on_view_request(const view_request& request)
+{
+    m_actions.emplace_back(send_view_answer{request.m_sender, {m_self, m_revision, m_row}});
+}
+
+void view_keeper::on_view_answer(const view_answer& answer, core::time_point now)
+{
+    if (answer.m_revision > m_revision)
+    {
+        adopt(answer.m_row, answer.m_revision);
+        plan_write(now);
+    }
+}
+
+bool view_keeper::accept_view_number(core::view_number number) noexcept
+{
+    if (number < m_seen)
+    {
+        return false;
+    }
+    m_seen = number;
+    return true;
+}
+
+std::optional<core::duration> view_keeper::age(core::time_point now) const
+{
+    return m_confirmed ? std::optional(now - *m_confirmed) : std::nullopt;
+}
+
+std::vector<view_keeper::action> view_keeper::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::optional<core::time_point> view_keeper::next_deadline() const
+{
+    if (m_call)
+    {
+        return m_call->m_asked_at + m_settings.m_call_timeout;
+    }
+    return m_write_at ? std::min(m_next_poll, *m_write_at) : m_next_poll;
+}
+
+void view_keeper::read(bool version_only, core::time_point now)
+{
+    // A poll comes at three quarters to five quarters of the interval, so that instances spread.
+    m_next_poll = now + m_settings.m_poll_interval * 3 / 4 + up_to(m_settings.m_poll_interval / 2);
+    m_call = pending_call{config::operation_id{++m_last_operation}, now, false, {}};
+    m_actions.emplace_back(
+        config::store_read{m_call->m_operation, view_table, view_key, version_only});
+}
+
+void view_keeper::write(core::time_point now)
+{
+    m_write_at.reset();
+    const view next = apply_changes(*m_view, m_needed);
+    if (next.number() == m_view->number())
+    {
+        return;
+    }
+    m_call = pending_call{config::operation_id{++m_last_operation}, now, true, serialise(next)};
+    m_actions.emplace_back(
+        config::store_write{m_call->m_operation, view_table, view_key, m_revision, m_call->m_row});
+}
+
+void view_keeper::adopt(const std::string& row, std::uint64_t revision)
+{
+    auto next = std::make_shared<const view>(parse_view(row));
+    TARRAGONTRAIL_INVARIANT(next->number() > m_view->number(), "view number only grows");
+    m_view = std::move(next);
+    m_row = row;
+    m_revision = revision;
+    m_seen = std::max(m_seen, m_view->number());
+    m_write_at.reset();
+    m_actions.emplace_back(view_changed{m_view});
+}
+
+void view_keeper::plan_write(core::time_point now)
+{
+    const bool needs = apply_changes(*m_view, m_needed).number() != m_view->number();
+    if (!needs || !m_confirmed || m_call)
+    {
+        m_write_at.reset();
+        return;
+    }
+    m_write_at = m_write_at.value_or(now + write_delay());
+}
+
+core::duration view_keeper::write_delay()
+{
+    // One live member, another one for each view, writes first; the others step in when the view
+    // has not moved by their later turn.
+    const member* first = m_view->owner_of(core::value_of(m_view->number()));
+    const core::duration first_delay = m_settings.m_first_delay;
+    if (first != nullptr && first->m_id == m_self)
+    {
+        return up_to(first_delay);
+    }
+    return first_delay + up_to(m_settings.m_other_delay);
+}
+
+core::duration view_keeper::up_to(core::duration longest)
+{
+    return core::duration(static_cast<core::duration::rep>(
+        m_random.below(static_cast<std::uint64_t>(longest.count()) + 1)));
+}
+
+} // namespace tarragontrail::membership
--- a/tarragontrail/membership/view_keeper.hpp
+++ b/tarragontrail/membership/view_keeper.hpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/config/table_calls.hpp"
 #include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/core/random.hpp"
+#include "tarragontrail/membership/messages.hpp"
 #include "tarragontrail/membership/view.hpp"
 #include "tarragontrail/membership/view_change.hpp"
 
@@ -28,11 +29,26 @@
     std::shared_ptr<const view> m_view; ///< The view.
 };
 
+/// Action: ask a peer for its view.
+struct send_view_request
+{
+    core::instance_id m_to{}; ///< Receiver.
+    view_request m_message;   ///< Message.
+};
+
+/// Action: answer a peer's view_request.
+struct send_view_answer
+{
+    core::instance_id m_to{}; ///< Receiver.
+    view_answer m_message;    ///< Message.
+};
+
 /// Keeps one instance's copy of the agreed view and moves it when it needs a change.
 class view_keeper
 {
 public:
-    using action = std::variant<config::store_read, config::store_write, view_changed>;
+    using action = std::variant<config::store_read, config::store_write, view_changed,
+                                send_view_request, send_view_answer>;
 
     view_keeper(const view_keeper_settings& settings, core::instance_id self, std::uint64_t seed);
 
@@ -45,8 +61,11 @@
     /// Changes that the view needs by now; replaces what was needed before.
     void set_needed(std::vector<view_change> needed, core::time_point now);
 
-    /// A peer carried this view number; a higher one than the own makes it read the row soon.
-    void on_peer_view(core::view_number number, core::time_point now);
+    /// A peer carried this view number; a higher one than the own is asked for.
+    void on_peer_view(core::instance_id peer, core::view_number number, core::time_point now);
+
+    void on_view_request(const view_request& request);
+    void on_view_answer(const view_answer& answer, core::time_point now);
 
     /// Whether a message that grants or orders may be obeyed: its view is not older than any
     /// seen.
@@ -68,23 +87,27 @@
         config::operation_id m_operation{}; ///< Its operation.
         core::time_point m_asked_at{};      ///< Moment of the call.
         bool m_write = false;               ///< Whether it is a write.
+        std::string m_row;                  ///< Row text being written.
     };
 
     void read(bool version_only, core::time_point now);
     void write(core::time_point now);
-    void adopt(const std::string& text, std::uint64_t revision, core::time_point now);
+    void adopt(const std::string& row, std::uint64_t revision);
     void plan_write(core::time_point now);
     core::duration write_delay();
+    core::duration up_to(core::duration longest);
 
     view_keeper_settings m_settings;             ///< Intervals.
     core::instance_id m_self;                    ///< This instance.
     core::seeded_random m_random;                ///< Jitter.
     std::shared_ptr<const view> m_view;          ///< Current view.
+    std::string m_row;                           ///< Text of its row.
     std::uint64_t m_revision = 0;                ///< Table version of its row.
     core::view_number m_seen{};                  ///< Highest number seen anywhere.
     std::vector<view_change> m_needed;           ///< Changes that the view needs.
     std::optional<pending_call> m_call;          ///< Call under way.
     std::optional<core::time_point> m_confirmed; ///< Moment of the service's last word.
+    core::time_point m_next_request{};           ///< Earliest moment of the next view_request.
     core::time_point m_next_poll{};              ///< Moment of the next poll.
     std::optional<core::time_point> m_write_at;  ///< Moment of the next write.
     std::uint64_t m_last_operation = 0;          ///< Last operation id given.
--- /dev/null
+++ b/unit_tests/config/fake_platform.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "tarragontrail/config/table_calls.hpp"
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/random.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace tarragontrail::test {
+
+/// Virtual time with a queue of events.
+class event_queue
+{
+public:
+    explicit event_queue(std::uint64_t seed) : m_random(seed) {}
+
+    core::time_point now() const { return m_now; }
+
+    void after(core::duration wait, std::function<void()> event)
+    {
+        m_events.emplace(m_now + wait, std::move(event));
+    }
+
+    /// Runs all events up to a moment.
+    void run_for(core::duration length)
+    {
+        const core::time_point end = m_now + length;
+        while (!m_events.empty() && m_events.begin()->first <= end)
+        {
+            auto first = m_events.extract(m_events.begin());
+            m_now = first.key();
+            first.mapped()();
+        }
+        m_now = end;
+    }
+
+    core::duration up_to(core::duration longest)
+    {
+        return core::duration(static_cast<std::int64_t>(
+            m_random.below(static_cast<std::uint64_t>(longest.count()) + 1)));
+    }
+
+    bool chance(double probability) { return m_random.unit() < probability; }
+
+    core::seeded_random m_random; ///< Source of every delay and loss.
+
+private:
+    core::time_point m_now{std::chrono::hours(1)};                   ///< Current moment.
+    std::multimap<core::time_point, std::function<void()>> m_events; ///< Events to come.
+};
+
+/// Table and object service with outages, slow calls and replies lost after the effect.
+class fake_platform
+{
+public:
+    explicit fake_platform(event_queue& events) : m_events(events) {}
+
+    bool m_table_up = true;                            ///< Whether the table service answers.
+    bool m_objects_up = true;                          ///< Whether the object store answers.
+    double m_lost_reply = 0.0;                         ///< Share of replies that are lost.
+    std::map<std::string, config::write_reply> m_rows; ///< Rows by table and key.
+    std::map<std::string, std::string> m_objects;      ///< Objects by name.
+    std::uint64_t m_reads = 0;                         ///< Reads answered.
+    std::uint64_t m_writes = 0;                        ///< Writes answered.
+
+    using failed = std::function<void()>;
+
+    void read(const config::store_read& call, std::function<void(config::read_reply)> done,
+              failed lost)
+    {
+        travel(
+            m_table_up,
+            [=, this] {
+                ++m_reads;
+                const auto row = m_rows.find(call.m_table + "/" + call.m_key);
+                config::read_reply reply{call.m_operation, row != m_rows.end(), {}, 0};
+                if (reply.m_found)
+                {
+                    reply.m_version = row->second.m_version;
+                    reply.m_value = call.m_version_only ? "" : row->second.m_value;
+                }
+                travel_back([=] { done(reply); }, lost);
+            },
+            lost);
+    }
+
+    void write(const config::store_write& call, std::function<void(config::write_reply)> done,
+               failed lost)
+    {
+        travel(
+            m_table_up,
+            [=, this] {
+                ++m_writes;
+                config::write_reply& row = m_rows[call.m_table + "/" + call.m_key];
+                config::write_reply reply = row;
+                reply.m_operation = call.m_operation;
+                reply.m_ok = row.m_version == call.m_expected_version;
+                if (reply.m_ok)
+                {
+                    row.m_value = call.m_value;
+                    reply.m_version = ++row.m_version;
+                }
+                travel_back([=] { done(reply); }, lost);
+            },
+            lost);
+    }
+
+    void put(const config::object_put& call, std::function<void()> done, failed lost)
+    {
+        travel(
+            m_objects_up,
+            [=, this] {
+                m_objects[call.m_name] = call.m_bytes;
+                travel_back(done, lost);
+            },
+            lost);
+    }
+
+    void get(const std::string& name, std::function<void(std::string)> done, failed lost)
+    {
+        travel(
+            m_objects_up,
+            [=, this] {
+                const auto found = m_objects.find(name);
+                found == m_objects.end()
+                    ? travel_back(lost, lost)
+                    : travel_back([=, bytes = found->second] { done(bytes); }, lost);
+            },
+            lost);
+    }
+
+private:
+    static constexpr std::chrono::milliseconds delay{20}; ///< Longest way of a call.
+    static constexpr std::chrono::milliseconds patience{
+        1000}; ///< Wait until a call counts as lost.
+
+    void travel(const bool& up, const std::function<void()>& arrive, const failed& lost)
+    {
+        m_events.after(m_events.up_to(delay), [&up, arrive, lost, this] {
+            up ? arrive() : m_events.after(patience, lost);
+        });
+    }
+
+    void travel_back(std::function<void()> done, failed lost)
+    {
+        const bool is_lost = m_events.chance(m_lost_reply);
+        m_events.after(is_lost ? core::duration(patience) : m_events.up_to(delay),
+                       is_lost ? std::move(lost) : std::move(done));
+    }
+
+    event_queue& m_events; ///< Time.
+};
+
+} // namespace tarragontrail::test
--- /dev/null
+++ b/unit_tests/membership/fake_fleet.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "tarragontrail/config/bundle_agent.hpp"
+#include "tarragontrail/membership/failure_detector.hpp"
+#include "tarragontrail/membership/view_change.hpp"
+#include "tarragontrail/membership/view_keeper.hpp"
+#include "unit_tests/config/fake_platform.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tarragontrail::test {
+
+/// The cores of one instance.
+struct instance
+{
+    membership::member m_member;                   ///< Identity; incarnation of this start.
+    bool m_up = false;                             ///< Whether the process runs.
+    bool m_paused = false;                         ///< Whether it is stopped for a while.
+    std::uint64_t m_life = 0;                      ///< Tells replies to an earlier start.
+    std::deque<std::function<void()>> m_backlog;   ///< Events while paused.
+    std::unique_ptr<config::key_table> m_keys;     ///< Keys.
+    std::unique_ptr<config::bundle_agent> m_agent; ///< Bundle.
+    std::unique_ptr<membership::failure_detector> m_detector; ///< Failures.
+    std::unique_ptr<membership::change_planner> m_planner;    ///< Changes to the view.
+    std::unique_ptr<membership::view_keeper> m_keeper;        ///< View.
+    std::uint64_t m_failures_seen = 0;                        ///< Members that it held as failed.
+};
+
+/// Real cores joined by a lossy message net, a fake platform and its lagging list.
+class fake_fleet
+{
+public:
+    fake_fleet(std::uint64_t seed, std::size_t count);
+
+    void start(std::size_t index);
+    void crash(std::size_t index);
+    void pause(std::size_t index) { m_instances[index].m_paused = true; }
+    void resume(std::size_t index);
+    void list_leaving(std::size_t index);
+    void run_for(core::duration length) { m_events.run_for(length); }
+    core::time_point now() const { return m_events.now(); }
+
+    event_queue m_events;              ///< Time.
+    fake_platform m_platform;          ///< Table and objects.
+    std::vector<instance> m_instances; ///< All instances.
+    double m_loss = 0.0;               ///< Share of messages lost.
+    double m_duplicated = 0.0;         ///< Share of messages delivered twice.
+    bool m_regions_cut = false;   ///< Whether the regions, and region 1 and the table, are cut.
+    std::uint64_t m_messages = 0; ///< Messages sent.
+    std::vector<membership::listed_instance> m_list; ///< The platform's list as it is shown.
+
+private:
+    void tick(std::size_t index, std::uint64_t life);
+    void read_list(instance& each);
+    void drain(std::size_t index);
+    void deliver(std::size_t index, std::uint64_t life, const std::function<void()>& event);
+    void send(std::size_t from, core::instance_id to, const std::function<void(instance&)>& event);
+    bool reaches_platform(std::size_t index) const;
+    void watch_view(instance& each);
+
+    // One overload for each action.
+    void carry_out(std::size_t from, config::store_read& call);
+    void carry_out(std::size_t from, config::store_write& call);
+    void carry_out(std::size_t from, config::object_get& call);
+    void carry_out(std::size_t from, config::send_state_request& action);
+    void carry_out(std::size_t from, config::send_state_answer& action);
+    void carry_out(std::size_t from, config::send_bundle_request& action);
+    void carry_out(std::size_t from, config::send_bundle_answer& action);
+    void carry_out(std::size_t from, config::bundle_applied& action);
+    void carry_out(std::size_t from, config::spread_withdrawal& action);
+    void carry_out(std::size_t from, membership::send_ping& action);
+    void carry_out(std::size_t from, membership::send_ping_ack& action);
+    void carry_out(std::size_t from, membership::send_ping_request& action);
+    void carry_out(std::size_t from, membership::member_changed& action);
+    void carry_out(std::size_t from, membership::item_received& action);
+    void carry_out(std::size_t from, membership::freshness_received& action);
+    void carry_out(std::size_t from, membership::view_number_received& action);
+    void carry_out(std::size_t from, membership::view_changed& action);
+    void carry_out(std::size_t from, membership::send_view_request& action);
+    void carry_out(std::size_t from, membership::send_view_answer& action);
+};
+
+} // namespace tarragontrail::test
