--- a/tarragontrail/routing/engine_index.hpp
+++ b/tarragontrail/routing/engine_index.hpp
@@ -54,6 +54,9 @@
     /// Whether the index has seen every event.
     bool known() const noexcept { return m_known; }
 
+    /// Last batch contained in the entries.
+    std::uint64_t applied_sequence() const noexcept { return m_applied; }
+
     /// Incarnation that the entries belong to.
     core::incarnation incarnation() const noexcept { return m_incarnation; }
 
--- /dev/null
+++ b/unit_tests/routing/engine_index_test.cpp
@@ -0,0 +1,288 @@
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/routing/engine_index.hpp"
+#include "tarragontrail/routing/prefix_probe.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <unordered_map>
+
+using namespace tarragontrail;
+using namespace tarragontrail::routing;
+
+namespace {
+
+constexpr core::upstream_id engine_id{7};
+
+/// Engine with a small cache that remembers its content after each batch of each incarnation.
+class engine_model
+{
+public:
+    using content = std::set<std::uint64_t>;
+
+    explicit engine_model(core::seeded_random& random) : m_random(random) { crash(); }
+
+    void crash()
+    {
+        m_event = {};
+        m_event.m_incarnation = core::incarnation{m_history.size() + 1};
+        m_history.push_back({content{}});
+    }
+
+    cache_event change()
+    {
+        content blocks = current();
+        m_event.m_stored.clear();
+        m_event.m_evicted.clear();
+        ++m_event.m_sequence;
+        for (std::uint64_t change = m_random.below(4); change > 0; --change)
+        {
+            const std::uint64_t block = m_random.below(40);
+            const bool listed = std::ranges::count(m_event.m_stored, block) +
+                                    std::ranges::count(m_event.m_evicted, block) >
+                                0;
+            if (listed)
+            {
+                continue;
+            }
+            const bool stored = blocks.insert(block).second;
+            (stored ? m_event.m_stored : m_event.m_evicted).push_back(block);
+            stored ? 0U : blocks.erase(block);
+        }
+        m_history.back().push_back(blocks);
+        return m_event;
+    }
+
+    cache_snapshot snapshot() const
+    {
+        return {m_event.m_incarnation, m_event.m_sequence, {current().begin(), current().end()}};
+    }
+
+    const content& at(core::incarnation incarnation, std::uint64_t sequence) const
+    {
+        return m_history.at(core::value_of(incarnation) - 1).at(sequence);
+    }
+
+    const content& current() const { return m_history.back().back(); }
+
+private:
+    core::seeded_random& m_random;               ///< Source of changes.
+    cache_event m_event;                         ///< Last batch.
+    std::vector<std::vector<content>> m_history; ///< Content by incarnation and batch.
+};
+
+/// Asserts that a known index equals the engine at its batch, and that an unknown one claims
+/// nothing.
+void check_index(const engine_index& index, const engine_model& engine)
+{
+    std::size_t held = 0;
+    for (std::uint64_t block = 0; block < 40; ++block)
+    {
+        const bool claimed = index.contains(block);
+        held += claimed ? 1 : 0;
+        const std::array chain{block};
+        RC_ASSERT(index.depth(chain) == (claimed ? 1U : 0U));
+        RC_ASSERT(
+            (!claimed || engine.at(index.incarnation(), index.applied_sequence()).contains(block)));
+    }
+    const bool whole =
+        index.known() && held == engine.at(index.incarnation(), index.applied_sequence()).size();
+    RC_ASSERT((whole || (!index.known() && held == 0)));
+}
+
+/// Runs an index over a lossy, reordering, duplicating stream with crashes.
+void run_lossy_stream(std::uint64_t seed)
+{
+    core::seeded_random random(seed);
+    engine_model engine(random);
+    engine_index_settings settings;
+    settings.m_expected_blocks = 8;
+    settings.m_max_buffered_events = 4;
+    engine_index index(engine_id, settings);
+    std::vector<std::variant<cache_event, cache_snapshot>> network;
+    core::time_point now{};
+    core::incarnation newest{};
+    std::uint64_t highest = 0;
+
+    for (int step = 0; step < 400; ++step)
+    {
+        now += std::chrono::milliseconds(random.below(50));
+        if (random.below(40) == 0)
+        {
+            engine.crash();
+        }
+        const cache_event event = engine.change();
+        for (std::uint64_t copies = random.below(8); copies % 4 != 0; copies /= 2)
+        {
+            network.emplace_back(event);
+        }
+        index.on_timer(now);
+        if (random.below(100) == 0)
+        {
+            index.on_stream_lost(now);
+            RC_ASSERT(!index.known());
+        }
+        for ([[maybe_unused]] const request_snapshot& request : index.take_actions())
+        {
+            random.below(3) != 0 ? (void)network.emplace_back(engine.snapshot()) : (void)0;
+        }
+        while (!network.empty() && random.below(4) != 0)
+        {
+            // Mostly in order, now and then any other.
+            const std::size_t place = random.below(4) == 0 ? random.below(network.size()) : 0;
+            const auto message = network[place];
+            network.erase(network.begin() + static_cast<std::ptrdiff_t>(place));
+            const auto [incarnation, sequence] = std::visit(
+                [](const auto& item) { return std::pair(item.m_incarnation, item.m_sequence); },
+                message);
+            highest = incarnation > newest ? 0 : highest;
+            newest = std::max(newest, incarnation);
+            highest = incarnation == newest ? std::max(highest, sequence) : highest;
+            if (const auto* const batch = std::get_if<cache_event>(&message))
+            {
+                index.on_event(*batch, now);
+            }
+            else
+            {
+                index.on_snapshot(std::get<cache_snapshot>(message), now);
+            }
+            check_index(index, engine);
+            RC_ASSERT(index.incarnation() == newest);
+            RC_ASSERT((!index.known() || index.applied_sequence() >= highest));
+        }
+    }
+
+    // A full resync ends in the engine's own state.
+    index.on_stream_lost(now);
+    index.on_snapshot(engine.snapshot(), now);
+    RC_ASSERT(index.known());
+    RC_ASSERT(index.size() == engine.current().size());
+    check_index(index, engine);
+}
+
+} // namespace
+
+/// Block index, its table and its lookups.
+class engine_index_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(engine_index_test);
+    CPPUNIT_TEST(table_equals_reference);
+    CPPUNIT_TEST(table_keeps_its_byte_budget);
+    CPPUNIT_TEST(index_is_true_under_loss_reorder_duplication_and_crash);
+    CPPUNIT_TEST(lookup_brackets_the_depth_and_settles_it);
+    CPPUNIT_TEST(lifetime_is_learned_within_bounds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void table_equals_reference()
+    {
+        CPPUNIT_ASSERT(rc::check("table equals reference", [](std::uint64_t seed) {
+            core::seeded_random random(seed);
+            flat_table<std::uint64_t> table;
+            std::unordered_map<std::uint64_t, std::uint64_t> reference;
+            for (int step = 0; step < 2000; ++step)
+            {
+                const std::uint64_t key = random.below(64 + seed % 512);
+                const std::uint64_t value = random();
+                if (random.below(2) == 0)
+                {
+                    RC_ASSERT(table.insert(key, value));
+                    reference[key] = value;
+                }
+                else
+                {
+                    RC_ASSERT(table.erase(key) == (reference.erase(key) == 1));
+                }
+                const std::uint64_t probe = random.below(64 + seed % 512);
+                const auto expected = reference.find(probe);
+                const std::uint64_t* const found = table.find(probe);
+                RC_ASSERT((found != nullptr) == (expected != reference.end()));
+                RC_ASSERT((found == nullptr || *found == expected->second));
+                RC_ASSERT(table.size() == reference.size());
+            }
+        }));
+    }
+
+    void table_keeps_its_byte_budget()
+    {
+        constexpr std::size_t budget = 8192;
+        flat_table<no_value> table(16, budget);
+        std::size_t accepted = 0;
+        for (std::uint64_t key = 0; key < 5000; ++key)
+        {
+            accepted += table.insert(key * key + 1) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(accepted == table.size() && accepted < 5000);
+        CPPUNIT_ASSERT(table.bytes() <= budget);
+        CPPUNIT_ASSERT(accepted * 16 >= budget);
+    }
+
+    void index_is_true_under_loss_reorder_duplication_and_crash()
+    {
+        CPPUNIT_ASSERT(rc::check("index equals the engine", run_lossy_stream));
+    }
+
+    void lookup_brackets_the_depth_and_settles_it()
+    {
+        CPPUNIT_ASSERT(rc::check("probes bracket the depth", [](std::uint64_t seed) {
+            core::seeded_random random(seed);
+            std::vector<std::uint64_t> hashes(1 + random.below(512));
+            std::ranges::generate(hashes, random);
+            const std::uint64_t depth = random.below(hashes.size() + 1);
+            engine_index index(engine_id, {});
+            const auto middle = hashes.begin() + static_cast<std::ptrdiff_t>(depth);
+            index.on_snapshot({core::incarnation{3}, 5, {hashes.begin(), middle}}, {});
+
+            lookup_request request{9, engine_id, core::incarnation{3}, 0, {}, {}};
+            fill_first_probe(hashes, request);
+            RC_ASSERT(request.m_hashes.size() <= max_probe_hashes);
+            lookup_reply reply = answer_lookup(request, index);
+            for (int round = 0; reply.m_depth_lower < reply.m_depth_upper; ++round)
+            {
+                RC_ASSERT(round < 3);
+                RC_ASSERT((reply.m_depth_lower <= depth && depth <= reply.m_depth_upper));
+                lookup_request next{10, engine_id, core::incarnation{3}, 0, {}, {}};
+                fill_settling_probe(hashes, {reply.m_depth_lower, reply.m_depth_upper}, next);
+                RC_ASSERT(next.m_hashes.size() <= max_probe_hashes);
+                reply = answer_lookup(next, index);
+            }
+            RC_ASSERT((reply.m_known && reply.m_depth_lower == depth));
+
+            // An asker with another incarnation in mind gets no credit for what it knew.
+            request.m_incarnation = core::incarnation{2};
+            request.m_depth_lower = 0;
+            RC_ASSERT(answer_lookup(request, index).m_incarnation == core::incarnation{3});
+            index.on_stream_lost({});
+            reply = answer_lookup(request, index);
+            RC_ASSERT((!reply.m_known && reply.m_depth_lower == 0 && reply.m_depth_upper == 0));
+        }));
+    }
+
+    void lifetime_is_learned_within_bounds()
+    {
+        engine_index index(engine_id, {});
+        core::time_point now{};
+        std::uint64_t sequence = 0;
+        const auto store_and_evict = [&](std::uint64_t block, core::duration after) {
+            index.on_event({core::incarnation{1}, ++sequence, {block}, {}}, now);
+            now += after;
+            index.on_event({core::incarnation{1}, ++sequence, {}, {block}}, now);
+        };
+        CPPUNIT_ASSERT(index.block_lifetime() == std::chrono::milliseconds(0));
+        for (std::uint64_t block = 0; block < 300; ++block)
+        {
+            store_and_evict(block, std::chrono::seconds(4));
+        }
+        CPPUNIT_ASSERT(index.block_lifetime() == std::chrono::seconds(4));
+        for (std::uint64_t block = 0; block < 300; ++block)
+        {
+            store_and_evict(block, std::chrono::milliseconds(1));
+        }
+        CPPUNIT_ASSERT(index.block_lifetime() == std::chrono::seconds(1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(engine_index_test, "routing");
