Carry the membership, configuration, limits and routing cores in the entry's control thread

Cause: the decisions are worth nothing until the shipped binary runs them. Ruled out: message structs of their own on the wire; the schema now names the cores' structs, so no mapping code stands between.

--- a/tarragontrail/net/duty.cpp
+++ b/tarragontrail/net/duty.cpp
@@ -1,6 +1,6 @@
 #include "tarragontrail/net/duty.hpp"
 
-#include "tarragontrail/core/error.hpp"
+#include "tarragontrail/core/invariant.hpp"
 #include "tarragontrail/observe/log.hpp"
 
 #include <boost/asio/post.hpp>
@@ -8,7 +8,7 @@
 namespace tarragontrail::net {
 
 duty::duty(std::string name, std::size_t ring_capacity)
-    : m_name(std::move(name)), m_context(1), m_ring(ring_capacity),
+    : m_name(std::move(name)), m_capacity(ring_capacity), m_context(1), m_ring(ring_capacity),
       m_work(boost::asio::make_work_guard(m_context))
 {}
 
@@ -31,17 +31,29 @@
     }
 }
 
-bool duty::post(task work)
+bool duty::try_post(task work)
 {
-    if (!m_ring.try_push(std::move(work)))
+    if (m_ring.size() >= m_capacity / 2 || !m_ring.try_push(std::move(work)))
     {
         return false;
     }
+    schedule_drain();
+    return true;
+}
+
+void duty::post(task work)
+{
+    // Work taken on is bounded by try_post, so its steps find room.
+    TARRAGONTRAIL_INVARIANT(m_ring.try_push(std::move(work)), "step_fits_ring");
+    schedule_drain();
+}
+
+void duty::schedule_drain()
+{
     if (!m_drain_due.exchange(true))
     {
         boost::asio::post(m_context, [this] { drain(); });
     }
-    return true;
 }
 
 void duty::run()
--- a/tarragontrail/net/duty.hpp
+++ b/tarragontrail/net/duty.hpp
@@ -32,17 +32,22 @@
     /// Ends the loop and joins the thread.
     void stop();
 
-    /// Hands over a task; returns false when the ring is full, and the task is not run then.
-    bool post(task work);
+    /// Hands over new work; returns false when the ring is half full, and it is not run then.
+    bool try_post(task work);
+
+    /// Hands over a step of work that was taken on already, for which half of the ring is kept.
+    void post(task work);
 
     /// Name for logs.
     const std::string& name() const noexcept { return m_name; }
 
 private:
     void run();
+    void schedule_drain();
     void drain();
 
-    std::string m_name;                   ///< Name for logs.
+    std::string m_name;                 ///< Name for logs.
+    std::size_t m_capacity;               ///< Name for logs.
     boost::asio::io_context m_context;    ///< Event loop, run by one thread.
     core::bounded_ring<task> m_ring;      ///< Tasks from other duties.
     std::atomic<bool> m_drain_due{false}; ///< A drain is already scheduled.
--- /dev/null
+++ b/tarragontrail/observe/metrics.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace tarragontrail::observe {
+
+/// Everything that one entry instance counts; safe to use from every thread.
+class metrics
+{
+public:
+    metrics();
+
+    /// Source for the exposer.
+    const std::shared_ptr<prometheus::Registry>& registry() const noexcept { return m_registry; }
+
+    /// Counts a request by what became of it.
+    void count_request(const std::string& outcome);
+
+    /// Counts a routing decision by its reason.
+    void count_decision(const std::string& reason);
+
+    /// Counts a refusal by limits, by its reason.
+    void count_limit_refusal(const std::string& reason);
+
+    /// Notes the time to first token of one request.
+    void note_first_token(std::chrono::nanoseconds time);
+
+    /// Notes what an engine reported of one prompt.
+    void note_prompt(std::uint64_t prompt_tokens, std::uint64_t cached_tokens);
+
+    /// Counts a retry or a resumed stream.
+    void count_retry(const std::string& kind);
+
+    /// Sets a gauge of the control duties, for example messages or bytes by role.
+    void set_control(const std::string& name, double value);
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;             ///< All families.
+    prometheus::Family<prometheus::Counter>& m_requests;          ///< By outcome.
+    prometheus::Family<prometheus::Counter>& m_decisions;         ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_limit_refusals;    ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_retries;           ///< By kind.
+    prometheus::Family<prometheus::Counter>& m_prompt_tokens;     ///< Cached or recomputed.
+    prometheus::Family<prometheus::Gauge>& m_control;             ///< By name.
+    prometheus::Histogram& m_first_token;                         ///< Seconds.
+};
+
+} // namespace tarragontrail::observe
--- a/tarragontrail/wire/cbor_fields.hpp
+++ b/tarragontrail/wire/cbor_fields.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "tarragontrail/wire/generated_messages.hpp"
+#include "tarragontrail/wire/decode_error.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <type_traits>
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -33,6 +33,592 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const lookup_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(10);
+    put_field(fields, value.m_lookup_id);
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_incarnation);
+    put_field(fields, value.m_depth_lower);
+    put_field(fields, value.m_depths);
+    put_field(fields, value.m_hashes);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] lookup_request& value)
+{
+    fields.get(value.m_lookup_id);
+    fields.get(value.m_engine);
+    fields.get(value.m_incarnation);
+    fields.get(value.m_depth_lower);
+    fields.get(value.m_depths);
+    fields.get(value.m_hashes);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const lookup_reply& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_lookup_id);
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_incarnation);
+    put_field(fields, value.m_depth_lower);
+    put_field(fields, value.m_depth_upper);
+    put_field(fields, value.m_known);
+    put_field(fields, value.m_block_lifetime);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] lookup_reply& value)
+{
+    fields.get(value.m_lookup_id);
+    fields.get(value.m_engine);
+    fields.get(value.m_incarnation);
+    fields.get(value.m_depth_lower);
+    fields.get(value.m_depth_upper);
+    fields.get(value.m_known);
+    fields.get(value.m_block_lifetime);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const lookup_answer& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(11);
+    fields.push_back(to_fields(value.m_reply));
+    put_field(fields, value.m_has_load);
+    put_field(fields, value.m_load_incarnation);
+    put_field(fields, value.m_queued_tokens);
+    put_field(fields, value.m_running);
+    put_field(fields, value.m_prefill_tokens_per_second);
+    put_field(fields, value.m_decode_tokens_per_second);
+    put_field(fields, value.m_load_age);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] lookup_answer& value)
+{
+    from_fields(field_reader(fields.next(), 0), value.m_reply);
+    fields.get(value.m_has_load);
+    fields.get(value.m_load_incarnation);
+    fields.get(value.m_queued_tokens);
+    fields.get(value.m_running);
+    fields.get(value.m_prefill_tokens_per_second);
+    fields.get(value.m_decode_tokens_per_second);
+    fields.get(value.m_load_age);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const anchor_hint& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(12);
+    put_field(fields, value.m_group);
+    put_field(fields, value.m_epoch);
+    put_field(fields, value.m_samples);
+    put_field(fields, value.m_depth);
+    put_field(fields, value.m_proposer);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] anchor_hint& value)
+{
+    fields.get(value.m_group);
+    fields.get(value.m_epoch);
+    fields.get(value.m_samples);
+    fields.get(value.m_depth);
+    fields.get(value.m_proposer);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const loan_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(20);
+    put_field(fields, value.m_loan_id);
+    put_field(fields, value.m_workspace);
+    put_field(fields, value.m_amount);
+    put_field(fields, value.m_view);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] loan_request& value)
+{
+    fields.get(value.m_loan_id);
+    fields.get(value.m_workspace);
+    fields.get(value.m_amount);
+    fields.get(value.m_view);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const loan_reply& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(21);
+    put_field(fields, value.m_loan_id);
+    put_field(fields, value.m_workspace);
+    put_field(fields, value.m_granted);
+    put_field(fields, value.m_amount);
+    put_field(fields, value.m_left);
+    put_field(fields, value.m_retry_after);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] loan_reply& value)
+{
+    fields.get(value.m_loan_id);
+    fields.get(value.m_workspace);
+    fields.get(value.m_granted);
+    fields.get(value.m_amount);
+    fields.get(value.m_left);
+    fields.get(value.m_retry_after);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const loan_settle& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(22);
+    put_field(fields, value.m_loan_id);
+    put_field(fields, value.m_workspace);
+    put_field(fields, value.m_used);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] loan_settle& value)
+{
+    fields.get(value.m_loan_id);
+    fields.get(value.m_workspace);
+    fields.get(value.m_used);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const share_hint& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(23);
+    put_field(fields, value.m_workspace);
+    put_field(fields, value.m_left);
+    put_field(fields, value.m_limit_epoch);
+    put_field(fields, value.m_view);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] share_hint& value)
+{
+    fields.get(value.m_workspace);
+    fields.get(value.m_left);
+    fields.get(value.m_limit_epoch);
+    fields.get(value.m_view);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const domain_age& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_domain);
+    put_field(fields, value.m_age);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] domain_age& value)
+{
+    fields.get(value.m_domain);
+    fields.get(value.m_age);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const freshness_word& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_domain);
+    put_field(fields, value.m_store_heard);
+    put_field(fields, value.m_store_age);
+    put_field(fields, value.m_head_revision);
+    put_field(fields, value.m_withdrawals_hash);
+    put_field(fields, value.m_applied_version);
+    nlohmann::json domains = nlohmann::json::array();
+    for (const domain_age& item : value.m_domains)
+    {
+        domains.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(domains));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] freshness_word& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_domain);
+    fields.get(value.m_store_heard);
+    fields.get(value.m_store_age);
+    fields.get(value.m_head_revision);
+    fields.get(value.m_withdrawals_hash);
+    fields.get(value.m_applied_version);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_domains.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const withdrawal& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(30);
+    put_field(fields, value.m_prefix_high);
+    put_field(fields, value.m_prefix_low);
+    put_field(fields, value.m_bundle_version);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] withdrawal& value)
+{
+    fields.get(value.m_prefix_high);
+    fields.get(value.m_prefix_low);
+    fields.get(value.m_bundle_version);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const state_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(31);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_sequence);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] state_request& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_sequence);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const state_answer& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(32);
+    put_field(fields, value.m_sequence);
+    fields.push_back(to_fields(value.m_word));
+    put_field(fields, value.m_head_row);
+    nlohmann::json withdrawals = nlohmann::json::array();
+    for (const withdrawal& item : value.m_withdrawals)
+    {
+        withdrawals.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(withdrawals));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] state_answer& value)
+{
+    fields.get(value.m_sequence);
+    from_fields(field_reader(fields.next(), 0), value.m_word);
+    fields.get(value.m_head_row);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_withdrawals.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const bundle_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(33);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_object);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] bundle_request& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_object);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const bundle_answer& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(34);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_object);
+    put_field(fields, value.m_bytes);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] bundle_answer& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_object);
+    fields.get(value.m_bytes);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const member_word& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_member);
+    put_field(fields, value.m_incarnation);
+    put_field(fields, value.m_refutation);
+    put_field(fields, value.m_liveness);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] member_word& value)
+{
+    fields.get(value.m_member);
+    fields.get(value.m_incarnation);
+    fields.get(value.m_refutation);
+    fields.get(value.m_liveness);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const gossip_item& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_kind);
+    put_field(fields, value.m_key);
+    put_field(fields, value.m_order);
+    put_field(fields, value.m_payload);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] gossip_item& value)
+{
+    fields.get(value.m_kind);
+    fields.get(value.m_key);
+    fields.get(value.m_order);
+    fields.get(value.m_payload);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const ping& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(40);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_view);
+    put_field(fields, value.m_sequence);
+    nlohmann::json members = nlohmann::json::array();
+    for (const member_word& item : value.m_members)
+    {
+        members.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(members));
+    nlohmann::json items = nlohmann::json::array();
+    for (const gossip_item& item : value.m_items)
+    {
+        items.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(items));
+    fields.push_back(to_fields(value.m_freshness));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] ping& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_view);
+    fields.get(value.m_sequence);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_members.emplace_back());
+    }
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_items.emplace_back());
+    }
+    from_fields(field_reader(fields.next(), 0), value.m_freshness);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const ping_ack& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(41);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_subject);
+    put_field(fields, value.m_view);
+    put_field(fields, value.m_sequence);
+    nlohmann::json members = nlohmann::json::array();
+    for (const member_word& item : value.m_members)
+    {
+        members.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(members));
+    nlohmann::json items = nlohmann::json::array();
+    for (const gossip_item& item : value.m_items)
+    {
+        items.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(items));
+    fields.push_back(to_fields(value.m_freshness));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] ping_ack& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_subject);
+    fields.get(value.m_view);
+    fields.get(value.m_sequence);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_members.emplace_back());
+    }
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_items.emplace_back());
+    }
+    from_fields(field_reader(fields.next(), 0), value.m_freshness);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const ping_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(42);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_target);
+    put_field(fields, value.m_view);
+    put_field(fields, value.m_sequence);
+    nlohmann::json members = nlohmann::json::array();
+    for (const member_word& item : value.m_members)
+    {
+        members.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(members));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] ping_request& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_target);
+    fields.get(value.m_view);
+    fields.get(value.m_sequence);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_members.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const view_request& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(43);
+    put_field(fields, value.m_sender);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] view_request& value)
+{
+    fields.get(value.m_sender);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const view_answer& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(44);
+    put_field(fields, value.m_sender);
+    put_field(fields, value.m_revision);
+    put_field(fields, value.m_row);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] view_answer& value)
+{
+    fields.get(value.m_sender);
+    fields.get(value.m_revision);
+    fields.get(value.m_row);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const crash_identity& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_started);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] crash_identity& value)
+{
+    fields.get(value.m_engine);
+    fields.get(value.m_started);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const crash_report& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(50);
+    put_field(fields, value.m_reporter);
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_started);
+    put_field(fields, value.m_fingerprints);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] crash_report& value)
+{
+    fields.get(value.m_reporter);
+    fields.get(value.m_engine);
+    fields.get(value.m_started);
+    fields.get(value.m_fingerprints);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const quarantine_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(51);
+    put_field(fields, value.m_fingerprint);
+    put_field(fields, value.m_duration);
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const crash_identity& item : value.m_crashes)
+    {
+        crashes.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(crashes));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] quarantine_notice& value)
+{
+    fields.get(value.m_fingerprint);
+    fields.get(value.m_duration);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_crashes.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const exoneration_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(52);
+    put_field(fields, value.m_fingerprints);
+    put_field(fields, value.m_by_operator);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] exoneration_notice& value)
+{
+    fields.get(value.m_fingerprints);
+    fields.get(value.m_by_operator);
+    fields.expect_end();
+}
+
 template <class Message>
 message read_message(const nlohmann::json& fields)
 {
@@ -61,6 +647,46 @@
         return read_message<hello>(fields);
     case 2:
         return read_message<link_heartbeat>(fields);
+    case 10:
+        return read_message<lookup_request>(fields);
+    case 11:
+        return read_message<lookup_answer>(fields);
+    case 12:
+        return read_message<anchor_hint>(fields);
+    case 20:
+        return read_message<loan_request>(fields);
+    case 21:
+        return read_message<loan_reply>(fields);
+    case 22:
+        return read_message<loan_settle>(fields);
+    case 23:
+        return read_message<share_hint>(fields);
+    case 30:
+        return read_message<withdrawal>(fields);
+    case 31:
+        return read_message<state_request>(fields);
+    case 32:
+        return read_message<state_answer>(fields);
+    case 33:
+        return read_message<bundle_request>(fields);
+    case 34:
+        return read_message<bundle_answer>(fields);
+    case 40:
+        return read_message<ping>(fields);
+    case 41:
+        return read_message<ping_ack>(fields);
+    case 42:
+        return read_message<ping_request>(fields);
+    case 43:
+        return read_message<view_request>(fields);
+    case 44:
+        return read_message<view_answer>(fields);
+    case 50:
+        return read_message<crash_report>(fields);
+    case 51:
+        return read_message<quarantine_notice>(fields);
+    case 52:
+        return read_message<exoneration_notice>(fields);
     default:
         throw decode_error("unknown message tag");
     }
