Recover streams, budget retries, blame crashes and tell silent links from failed upstreams

Now a twice-crashed request is held until the others of its crashes ended, a crash at the same time as two others is no evidence, and each open co-traveller raises the number of crashes needed. Conclusion: reports and exonerations are shared twice; quarantine lapses and can be cleared.

--- a/tarragontrail/idempotency/call_row.cpp
+++ b/tarragontrail/idempotency/call_row.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-constexpr std::uint64_t CALL_ROW_FORMAT = 1;
+constexpr std::uint64_t call_row_format = 1;
 
 } // namespace
 
 std::string encode_row(const call_row& row)
 {
     nlohmann::json fields = nlohmann::json::array();
-    wire::put_field(fields, CALL_ROW_FORMAT);
+    wire::put_field(fields, call_row_format);
     wire::put_field(fields, row.m_owner.m_instance);
     wire::put_field(fields, row.m_owner.m_started);
     wire::put_field(fields, row.m_owner.m_request);
@@ -53,7 +53,7 @@
         reader.get(row.m_answer.m_body);
         reader.get(row.m_object);
         reader.expect_end();
-        if (format != CALL_ROW_FORMAT || row.m_state < call_state::intended ||
+        if (format != call_row_format || row.m_state < call_state::intended ||
             row.m_state > call_state::unknown)
         {
             throw call_row_error("call row has an unknown format or state");
--- a/tarragontrail/placement/load_slot.hpp
+++ b/tarragontrail/placement/load_slot.hpp
@@ -13,7 +13,7 @@
 namespace tarragontrail::placement {
 
 /// Weight loads that may run at once over the fleet.
-inline constexpr std::size_t MAX_WEIGHT_LOADS = 2;
+inline constexpr std::size_t max_weight_loads = 2;
 
 /// One of the fleet's load slots, each a leased row; whichever falls free first is taken.
 class load_slot
@@ -52,7 +52,7 @@
 private:
     void settle(core::time_point now);
 
-    std::array<row_lease, MAX_WEIGHT_LOADS> m_slots; ///< Leases of the slots.
+    std::array<row_lease, max_weight_loads> m_slots; ///< Leases of the slots.
     bool m_wanted = false;                           ///< A slot is wanted.
 };
 
--- a/tarragontrail/recovery/connection_health.hpp
+++ b/tarragontrail/recovery/connection_health.hpp
@@ -82,8 +82,8 @@
     /// A new connection could not be established.
     void on_open_failed(core::upstream_id upstream, core::time_point now);
 
-    /// A request was written to a connection.
-    void on_request(connection_id connection, core::time_point now);
+    /// A request was written to a connection; silence for `expected` is normal before its answer.
+    void on_request(connection_id connection, core::duration expected, core::time_point now);
 
     /// Bytes or a heartbeat answer arrived; `idle` when nothing is outstanding any more.
     void on_received(connection_id connection, bool idle, core::time_point now);
@@ -123,13 +123,15 @@
         circuit_state m_state = circuit_state::closed; ///< State.
         std::uint64_t m_failures = 0;                  ///< Failures of new connections in a row.
         std::uint64_t m_openings = 0;                  ///< Openings in a row.
-        core::time_point m_probe_at{};                 ///< When an open circuit is probed.
+        core::time_point m_due{};                      ///< When the probe starts, or has failed.
     };
 
     void lose(connection_id connection, core::time_point now);
     void count_failure(core::upstream_id upstream, core::time_point now);
-    void open_circuit(core::upstream_id upstream, circuit& state, core::time_point now);
-    void close_circuit(core::upstream_id upstream);
+    void open_circuit(core::upstream_id upstream, core::time_point now);
+    void set_state(core::upstream_id upstream, circuit_state state);
+    void check_link(connection_id connection, core::time_point now);
+    void check_circuit(core::upstream_id upstream, core::time_point now);
 
     connection_health_settings m_settings;           ///< Settings.
     core::seeded_random m_random;                    ///< Source of jitter.
--- /dev/null
+++ b/tarragontrail/recovery/crash_blame.cpp
@@ -0,0 +1,405 @@
+#include "tarragontrail/recovery/crash_blame.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontrail::recovery {
+
+crash_blame::crash_blame(crash_blame_settings settings, core::instance_id self)
+    : m_settings(settings), m_self(self)
+{}
+
+blame_verdict crash_blame::check(std::uint64_t fingerprint, core::upstream_id engine,
+                                 core::time_point now) const
+{
+    const auto held = m_quarantines.find(fingerprint);
+    if (held != m_quarantines.end() && held->second.m_until > now)
+    {
+        return blame_verdict::quarantined;
+    }
+    const auto who = m_suspects.find(fingerprint);
+    if (who == m_suspects.end())
+    {
+        return blame_verdict::allowed;
+    }
+
+    // An open case waits for its co-travellers' outcomes before it costs another engine.
+    const std::vector<std::uint64_t>& crashes = who->second.m_crashes;
+    if (crashes.size() >= m_settings.m_min_crashes &&
+        crash_at(crashes.back()).m_seen + m_settings.m_max_hold > now)
+    {
+        return blame_verdict::hold;
+    }
+    const auto running = m_in_flight.find(engine);
+    if (running == m_in_flight.end())
+    {
+        return blame_verdict::allowed;
+    }
+    const bool taken = std::any_of(running->second.begin(), running->second.end(),
+                                   [this](std::uint64_t other) { return is_suspect(other); });
+    return taken ? blame_verdict::hold : blame_verdict::allowed;
+}
+
+bool crash_blame::is_suspect(std::uint64_t fingerprint) const
+{
+    return m_suspects.contains(fingerprint);
+}
+
+void crash_blame::on_dispatched(std::uint64_t fingerprint, core::upstream_id engine)
+{
+    m_in_flight[engine].push_back(fingerprint);
+}
+
+void crash_blame::on_finished(std::uint64_t fingerprint, core::upstream_id engine, bool completed,
+                              core::time_point now)
+{
+    // After a crash report the engine's list is gone already.
+    std::vector<std::uint64_t>& running = m_in_flight[engine];
+    const auto found = std::find(running.begin(), running.end(), fingerprint);
+    if (found != running.end())
+    {
+        *found = running.back();
+        running.pop_back();
+    }
+    if (!completed || !is_suspect(fingerprint))
+    {
+        return;
+    }
+    exonerate(fingerprint, now);
+    m_cleared.push_back(fingerprint);
+    m_actions.emplace_back(share_exoneration{{{fingerprint}, false}});
+}
+
+void crash_blame::on_engine_crashed(core::upstream_id engine, core::incarnation started,
+                                    core::time_point now)
+{
+    const std::vector<std::uint64_t> running = std::exchange(m_in_flight[engine], {});
+    add_members(record_crash(engine, started, now), running, now);
+    if (!running.empty())
+    {
+        m_repeats.push_back({m_self, engine, started, running});
+        m_actions.emplace_back(share_crash{m_repeats.back()});
+    }
+}
+
+void crash_blame::on_crash_report(const crash_report& report, core::time_point now)
+{
+    add_members(record_crash(report.m_engine, report.m_started, now), report.m_fingerprints, now);
+}
+
+void crash_blame::on_quarantine_notice(const quarantine_notice& notice, core::time_point now)
+{
+    start_quarantine(notice.m_fingerprint, now + notice.m_duration, 0);
+    for (const crash_identity& crashed : notice.m_crashes)
+    {
+        explain(record_crash(crashed.m_engine, crashed.m_started, now));
+    }
+}
+
+void crash_blame::on_exoneration_notice(const exoneration_notice& notice, core::time_point now)
+{
+    for (const std::uint64_t fingerprint : notice.m_fingerprints)
+    {
+        exonerate(fingerprint, now);
+        if (notice.m_by_operator)
+        {
+            m_quarantines.erase(fingerprint);
+        }
+    }
+}
+
+void crash_blame::on_timer(core::time_point now)
+{
+    while (!m_crashes.empty() && m_crashes.front().m_seen + m_settings.m_suspect_lapse <= now)
+    {
+        drop_oldest_crash();
+    }
+    std::erase_if(m_quarantines, [&](const auto& item) { return item.second.m_until <= now; });
+    if (m_judge_at && *m_judge_at <= now)
+    {
+        m_judge_at.reset();
+        std::erase_if(m_recent, [&](const auto& item) {
+            return item.second + m_settings.m_clear_memory <= now;
+        });
+        repeat_messages();
+        judge(now);
+    }
+}
+
+void crash_blame::repeat_messages()
+{
+    for (crash_report& report : std::exchange(m_repeats, {}))
+    {
+        m_actions.emplace_back(share_crash{std::move(report)});
+    }
+    if (!m_cleared.empty())
+    {
+        m_actions.emplace_back(share_exoneration{{std::exchange(m_cleared, {}), false}});
+    }
+}
+
+std::optional<core::time_point> crash_blame::next_deadline() const
+{
+    std::optional<core::time_point> next = m_judge_at;
+    if (!m_crashes.empty())
+    {
+        const core::time_point lapse = m_crashes.front().m_seen + m_settings.m_suspect_lapse;
+        next = next ? std::min(*next, lapse) : lapse;
+    }
+    return next;
+}
+
+std::vector<quarantine_entry> crash_blame::list(core::time_point now) const
+{
+    std::vector<quarantine_entry> entries;
+    for (const auto& [fingerprint, held] : m_quarantines)
+    {
+        if (held.m_until <= now)
+        {
+            continue;
+        }
+        entries.push_back({fingerprint, held.m_crashes, held.m_until});
+    }
+    return entries;
+}
+
+bool crash_blame::clear(std::uint64_t fingerprint, core::time_point now)
+{
+    exonerate(fingerprint, now);
+    m_actions.emplace_back(share_exoneration{{{fingerprint}, true}});
+    return m_quarantines.erase(fingerprint) > 0;
+}
+
+std::vector<blame_action> crash_blame::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+crash_blame::crash& crash_blame::record_crash(core::upstream_id engine, core::incarnation started,
+                                              core::time_point now)
+{
+    const auto known = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const crash& c) {
+        return c.m_engine == engine && c.m_started == started;
+    });
+    if (known != m_crashes.end())
+    {
+        return *known;
+    }
+    if (m_crashes.size() >= m_settings.m_max_crashes)
+    {
+        drop_oldest_crash();
+    }
+    m_crashes.push_back({m_next_crash++, engine, started, now, {}, 0, 0});
+    return m_crashes.back();
+}
+
+void crash_blame::add_members(crash& where, const std::vector<std::uint64_t>& fingerprints,
+                              core::time_point now)
+{
+    for (const std::uint64_t fingerprint : fingerprints)
+    {
+        if (where.m_reported >= m_settings.m_max_crash_members)
+        {
+            break;
+        }
+        if (where.m_explained || m_quarantines.contains(fingerprint) ||
+            m_recent.contains(fingerprint) || !where.m_members.insert(fingerprint).second)
+        {
+            continue;
+        }
+        ++where.m_reported;
+        m_suspects[fingerprint].m_crashes.push_back(where.m_number);
+    }
+    schedule_judging(now);
+}
+
+void crash_blame::schedule_judging(core::time_point now)
+{
+    if (!m_judge_at)
+    {
+        m_judge_at = now + m_settings.m_report_settling;
+    }
+}
+
+const crash_blame::crash& crash_blame::crash_at(std::uint64_t number) const
+{
+    // Numbers follow on each other from the oldest crash kept.
+    return m_crashes.at(number - m_crashes.front().m_number);
+}
+
+crash_blame::crash& crash_blame::crash_at(std::uint64_t number)
+{
+    return m_crashes.at(number - m_crashes.front().m_number);
+}
+
+std::uint64_t crash_blame::needed_crashes(std::uint64_t fingerprint, const suspect& who) const
+{
+    std::uint64_t needed = m_settings.m_min_crashes;
+    std::vector<core::time_point> times;
+    bool one_engine = true;
+    bool others_open = false;
+    for (const std::uint64_t number : who.m_crashes)
+    {
+        const crash& own = crash_at(number);
+        times.push_back(own.m_seen);
+        others_open = others_open || own.m_members.size() > 1;
+        one_engine = one_engine && own.m_engine == crash_at(who.m_crashes.front()).m_engine;
+    }
+
+    // An engine that fails again by itself blames whoever runs there.
+    needed += one_engine ? 1 : 0;
+
+    // While others of these crashes are not cleared, two of them may be the causes.
+    needed += others_open ? 1 : 0;
+
+    // Crashes without this request, near in time, show another cause at work.
+    for (const crash& other : m_crashes)
+    {
+        const bool near = std::any_of(times.begin(), times.end(), [&](core::time_point own) {
+            const core::duration apart = other.m_seen - own;
+            return std::chrono::abs(apart) <= m_settings.m_unrelated_window;
+        });
+        needed += near && !other.m_explained && !other.m_members.contains(fingerprint) ? 1 : 0;
+    }
+    return std::min(needed, m_settings.m_max_needed);
+}
+
+bool crash_blame::has_rival(std::uint64_t fingerprint, const suspect& who) const
+{
+    // Another request that was in all the same crashes is as likely the cause.
+    const crash& last = crash_at(who.m_crashes.back());
+    return std::any_of(last.m_members.begin(), last.m_members.end(), [&](std::uint64_t other) {
+        const auto in_crash = [&](std::uint64_t number) {
+            return crash_at(number).m_members.contains(other);
+        };
+        return other != fingerprint &&
+               std::all_of(who.m_crashes.begin(), who.m_crashes.end(), in_crash);
+    });
+}
+
+bool crash_blame::is_evidence(std::uint64_t fingerprint, std::uint64_t number) const
+{
+    // The other requests ran well elsewhere, or there were none.
+    const crash& own = crash_at(number);
+    if (own.m_reported > 1 && own.m_cleared == 0)
+    {
+        return false;
+    }
+
+    // Several engines lost at once, without this request, have a cause in common.
+    const auto at_once = [&](const crash& other) {
+        return std::chrono::abs(other.m_seen - own.m_seen) <= m_settings.m_burst_window &&
+               !other.m_explained && !other.m_members.contains(fingerprint);
+    };
+    const auto others =
+        static_cast<std::uint64_t>(std::count_if(m_crashes.begin(), m_crashes.end(), at_once));
+    return others < m_settings.m_burst_others;
+}
+
+bool crash_blame::is_blamed(std::uint64_t fingerprint, const suspect& who) const
+{
+    const auto supports = [&](std::uint64_t number) { return is_evidence(fingerprint, number); };
+    const auto supporting = static_cast<std::uint64_t>(
+        std::count_if(who.m_crashes.begin(), who.m_crashes.end(), supports));
+    return supporting >= m_settings.m_min_crashes &&
+           supporting >= needed_crashes(fingerprint, who) && !has_rival(fingerprint, who);
+}
+
+void crash_blame::judge(core::time_point now)
+{
+    std::vector<std::uint64_t> blamed;
+    for (const auto& [fingerprint, who] : m_suspects)
+    {
+        if (is_blamed(fingerprint, who))
+        {
+            blamed.push_back(fingerprint);
+        }
+    }
+    std::sort(blamed.begin(), blamed.end());
+    for (const std::uint64_t fingerprint : blamed)
+    {
+        // One cause found may have explained another's crashes.
+        const auto found = m_suspects.find(fingerprint);
+        if (found == m_suspects.end() || !is_blamed(fingerprint, found->second))
+        {
+            continue;
+        }
+        const std::vector<std::uint64_t> crashes = found->second.m_crashes;
+        TARRAGONTRAIL_INVARIANT(crashes.size() >= 2, "quarantine_needs_two_crashes");
+        start_quarantine(fingerprint, now + m_settings.m_quarantine, crashes.size());
+        quarantine_notice notice{fingerprint, m_settings.m_quarantine, {}};
+        for (const std::uint64_t number : crashes)
+        {
+            crash& where = crash_at(number);
+            notice.m_crashes.push_back({where.m_engine, where.m_started});
+            explain(where);
+        }
+        m_actions.emplace_back(share_quarantine{std::move(notice)});
+    }
+}
+
+void crash_blame::start_quarantine(std::uint64_t fingerprint, core::time_point until,
+                                   std::uint64_t crashes)
+{
+    const bool known = m_quarantines.contains(fingerprint);
+    if (!known && m_quarantines.size() >= m_settings.m_max_quarantines)
+    {
+        // The one that would end first makes room.
+        m_quarantines.erase(std::min_element(
+            m_quarantines.begin(), m_quarantines.end(),
+            [](const auto& a, const auto& b) { return a.second.m_until < b.second.m_until; }));
+    }
+    quarantine& held = m_quarantines[fingerprint];
+    held.m_until = std::max(held.m_until, until);
+    held.m_crashes = std::max(held.m_crashes, crashes);
+}
+
+void crash_blame::exonerate(std::uint64_t fingerprint, core::time_point now)
+{
+    // Reports that were overtaken by this word, or come twice, change nothing.
+    m_recent[fingerprint] = now;
+    schedule_judging(now);
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end())
+    {
+        return;
+    }
+    for (const std::uint64_t number : found->second.m_crashes)
+    {
+        crash& where = crash_at(number);
+        where.m_members.erase(fingerprint);
+        ++where.m_cleared;
+    }
+    m_suspects.erase(found);
+}
+
+void crash_blame::explain(crash& where)
+{
+    // The cause is found, so the crash speaks against nobody else.
+    where.m_explained = true;
+    forget_members(where);
+}
+
+void crash_blame::forget_members(crash& where)
+{
+    for (const std::uint64_t member : where.m_members)
+    {
+        const auto found = m_suspects.find(member);
+        std::erase(found->second.m_crashes, where.m_number);
+        if (found->second.m_crashes.empty())
+        {
+            m_suspects.erase(found);
+        }
+    }
+    where.m_members.clear();
+}
+
+void crash_blame::drop_oldest_crash()
+{
+    forget_members(m_crashes.front());
+    m_crashes.pop_front();
+}
+
+} // namespace tarragontrail::recovery
--- a/tarragontrail/recovery/crash_blame.hpp
+++ b/tarragontrail/recovery/crash_blame.hpp
@@ -22,9 +22,13 @@
     std::uint64_t m_min_crashes = 2;             ///< Distinct crashes that a blamed request was in.
     std::uint64_t m_max_needed = 4;              ///< Crashes needed at most, when others crash too.
     std::chrono::seconds m_unrelated_window{30}; ///< Other crashes so near in time raise the need.
+    std::chrono::seconds m_burst_window{2};      ///< Crashes so near in time are at once.
+    std::uint64_t m_burst_others = 2;            ///< So many others at once void a crash.
     std::chrono::seconds m_suspect_lapse{600};   ///< A crash is forgotten after this.
     std::chrono::seconds m_quarantine{1800};     ///< Length of a quarantine.
     std::chrono::milliseconds m_report_settling{500}; ///< Wait for other instances' reports.
+    std::chrono::milliseconds m_max_hold{6000};       ///< An open case is held back this long.
+    std::chrono::seconds m_clear_memory{5};           ///< A cleared request is no suspect so long.
     std::size_t m_max_crashes = 128;                  ///< Crashes remembered.
     std::size_t m_max_crash_members = 512;            ///< Requests remembered of one crash.
     std::size_t m_max_quarantines = 1024;             ///< Quarantines held at once.
@@ -54,8 +58,8 @@
 /// Whether a request may be dispatched to an engine.
 enum class blame_verdict
 {
-    allowed,     ///< Go ahead.
-    hold,        ///< Suspect, and the engine runs another suspect: take another engine or wait.
+    allowed, ///< Go ahead.
+    hold,    ///< Suspect, and judged soon or the engine runs another: wait, or try another engine.
     quarantined, ///< Refuse the caller.
 };
 
@@ -125,6 +129,7 @@
         std::unordered_set<std::uint64_t> m_members; ///< Requests in flight that were not cleared.
         std::size_t m_reported = 0;                  ///< Requests reported in all.
         std::size_t m_cleared = 0;                   ///< Of these, cleared since.
+        bool m_explained = false;                    ///< Its cause was quarantined.
     };
 
     /// Suspect's record.
@@ -143,13 +148,20 @@
     crash& record_crash(core::upstream_id engine, core::incarnation started, core::time_point now);
     void add_members(crash& where, const std::vector<std::uint64_t>& fingerprints,
                      core::time_point now);
-    const crash* find_crash(std::uint64_t number) const;
-    std::uint64_t needed_crashes(const suspect& who) const;
+    void schedule_judging(core::time_point now);
+    const crash& crash_at(std::uint64_t number) const;
+    crash& crash_at(std::uint64_t number);
+    std::uint64_t needed_crashes(std::uint64_t fingerprint, const suspect& who) const;
     bool has_rival(std::uint64_t fingerprint, const suspect& who) const;
+    bool is_evidence(std::uint64_t fingerprint, std::uint64_t number) const;
     bool is_blamed(std::uint64_t fingerprint, const suspect& who) const;
+    /// A second copy of each message covers the loss of the first.
+    void repeat_messages();
     void judge(core::time_point now);
     void start_quarantine(std::uint64_t fingerprint, core::time_point until, std::uint64_t crashes);
-    void exonerate(std::uint64_t fingerprint);
+    void exonerate(std::uint64_t fingerprint, core::time_point now);
+    void explain(crash& where);
+    void forget_members(crash& where);
     void drop_oldest_crash();
 
     crash_blame_settings m_settings;                       ///< Settings.
@@ -160,7 +172,10 @@
     std::unordered_map<std::uint64_t, quarantine> m_quarantines; ///< By fingerprint.
     std::unordered_map<core::upstream_id, std::vector<std::uint64_t>> m_in_flight; ///< By engine.
     std::optional<core::time_point> m_judge_at; ///< When open cases are judged.
-    std::vector<blame_action> m_actions;        ///< Actions not yet taken.
+    std::vector<crash_report> m_repeats;        ///< Own reports to share a second time.
+    std::vector<std::uint64_t> m_cleared;       ///< Cleared suspects to share a second time.
+    std::unordered_map<std::uint64_t, core::time_point> m_recent; ///< Fingerprints cleared lately.
+    std::vector<blame_action> m_actions;                          ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::recovery
--- a/tarragontrail/recovery/messages.hpp
+++ b/tarragontrail/recovery/messages.hpp
@@ -19,11 +19,21 @@
     bool operator==(const crash_report&) const = default;
 };
 
+/// One crash of an engine.
+struct crash_identity
+{
+    core::upstream_id m_engine{};  ///< Engine.
+    core::incarnation m_started{}; ///< Incarnation that crashed.
+
+    bool operator==(const crash_identity&) const = default;
+};
+
 /// A request's fingerprint is refused everywhere for a while.
 struct quarantine_notice
 {
     std::uint64_t m_fingerprint = 0;        ///< Request.
     std::chrono::milliseconds m_duration{}; ///< Time left, counted from the receipt.
+    std::vector<crash_identity> m_crashes;  ///< Crashes that it explains.
 
     bool operator==(const quarantine_notice&) const = default;
 };
--- a/tarragontrail/recovery/retry_budget.hpp
+++ b/tarragontrail/recovery/retry_budget.hpp
@@ -77,7 +77,11 @@
     double tokens() const noexcept { return m_tokens; }
 
 private:
+    /// Retries by which sums of fractions may be off.
+    static constexpr double rounding_slack = 1e-3;
+
     void refill(core::time_point now);
+    void earn(double tokens);
 
     retry_budget_settings m_settings; ///< Settings.
     core::seeded_random m_random;     ///< Source of jitter.
--- a/tarragontrail/recovery/stream_tracker.hpp
+++ b/tarragontrail/recovery/stream_tracker.hpp
@@ -86,6 +86,9 @@
     /// The attempt's connection or engine was lost; `proven_not_run` when no byte was sent.
     void on_attempt_lost(std::uint64_t attempt, bool proven_not_run, core::time_point now);
 
+    /// The resume that was asked for was dispatched as this attempt.
+    void on_attempt_started(std::uint64_t attempt, core::time_point now);
+
     /// The retry budget refused the resume that was asked for.
     void on_retry_refused(core::time_point now);
 
@@ -118,11 +121,13 @@
         std::string m_text;         ///< Text.
     };
 
+    bool is_current(core::request_id request, std::uint64_t attempt) const noexcept;
     void deliver_chunk(std::uint64_t offset, std::uint64_t tokens, const std::string& text);
     void deliver_held();
+    void note_gap(core::time_point now);
     void check_end(core::time_point now);
     void start_resume(core::time_point now);
-    void fail(core::execution execution);
+    void fail();
 
     stream_tracker_settings m_settings;          ///< Settings.
     core::request_id m_request;                  ///< Request.
@@ -133,6 +138,7 @@
     std::optional<core::time_point> m_gap_since; ///< When the present gap was first seen.
     core::time_point m_heard{};                  ///< Last sign of life of the attempt.
     core::time_point m_deadline;                 ///< The caller's deadline.
+    bool m_resuming = false;                     ///< A resume was asked for, not yet dispatched.
     bool m_any_run = false;                      ///< Some attempt may have run.
     bool m_closed = false;                       ///< Finished or failed.
     std::uint64_t m_dropped = 0;                 ///< Chunks dropped.
--- /dev/null
+++ b/unit_tests/recovery/crash_blame_test.cpp
@@ -0,0 +1,266 @@
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/recovery/crash_blame.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <utility>
+
+using namespace tarragontrail;
+using namespace tarragontrail::recovery;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Three instances send requests to ten engines; some requests crash whatever runs them.
+class crash_world
+{
+public:
+    crash_world(std::uint64_t seed, std::uint64_t poisons, bool outages, bool loss)
+        : m_random(seed), m_poisons(poisons), m_outages(outages), m_loss(loss)
+    {
+        for (std::uint64_t i = 0; i < instance_count; ++i)
+        {
+            m_blames.emplace_back(crash_blame_settings{}, core::instance_id{i + 1});
+        }
+    }
+
+    void run()
+    {
+        for (; m_now < core::time_point{} + 200s; m_now += 100ms)
+        {
+            arrive();
+            maybe_lose_domain();
+            for (std::uint64_t engine = 0; engine < engine_count; ++engine)
+            {
+                advance_engine(engine);
+            }
+            exchange();
+        }
+
+        // Every poison was found in time, and nobody else was blamed.
+        for (std::uint64_t poison = 1; poison <= m_poisons; ++poison)
+        {
+            RC_ASSERT(m_refused.contains(poison));
+            RC_ASSERT(m_poisons > 1 || m_crashes_by[poison] <= crash_blame_settings{}.m_max_needed);
+        }
+        for (const crash_blame& blame : m_blames)
+        {
+            for (const quarantine_entry& entry : blame.list(m_now))
+            {
+                RC_ASSERT(entry.m_fingerprint <= m_poisons);
+            }
+        }
+        RC_ASSERT(m_waiting.empty());
+    }
+
+    std::uint64_t m_steps = 0; ///< Attempts made.
+
+private:
+    static constexpr std::uint64_t instance_count = 3;
+    static constexpr std::uint64_t engine_count = 10;
+
+    /// Request on an engine.
+    struct running
+    {
+        std::uint64_t m_fingerprint; ///< Request.
+        std::uint64_t m_instance;    ///< Instance that sent it.
+        core::time_point m_until;    ///< When it ends, or crashes its engine.
+    };
+
+    void arrive()
+    {
+        if (m_now < core::time_point{} + 120s && m_random.unit() < 0.5)
+        {
+            m_waiting.push_back(++m_requests + 1000);
+        }
+        // The poisons come one after another, or nearly together.
+        if (m_sent < m_poisons && m_now > core::time_point{} + 20s && m_random.unit() < 0.02)
+        {
+            m_waiting.push_back(++m_sent);
+        }
+        std::vector<std::uint64_t> held;
+        for (const std::uint64_t fingerprint : std::exchange(m_waiting, {}))
+        {
+            if (!place(fingerprint))
+            {
+                held.push_back(fingerprint);
+            }
+        }
+        m_waiting.insert(m_waiting.end(), held.begin(), held.end());
+    }
+
+    /// Its caller sends it to any instance; returns false while it is held.
+    bool place(std::uint64_t fingerprint)
+    {
+        const std::uint64_t instance = m_random.below(instance_count);
+        const std::uint64_t engine = m_random.below(engine_count);
+        const core::upstream_id id{engine + 1};
+        switch (m_blames[instance].check(fingerprint, id, m_now))
+        {
+        case blame_verdict::quarantined:
+            RC_ASSERT(fingerprint <= m_poisons);
+            m_refused.insert(fingerprint);
+            return true;
+        case blame_verdict::hold:
+            return false;
+        case blame_verdict::allowed:
+            break;
+        }
+        ++m_steps;
+        m_blames[instance].on_dispatched(fingerprint, id);
+        const auto time = std::chrono::milliseconds(200 + m_random.below(4000));
+        m_engines[engine].push_back({fingerprint, instance, m_now + time});
+        return true;
+    }
+
+    /// Now and then several engines go down at once; twice in a row at the worst.
+    void maybe_lose_domain()
+    {
+        if (!m_outages || m_random.unit() >= 0.003)
+        {
+            return;
+        }
+        const std::uint64_t first = m_random.below(engine_count);
+        const std::uint64_t count = 2 + m_random.below(4);
+        for (std::uint64_t i = 0; i < count; ++i)
+        {
+            crash((first + i) % engine_count);
+        }
+    }
+
+    void advance_engine(std::uint64_t engine)
+    {
+        std::vector<running>& list = m_engines[engine];
+        for (const running& request : list)
+        {
+            if (request.m_fingerprint <= m_poisons && request.m_until <= m_now)
+            {
+                ++m_crashes_by[request.m_fingerprint];
+                crash(engine);
+                return;
+            }
+        }
+        const auto done = [&](const running& request) {
+            if (request.m_until > m_now)
+            {
+                return false;
+            }
+            m_blames[request.m_instance].on_finished(request.m_fingerprint,
+                                                     core::upstream_id{engine + 1}, true, m_now);
+            return true;
+        };
+        std::erase_if(list, done);
+    }
+
+    void crash(std::uint64_t engine)
+    {
+        const core::incarnation started{++m_started[engine]};
+        for (crash_blame& blame : m_blames)
+        {
+            blame.on_engine_crashed(core::upstream_id{engine + 1}, started, m_now);
+        }
+        for (const running& request : std::exchange(m_engines[engine], {}))
+        {
+            m_waiting.push_back(request.m_fingerprint);
+        }
+    }
+
+    /// Messages between instances: some lost, some twice.
+    void exchange()
+    {
+        for (std::uint64_t from = 0; from < instance_count; ++from)
+        {
+            m_blames[from].on_timer(m_now);
+            for (const blame_action& action : m_blames[from].take_actions())
+            {
+                for (std::uint64_t to = 0; to < instance_count; ++to)
+                {
+                    const std::uint64_t copies = m_random.below(10) + (m_loss ? 0 : 1);
+                    for (std::uint64_t i = 0; to != from && i < std::min<std::uint64_t>(copies, 2);
+                         ++i)
+                    {
+                        std::visit([&](const auto& what) { receive(m_blames[to], what); }, action);
+                    }
+                }
+            }
+        }
+    }
+
+    void receive(crash_blame& to, const share_crash& what)
+    {
+        to.on_crash_report(what.m_report, m_now);
+    }
+    void receive(crash_blame& to, const share_quarantine& what)
+    {
+        to.on_quarantine_notice(what.m_notice, m_now);
+    }
+    void receive(crash_blame& to, const share_exoneration& what)
+    {
+        to.on_exoneration_notice(what.m_notice, m_now);
+    }
+
+    core::seeded_random m_random;      ///< Source of every choice.
+    std::uint64_t m_poisons;           ///< Fingerprints 1 to this crash engines.
+    bool m_outages;                    ///< Engines also crash from other causes.
+    bool m_loss;                       ///< Messages between instances get lost.
+    std::vector<crash_blame> m_blames; ///< By instance.
+    std::map<std::uint64_t, std::vector<running>> m_engines; ///< Requests that run.
+    std::map<std::uint64_t, std::uint64_t> m_started;        ///< Incarnations of engines.
+    std::map<std::uint64_t, std::uint64_t> m_crashes_by;     ///< Crashes caused by each poison.
+    std::vector<std::uint64_t> m_waiting;                    ///< Requests to place.
+    std::set<std::uint64_t> m_refused;                       ///< Requests refused as quarantined.
+    std::uint64_t m_requests = 0;                            ///< Innocent requests sent.
+    std::uint64_t m_sent = 0;                                ///< Poisons sent.
+    core::time_point m_now{};                                ///< Time.
+};
+
+void run_worlds(const char* name, std::uint64_t poisons, bool outages, bool loss)
+{
+    std::uint64_t steps = 0;
+    CPPUNIT_ASSERT(rc::check(name, [&] {
+        crash_world world(*rc::gen::arbitrary<std::uint64_t>(), poisons, outages, loss);
+        world.run();
+        steps += world.m_steps;
+    }));
+    fmt::print("crash_blame_test: {} attempts\n", steps);
+}
+
+} // namespace
+
+/// Requests that crash engines are quarantined; no others are.
+class crash_blame_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crash_blame_test);
+    CPPUNIT_TEST(poison_is_found_and_innocents_finish);
+    CPPUNIT_TEST(lost_failure_domains_blame_nobody);
+    CPPUNIT_TEST(two_poisons_at_once_are_found);
+    CPPUNIT_TEST(poisons_among_outages_are_found);
+    CPPUNIT_TEST(operator_clears_a_quarantine_everywhere);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void poison_is_found_and_innocents_finish() { run_worlds("one poison", 1, false, false); }
+    void lost_failure_domains_blame_nobody() { run_worlds("outages", 0, true, true); }
+    void two_poisons_at_once_are_found() { run_worlds("two poisons", 2, false, false); }
+    void poisons_among_outages_are_found() { run_worlds("poisons, outages", 2, true, false); }
+
+    void operator_clears_a_quarantine_everywhere()
+    {
+        const core::time_point now{};
+        crash_blame blame({}, core::instance_id{1});
+        blame.on_quarantine_notice({5, 10s, {}}, now);
+        CPPUNIT_ASSERT(blame.check(5, core::upstream_id{1}, now) == blame_verdict::quarantined);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, blame.list(now).size());
+        CPPUNIT_ASSERT(blame.clear(5, now));
+        CPPUNIT_ASSERT(blame.check(5, core::upstream_id{1}, now) == blame_verdict::allowed);
+        CPPUNIT_ASSERT(
+            std::get<share_exoneration>(blame.take_actions().at(0)).m_notice.m_by_operator);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(crash_blame_test, "recovery");
