Prove the limits cores under loss, restarts, moved homes and changed limits

A refund is now bounded by the smallest headroom since the charge; every earlier refund counts as if it had filled that headroom. Claims wait one list lag, else a fleet's first start wrote two rows in vain.

--- a/tarragontrail/limits/admission_control.cpp
+++ b/tarragontrail/limits/admission_control.cpp
@@ -29,9 +29,9 @@
 }
 
 void admission_control::set_listed(const std::vector<core::instance_id>& listed,
-                                   core::time_point now)
+                                   core::time_point asked_at, core::time_point now)
 {
-    m_ownership.set_listed(listed, now);
+    m_ownership.set_listed(listed, asked_at, now);
     follow_ownership(now);
 }
 
@@ -53,9 +53,9 @@
     follow_ownership(now);
 }
 
-void admission_control::on_peer_share_row(const share_row& row, core::time_point now)
+void admission_control::learn_share_row(const share_row& row, core::time_point now)
 {
-    m_ownership.on_peer_row(row, now);
+    m_ownership.learn_row(row, now);
     follow_ownership(now);
 }
 
--- a/tarragontrail/limits/admission_control.hpp
+++ b/tarragontrail/limits/admission_control.hpp
@@ -37,11 +37,12 @@
     /// Membership and rows, see share_ownership.
     void set_genesis(std::vector<member> members, core::time_point now);
     void set_view(const std::vector<member>& members, core::view_number view, core::time_point now);
-    void set_listed(const std::vector<core::instance_id>& listed, core::time_point now);
+    void set_listed(const std::vector<core::instance_id>& listed, core::time_point asked_at,
+                    core::time_point now);
     void confirm_rows(core::time_point now);
     void on_share_row(const share_row& row, core::time_point now);
     void on_share_row_missing(core::workspace_id workspace, core::time_point now);
-    void on_peer_share_row(const share_row& row, core::time_point now);
+    void learn_share_row(const share_row& row, core::time_point now);
 
     /// Sets a workspace's limit; an epoch that is not newer than the known one has no effect.
     void set_limit(core::workspace_id workspace, std::uint64_t tokens_per_second,
@@ -87,7 +88,9 @@
     struct asked_lender
     {
         core::instance_id m_lender{};
-        std::uint64_t m_loan_id = 0;
+        std::uint64_t m_loan_id = 0; ///< Its last loan request.
+        bool m_is_repeated = false;  ///< Asked a second time already.
+        bool m_has_more = false;     ///< It answered that it has tokens left.
     };
 
     /// Request that is gathering tokens or has been admitted.
@@ -96,7 +99,7 @@
         core::workspace_id m_workspace{};
         std::uint64_t m_charge = 0;         ///< Micro-tokens to gather.
         std::uint64_t m_own = 0;            ///< Micro-tokens from the share held here.
-        std::uint64_t m_own_overflow = 0;   ///< Overflow account of the share at admission.
+        std::uint64_t m_own_mark = 0;       ///< Mark of the own part at admission.
         std::uint32_t m_own_generation = 0; ///< Share that the own part came from.
         bool m_is_admitted = false;         ///< Admitted, not yet settled.
         bool m_met_timeout = false;         ///< Some lender did not answer in time.
@@ -140,6 +143,7 @@
         std::uint64_t m_burst = 0;
         std::uint64_t m_estimate = 0;
         bool m_is_paused = false;
+        bool m_is_repeat = false;
     };
 
     limit_context context_of(const share_row& row, core::time_point now) const;
--- a/tarragontrail/limits/home_share.cpp
+++ b/tarragontrail/limits/home_share.cpp
@@ -94,7 +94,7 @@
     }
     else if (ended.m_state == loan_state::spent)
     {
-        m_bucket.refund(ended.m_amount - used, ended.m_overflow_then);
+        m_bucket.refund(ended.m_amount - used, ended.m_mark);
     }
     ended.m_state = loan_state::settled;
 }
@@ -113,7 +113,7 @@
         return;
     }
     m_bucket.spend_reserved(lapsed.m_amount);
-    lapsed.m_overflow_then = m_bucket.overflow();
+    lapsed.m_mark = m_bucket.mark();
     lapsed.m_state = loan_state::spent;
     m_forgetting.push_back({due.m_due + settings.m_loan_memory, due.m_key});
 }
--- a/tarragontrail/limits/home_share.hpp
+++ b/tarragontrail/limits/home_share.hpp
@@ -66,8 +66,8 @@
 
     struct loan
     {
-        std::uint64_t m_amount = 0;        ///< Micro-tokens lent.
-        std::uint64_t m_overflow_then = 0; ///< Overflow account when the loan lapsed.
+        std::uint64_t m_amount = 0; ///< Micro-tokens lent.
+        std::uint64_t m_mark = 0;   ///< Mark of the moment when the loan lapsed.
         loan_state m_state = loan_state::reserved;
     };
 
--- a/tarragontrail/limits/loan_gathering.cpp
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -21,6 +21,14 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(wait) + 1);
 }
 
+/// Entry of a lender in a list of lenders asked, or its end.
+template <class List>
+auto find_asked(List& asked, core::instance_id lender)
+{
+    return std::find_if(asked.begin(), asked.end(),
+                        [&](const auto& each) { return each.m_lender == lender; });
+}
+
 } // namespace
 
 void admission_control::on_loan_reply(core::instance_id from, const loan_reply& message,
@@ -55,6 +63,10 @@
     --state.m_open_asks;
     state.m_open_amount -= asked.m_amount;
     asked.m_state = ask_state::abandoned;
+    for (asked_lender& each : state.m_asked)
+    {
+        each.m_has_more = each.m_lender == from ? message.m_left > 0 : each.m_has_more;
+    }
     if (message.m_granted && now < usable_until)
     {
         ++m_counts.m_loans_granted;
@@ -106,16 +118,15 @@
     m_candidates.clear();
     for (const lender& home : book.homes())
     {
-        const bool was_asked =
-            std::any_of(state.m_asked.begin(), state.m_asked.end(),
-                        [&](const asked_lender& each) { return each.m_lender == home.m_instance; });
-        if (was_asked)
+        const auto asked = find_asked(state.m_asked, home.m_instance);
+        const bool is_repeat = asked != state.m_asked.end();
+        if (is_repeat && (asked->m_is_repeated || !asked->m_has_more))
         {
             continue;
         }
         m_candidates.push_back({home.m_instance, home.m_part.m_burst,
                                 lender_book::estimate(home, now),
-                                m_paused.is_paused(home.m_instance, now)});
+                                m_paused.is_paused(home.m_instance, now), is_repeat});
     }
     std::sort(m_candidates.begin(), m_candidates.end(),
               [](const candidate& left, const candidate& right) {
@@ -129,7 +140,7 @@
     {
         const candidate& next = m_candidates[index];
         const bool is_last = index + 1 == m_candidates.size();
-        const std::uint64_t most = is_last ? next.m_burst : next.m_estimate;
+        const std::uint64_t most = is_last && !next.m_is_repeat ? next.m_burst : next.m_estimate;
         const std::uint64_t amount = std::min(wanted, most);
         if (amount == 0)
         {
@@ -147,7 +158,15 @@
     const std::uint64_t loan_id = m_next_loan_id++;
     m_asks.emplace(loan_id, ask{request, state.m_workspace, lender, amount, now, ask_state::open});
     m_timeouts.push_back({now + m_settings.m_reply_timeout, loan_id});
-    state.m_asked.push_back({lender, loan_id});
+    const auto before = find_asked(state.m_asked, lender);
+    if (before == state.m_asked.end())
+    {
+        state.m_asked.push_back({lender, loan_id, false, false});
+    }
+    else
+    {
+        *before = {lender, loan_id, true, false};
+    }
     state.m_open_amount += amount;
     ++state.m_open_asks;
     ++m_counts.m_loans_asked;
@@ -182,7 +201,7 @@
     {
         token_bucket& bucket = own_share(state)->bucket();
         bucket.spend_reserved(state.m_own);
-        state.m_own_overflow = bucket.overflow();
+        state.m_own_mark = bucket.mark();
     }
     state.m_is_admitted = true;
     ++m_counts.m_admitted;
@@ -254,12 +273,12 @@
     }
     for (const asked_lender& each : state.m_asked)
     {
-        ask& asked = m_asks.at(each.m_loan_id);
-        if (asked.m_state != ask_state::open)
+        const auto found = m_asks.find(each.m_loan_id);
+        if (found == m_asks.end() || found->second.m_state != ask_state::open)
         {
             continue;
         }
-        asked.m_state = ask_state::abandoned;
+        found->second.m_state = ask_state::abandoned;
         send_settle(each.m_lender, state.m_workspace, each.m_loan_id, 0);
     }
     state.m_open_asks = 0;
@@ -279,7 +298,7 @@
     if (share != nullptr && unused > 0)
     {
         share->advance(m_settings, now);
-        share->bucket().refund(unused, state.m_own_overflow);
+        share->bucket().refund(unused, state.m_own_mark);
     }
 }
 
--- a/tarragontrail/limits/share_ownership.cpp
+++ b/tarragontrail/limits/share_ownership.cpp
@@ -30,11 +30,16 @@
     act_on_all(now);
 }
 
-void share_ownership::set_listed(const std::vector<core::instance_id>& listed, core::time_point now)
+void share_ownership::set_listed(const std::vector<core::instance_id>& listed,
+                                 core::time_point asked_at, core::time_point now)
 {
+    if (m_listed_at && asked_at < *m_listed_at)
+    {
+        return;
+    }
     const std::unordered_set<core::instance_id> before =
         std::exchange(m_listed, {listed.begin(), listed.end()});
-    m_listed_at = now;
+    m_listed_at = asked_at;
     for (const core::instance_id present : listed)
     {
         m_absent.erase(present);
@@ -100,7 +105,7 @@
     act(found->second, now);
 }
 
-void share_ownership::on_peer_row(const share_row& row, core::time_point now)
+void share_ownership::learn_row(const share_row& row, core::time_point now)
 {
     const auto found = m_tracked.find(row.m_workspace);
     if (found == m_tracked.end())
@@ -241,10 +246,15 @@
     }
     const core::time_point absent_since =
         m_absent.try_emplace(slot.m_holder, *m_listed_at).first->second;
-    if (slot.m_claimant != m_self)
+    if (slot.m_claimant != m_self && *m_listed_at - absent_since >= m_settings.m_list_lag)
     {
         return claim_slot(state, index);
     }
+    m_due[state.m_row.m_workspace] = now + m_settings.m_row_timeout;
+    if (slot.m_claimant != m_self)
+    {
+        return std::nullopt;
+    }
 
     // The list must have been read without the holder for the whole wait.
     const core::time_point from = std::max(absent_since, state.m_claimed_at.value_or(now));
--- a/tarragontrail/limits/share_ownership.hpp
+++ b/tarragontrail/limits/share_ownership.hpp
@@ -32,8 +32,9 @@
     /// Sets the members of the agreed view, among which successors are chosen.
     void set_members(std::vector<member> members, core::time_point now);
 
-    /// Takes a reading of the platform's list of instances.
-    void set_listed(const std::vector<core::instance_id>& listed, core::time_point now);
+    /// Takes the platform's list of instances as read by a query sent at `asked_at`.
+    void set_listed(const std::vector<core::instance_id>& listed, core::time_point asked_at,
+                    core::time_point now);
 
     /// States that every row written before this process started has been delivered.
     void confirm_rows(core::time_point now);
@@ -48,8 +49,8 @@
     /// Takes the table's answer that a workspace has no row.
     void on_row_missing(core::workspace_id workspace, core::time_point now);
 
-    /// Takes a row that a peer knows.
-    void on_peer_row(const share_row& row, core::time_point now);
+    /// Takes a row learnt by polling the table or from a peer.
+    void learn_row(const share_row& row, core::time_point now);
 
     /// Asks for a row to be read unless an answer is already awaited.
     void refresh(core::workspace_id workspace, core::time_point now);
@@ -101,8 +102,8 @@
     std::vector<member> m_members;                  ///< Members of the agreed view.
     std::unordered_set<core::instance_id> m_listed; ///< Platform's list.
     std::unordered_map<core::instance_id, core::time_point> m_absent; ///< Since when unlisted.
-    std::optional<core::time_point> m_listed_at;                      ///< Last reading of the list.
-    bool m_confirmed = false;                                       ///< Rows are known since start.
+    std::optional<core::time_point> m_listed_at; ///< When the newest list was asked for.
+    bool m_confirmed = false;                    ///< Rows are known since start.
     std::unordered_map<core::workspace_id, tracked> m_tracked;      ///< Followed workspaces.
     std::unordered_map<core::workspace_id, core::time_point> m_due; ///< Next look at a workspace.
     std::vector<action> m_actions;                                  ///< Actions not yet taken.
--- a/tarragontrail/limits/token_bucket.cpp
+++ b/tarragontrail/limits/token_bucket.cpp
@@ -27,10 +27,8 @@
     m_carry = static_cast<std::uint64_t>(accrued % NANOSECONDS_PER_SECOND);
     const wide_uint whole = accrued / NANOSECONDS_PER_SECOND;
 
-    // More than twice the burst cannot fit; capping it keeps the overflow account in 64 bits.
-    const wide_uint most = wide_uint{m_limit.m_burst} * 2;
-    add(static_cast<std::uint64_t>(std::min(whole, most)));
-    check();
+    add(static_cast<std::uint64_t>(std::min(whole, wide_uint{m_limit.m_burst})));
+    note();
 }
 
 std::uint64_t token_bucket::take(std::uint64_t amount)
@@ -44,7 +42,6 @@
 {
     const std::uint64_t taken = take(amount);
     m_reserved += taken;
-    check();
     return taken;
 }
 
@@ -58,24 +55,30 @@
 {
     spend_reserved(amount);
     add(amount);
-    check();
+    note();
 }
 
-void token_bucket::refund(std::uint64_t amount, std::uint64_t overflow_then)
+std::uint64_t token_bucket::mark()
 {
-    const std::uint64_t lost = std::min(amount, m_overflow - overflow_then);
-    m_overflow += lost;
-    add(amount - lost);
-    check();
+    const std::uint64_t mark = m_headroom.mark();
+    note();
+    return mark;
+}
+
+void token_bucket::refund(std::uint64_t amount, std::uint64_t mark)
+{
+    note();
+    const std::uint64_t kept = std::min(amount, m_headroom.smallest_since(mark));
+    m_headroom.lower(amount);
+    add(kept);
+    note();
 }
 
 void token_bucket::set_limit(const bucket_limit& limit)
 {
     m_limit = limit;
-    const std::uint64_t kept = std::min(m_balance, room());
-    m_overflow += m_balance - kept;
-    m_balance = kept;
-    check();
+    m_balance = std::min(m_balance, room());
+    note();
 }
 
 core::duration token_bucket::time_until(std::uint64_t amount) const noexcept
@@ -101,16 +104,14 @@
 
 void token_bucket::add(std::uint64_t amount)
 {
-    const std::uint64_t space = room() - std::min(room(), m_balance);
-    const std::uint64_t added = std::min(amount, space);
-    m_balance += added;
-    m_overflow += amount - added;
+    m_balance += std::min(amount, room() - std::min(room(), m_balance));
     m_carry = m_balance == room() ? 0 : m_carry;
 }
 
-void token_bucket::check() const
+void token_bucket::note()
 {
     TARRAGONTRAIL_INVARIANT(m_balance <= room(), "limits.balance_and_loans_within_burst");
+    m_headroom.note(room() - m_balance);
 }
 
 } // namespace tarragontrail::limits
--- a/tarragontrail/limits/token_bucket.hpp
+++ b/tarragontrail/limits/token_bucket.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/limits/headroom_history.hpp"
 
 #include <cstdint>
 
@@ -23,9 +24,9 @@
 
 /// Token bucket in integers: no drift, and reserved tokens count against the burst.
 ///
-/// A refund gives back no more than the bucket would hold had the smaller amount been taken at
-/// first: what overflowed since then is lost. So for every window, what was taken less what was
-/// refunded, each counted at the moment of taking, stays within burst + rate * window.
+/// A refund gives back no more than the bucket would hold now had the smaller amount been taken at
+/// first: what would have overflowed since then is lost. So for every window, what was taken less
+/// what was refunded, each counted at the moment of taking, stays within burst + rate * window.
 class token_bucket
 {
 public:
@@ -48,8 +49,11 @@
     /// Puts reserved tokens back into the balance; they were never taken.
     void return_reserved(std::uint64_t amount);
 
-    /// Refunds tokens taken when `overflow()` was `overflow_then`.
-    void refund(std::uint64_t amount, std::uint64_t overflow_then);
+    /// Mark to refund by, got right after tokens were taken or spent.
+    std::uint64_t mark();
+
+    /// Refunds tokens taken at `mark`, as far as they would still be there.
+    void refund(std::uint64_t amount, std::uint64_t mark);
 
     /// Replaces rate and burst; what no longer fits is lost.
     void set_limit(const bucket_limit& limit);
@@ -58,9 +62,6 @@
     std::uint64_t reserved() const noexcept { return m_reserved; }
     const bucket_limit& limit() const noexcept { return m_limit; }
 
-    /// Tokens that accrued or were refunded while there was no room, since the bucket was made.
-    std::uint64_t overflow() const noexcept { return m_overflow; }
-
     /// Time until the balance reaches `amount`; the longest duration if it never does.
     core::duration time_until(std::uint64_t amount) const noexcept;
 
@@ -68,17 +69,18 @@
     /// Tokens that the balance may hold beside the reservations.
     std::uint64_t room() const noexcept;
 
-    /// Adds to the balance as far as there is room and counts the rest as overflow.
+    /// Adds to the balance as far as there is room.
     void add(std::uint64_t amount);
 
-    void check() const;
+    /// Notes the headroom and checks the account.
+    void note();
 
     bucket_limit m_limit;         ///< Rate and burst.
     core::time_point m_filled_at; ///< Time up to which the balance has been refilled.
     std::uint64_t m_balance = 0;  ///< Micro-tokens that may be taken.
     std::uint64_t m_reserved = 0; ///< Micro-tokens set aside and neither spent nor returned.
-    std::uint64_t m_overflow = 0; ///< Micro-tokens lost for want of room.
     std::uint64_t m_carry = 0;    ///< Part of a micro-token accrued, in micro-token nanoseconds.
+    headroom_history m_headroom;  ///< Room left in the past.
 };
 
 } // namespace tarragontrail::limits
--- /dev/null
+++ b/unit_tests/limits/admission_control_test.cpp
@@ -0,0 +1,321 @@
+#include "unit_tests/limits/limit_network.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace tarragontrail;
+using namespace tarragontrail::limits;
+
+namespace {
+
+constexpr core::workspace_id SMALL{11};
+constexpr core::workspace_id LARGE{12};
+
+limit_settings test_settings()
+{
+    limit_settings settings;
+    settings.m_list_lag = std::chrono::seconds(3);
+    return settings;
+}
+
+/// Offers requests at random instances for `span`, in steps of 50 ms; returns the last request
+/// number.
+std::uint64_t offer_load(limit_network& network, core::seeded_random& random, core::duration span,
+                         std::uint64_t first, std::uint64_t largest_charge)
+{
+    std::uint64_t request = first;
+    const core::time_point end = network.now() + span;
+    while (network.now() < end)
+    {
+        const std::uint64_t charge = 1 + random.below(largest_charge);
+        const core::duration duration = std::chrono::milliseconds(random.below(8000));
+        network.offer(random.below(network.size()), ++request, random.below(3) == 0 ? SMALL : LARGE,
+                      charge, random.below(charge + 1), duration);
+        network.run_for(std::chrono::milliseconds(random.below(100)));
+    }
+    return request;
+}
+
+/// Restarts every instance that is up.
+void restart_fleet(limit_network& network)
+{
+    for (std::size_t index = 0; index < network.size(); ++index)
+    {
+        if (network.is_up(index))
+        {
+            network.start(index);
+        }
+    }
+}
+
+/// Brings about one fault, or ends one.
+void stir(limit_network& network, core::seeded_random& random, bool ids_are_unique,
+          std::size_t& gone)
+{
+    const std::size_t chosen = random.below(network.size());
+    switch (random.below(10))
+    {
+    case 0:
+        network.set_table_up(random.below(2) == 0);
+        break;
+    case 1:
+        network.set_cut(random.below(2) == 0);
+        break;
+    case 2:
+        network.pause(chosen, std::chrono::milliseconds(random.below(15000)));
+        break;
+    case 3:
+        if (network.is_up(chosen))
+        {
+            network.start(chosen);
+        }
+        break;
+    case 4:
+        restart_fleet(network);
+        break;
+    case 5:
+        network.set_limit(LARGE, 100 + random.below(3000), 500 + random.below(9000));
+        break;
+    case 6:
+        // One instance is gone long enough to lose its shares, then another.
+        if (!ids_are_unique && network.is_up(chosen))
+        {
+            if (!network.is_up(gone))
+            {
+                network.start(gone);
+            }
+            gone = chosen;
+            network.stop(gone);
+        }
+        break;
+    case 7:
+        if (ids_are_unique && network.is_up(chosen))
+        {
+            network.replace(chosen);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/// Clears all faults and waits until every share may be in use again.
+void heal(limit_network& network, bool ids_are_unique)
+{
+    network.set_lossless();
+    network.set_cut(false);
+    network.set_table_up(true);
+    for (std::size_t index = 0; index < network.size(); ++index)
+    {
+        if (!ids_are_unique && !network.is_up(index))
+        {
+            network.start(index);
+        }
+    }
+    network.run_for(std::chrono::seconds(60));
+}
+
+} // namespace
+
+/// Admission over several instances under faults.
+class admission_control_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_control_test);
+    CPPUNIT_TEST(no_fault_lets_a_window_exceed_the_limit);
+    CPPUNIT_TEST(lost_home_is_replaced_once);
+    CPPUNIT_TEST(outage_and_fleet_restart_keep_serving);
+    CPPUNIT_TEST(restart_in_outage_freezes_shares_when_ids_come_back);
+    CPPUNIT_TEST(charge_above_one_share_is_gathered);
+    CPPUNIT_TEST(grown_limit_waits_for_every_home);
+    CPPUNIT_TEST(refusals_name_their_reason);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void no_fault_lets_a_window_exceed_the_limit()
+    {
+        CPPUNIT_ASSERT(rc::check("faults", [] {
+            core::seeded_random random(*rc::gen::arbitrary<std::uint64_t>());
+            network_settings faults;
+            faults.m_instances = 3 + random.below(7);
+            faults.m_loss = random.unit() * 0.2;
+            faults.m_duplication = random.unit() * 0.2;
+            faults.m_late = random.unit() * 0.2;
+            faults.m_ids_are_unique = random.below(2) == 0;
+            limit_network network(test_settings(), faults, random());
+            network.set_limit(SMALL, 37, 1001);
+            network.set_limit(LARGE, 1500, 4000);
+
+            std::uint64_t request = 0;
+            std::size_t gone = 0;
+            for (int round = 0; round < 25; ++round)
+            {
+                request = offer_load(network, random, std::chrono::seconds(1 + random.below(9)),
+                                     request, 400);
+                stir(network, random, faults.m_ids_are_unique, gone);
+                RC_ASSERT(network.most_holders() <= 1u);
+                RC_ASSERT(network.checker(SMALL).largest_excess() == 0.0);
+                RC_ASSERT(network.checker(LARGE).largest_excess() == 0.0);
+            }
+
+            // With all faults gone a charge over one share's burst passes again.
+            heal(network, faults.m_ids_are_unique);
+            network.set_limit(LARGE, 2000, 8000);
+            network.run_for(std::chrono::seconds(30));
+            RC_ASSERT(network.most_holders() == 1u);
+            network.offer(network.size() - 1, ++request, LARGE, 6000, 6000,
+                          std::chrono::seconds(1));
+            network.run_for(std::chrono::seconds(2));
+            RC_ASSERT(network.outcome(request).m_is_admitted);
+            RC_ASSERT(network.checker(LARGE).largest_excess() == 0.0);
+        }));
+    }
+
+    void lost_home_is_replaced_once()
+    {
+        network_settings faults;
+        limit_network network(test_settings(), faults, 5);
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(10));
+        const std::size_t home = index_of_home(network);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, network.table_writes());
+        network.stop(home);
+        network.run_for(std::chrono::seconds(40));
+        const share_row* row = network.control((home + 1) % 8)->ownership().find_row(LARGE);
+        for (const share_slot& slot : row->m_slots)
+        {
+            CPPUNIT_ASSERT(slot.m_holder != network.members()[home].m_instance);
+            CPPUNIT_ASSERT(slot.m_claimant == core::instance_id{});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, network.table_writes());
+
+        // The instance comes back as no home; the fleet still has the whole burst.
+        network.start(home);
+        network.run_for(std::chrono::seconds(20));
+        CPPUNIT_ASSERT(network.control(home)->find(LARGE)->share() == nullptr);
+        network.offer(home, 1, LARGE, 3900, 3900, std::chrono::seconds(1));
+        network.run_for(std::chrono::seconds(2));
+        CPPUNIT_ASSERT(network.outcome(1).m_is_admitted);
+    }
+
+    void outage_and_fleet_restart_keep_serving()
+    {
+        network_settings faults;
+        faults.m_ids_are_unique = true;
+        limit_network network(test_settings(), faults, 6);
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(10));
+        network.set_table_up(false);
+        network.run_for(std::chrono::seconds(200));
+        restart_fleet(network);
+        network.run_for(std::chrono::seconds(10));
+        network.offer(0, 1, LARGE, 3900, 3900, std::chrono::seconds(1));
+        network.run_for(std::chrono::seconds(2));
+        CPPUNIT_ASSERT(network.outcome(1).m_is_admitted);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, network.table_writes());
+    }
+
+    void restart_in_outage_freezes_shares_when_ids_come_back()
+    {
+        limit_network network(test_settings(), {}, 6);
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(10));
+        network.set_table_up(false);
+        restart_fleet(network);
+        network.run_for(std::chrono::seconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, network.most_holders());
+        network.set_table_up(true);
+        network.run_for(std::chrono::seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network.most_holders());
+    }
+
+    void charge_above_one_share_is_gathered()
+    {
+        limit_network network(test_settings(), {}, 7);
+        network.set_lossless();
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(10));
+        network.offer(3, 1, LARGE, 4000, 0, std::chrono::seconds(1));
+        network.run_for(std::chrono::milliseconds(900));
+        CPPUNIT_ASSERT(network.outcome(1).m_is_admitted);
+
+        // What was not used is there again at once.
+        network.run_for(std::chrono::milliseconds(200));
+        network.offer(5, 2, LARGE, 4000, 0, std::chrono::seconds(1));
+        network.run_for(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(network.outcome(2).m_is_admitted);
+        CPPUNIT_ASSERT_EQUAL(0.0, network.checker(LARGE).largest_excess());
+    }
+
+    void grown_limit_waits_for_every_home()
+    {
+        limit_network network(test_settings(), {}, 8);
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(10));
+
+        std::uint64_t cut_off = 0;
+        for (std::size_t index = 1; index < network.size(); index += 2)
+        {
+            cut_off += network.control(index)->find(LARGE)->share() == nullptr ? 0 : 1;
+        }
+
+        // Region 2 knows neither change; region 1 must not grow past the first one.
+        network.set_cut(true);
+        network.set_limit(LARGE, 100, 400);
+        network.run_for(std::chrono::seconds(10));
+        network.set_limit(LARGE, 1000, 4000);
+        network.run_for(std::chrono::seconds(20));
+        CPPUNIT_ASSERT_EQUAL((4 - cut_off) * 100 + cut_off * 1000, sum_of_bursts(network));
+        network.set_cut(false);
+        network.run_for(std::chrono::seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4000}, sum_of_bursts(network));
+    }
+
+    void refusals_name_their_reason()
+    {
+        const core::time_point now{std::chrono::hours(1)};
+        const core::time_point later = now + std::chrono::seconds(5);
+        admission_control control(test_settings(), core::instance_id{1}, 1);
+        control.set_genesis({{core::instance_id{1}, {}}}, now);
+        control.set_limit(LARGE, 10, 100, 1, now);
+        control.confirm_rows(now);
+        control.admit(core::request_id{1}, SMALL, 1, later, now);
+        control.admit(core::request_id{2}, LARGE, 101, later, now);
+        control.admit(core::request_id{3}, LARGE, 1, now, now);
+        control.admit(core::request_id{4}, LARGE, 1, later, now);
+        std::vector<refusal_reason> reasons;
+        for (const action& each : control.take_actions())
+        {
+            reasons.push_back(std::get<refused>(each).m_reason);
+        }
+        const std::vector<refusal_reason> expected{
+            refusal_reason::unknown_workspace, refusal_reason::above_burst,
+            refusal_reason::deadline_expired, refusal_reason::rate_exceeded};
+        CPPUNIT_ASSERT(reasons == expected);
+    }
+
+private:
+    static std::size_t index_of_home(const limit_network& network)
+    {
+        std::size_t index = 0;
+        while (network.control(index)->find(LARGE)->share() == nullptr)
+        {
+            ++index;
+        }
+        return index;
+    }
+
+    static std::uint64_t sum_of_bursts(const limit_network& network)
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t index = 0; index < network.size(); ++index)
+        {
+            const workspace_limit* limit = network.control(index)->find(LARGE);
+            sum += limit->share() == nullptr ? 0 : limit->share()->bucket().limit().m_burst;
+        }
+        return sum / MICRO_TOKENS_PER_TOKEN;
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(admission_control_test, "limits");
