--- a/tarragontrail/routing/engine_index.cpp
+++ b/tarragontrail/routing/engine_index.cpp
@@ -47,6 +47,7 @@
     if (snapshot.m_incarnation > m_incarnation)
     {
         start_incarnation(snapshot.m_incarnation);
+        m_has_base = false;
     }
 
     // Older states than the one held are of no use.
