--- a/tarragontrail/entry/completion_request.cpp
+++ b/tarragontrail/entry/completion_request.cpp
@@ -153,6 +153,16 @@
     return {config::sha256(key)};
 }
 
+std::optional<std::chrono::milliseconds> timeout_of(const net::http_request& request)
+{
+    const auto timeout = unsigned_header(request, "X-Request-Timeout-Ms");
+    if (!timeout)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::min(*timeout, longest_timeout_ms));
+}
+
 completion_request parse_completion(const net::http_request& request,
                                     const completion_limits& limits)
 {
@@ -190,11 +200,7 @@
     }
     parsed.m_stream = body.value("stream", false);
     parsed.m_resume_from = unsigned_header(request, "Last-Event-ID").value_or(0);
-    if (const auto timeout = unsigned_header(request, "X-Request-Timeout-Ms"))
-    {
-        parsed.m_timeout =
-            std::chrono::milliseconds(std::min(*timeout, longest_timeout_ms));
-    }
+    parsed.m_timeout = timeout_of(request);
     parsed.m_fingerprint = core::hash_bytes(parsed.m_prompt, core::hash_name(parsed.m_model));
     return parsed;
 }
--- a/tarragontrail/entry/completion_request.hpp
+++ b/tarragontrail/entry/completion_request.hpp
@@ -50,6 +50,9 @@
 /// target, the body or another header as well, where an upstream would see it.
 caller_identity identify_caller(const net::http_request& request);
 
+/// Timeout that the caller asks for; throws request_error when it is no number.
+std::optional<std::chrono::milliseconds> timeout_of(const net::http_request& request);
+
 /// Reads a chat completion; throws request_error on anything malformed.
 completion_request parse_completion(const net::http_request& request,
                                     const completion_limits& limits);
