--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -120,7 +120,7 @@
     const auto job = std::make_shared<engine_job>(m_context, std::move(request),
                                                   chat_response(exchange, m_weights_version));
     const std::string& text = m_settings.m_crash_on;
-    job->m_poisonous = !text.empty() && exchange->request().body().find(text) != std::string::npos;
+    job->m_poisonous = text != "none" && exchange->request().body().find(text) != std::string::npos;
     exchange->on_client_gone([this, weak = std::weak_ptr(job)] {
         if (const auto gone = weak.lock())
         {
@@ -191,7 +191,7 @@
     const std::string model = order.at("model");
     const std::uint64_t version = order.at("weights_version");
     m_scheduler.set_paused(true);
-    if (m_settings.m_platform.empty())
+    if (m_settings.m_platform == "none")
     {
         finish_load(exchange, order, number, true);
         return;
--- a/tarragontrail/config/generated_engine_settings.cpp
+++ b/tarragontrail/config/generated_engine_settings.cpp
@@ -7,7 +7,8 @@
 DEFINE_string(address, "127.0.0.1", "Numeric address to bind.");
 DEFINE_uint64(port, 9100, "TCP port.");
 DEFINE_string(region, "region-1", "Region in log lines.");
-DEFINE_string(platform, "", "Address and port of the weight store; empty for none.");
+DEFINE_string(platform, "none",
+              "Address and port of the weight store; with none, weights load at once.");
 DEFINE_string(model, "model-1", "Model loaded at the start.");
 DEFINE_uint64(weights_version, 1, "Version of the weights loaded at the start.");
 DEFINE_double(prefill_tokens_per_s, 20000.0,
@@ -21,8 +22,8 @@
 DEFINE_uint64(load_lag, 200, "Age of the load report.");
 DEFINE_uint64(network_delay, 0, "Delay added to each response.");
 DEFINE_bool(checks_fence, true, "Refuses an order whose fence is lower than one seen.");
-DEFINE_string(crash_on, "",
-              "A request whose body has this text crashes the engine; empty for none.");
+DEFINE_string(crash_on, "none",
+              "A request whose body has this text crashes the engine; none switches it off.");
 DEFINE_string(crash_mode, "reset",
               "Crash by ending the process, or by dropping all connections and state.");
 DEFINE_uint64(seed, 1, "Seed of the random faults.");
@@ -35,7 +36,8 @@
     {"address", "string", "127.0.0.1", "Numeric address to bind."},
     {"port", "integer", "9100", "TCP port."},
     {"region", "string", "region-1", "Region in log lines."},
-    {"platform", "string", "", "Address and port of the weight store; empty for none."},
+    {"platform", "string", "none",
+     "Address and port of the weight store; with none, weights load at once."},
     {"model", "string", "model-1", "Model loaded at the start."},
     {"weights_version", "integer", "1", "Version of the weights loaded at the start."},
     {"prefill_tokens_per_s", "number", "20000.0",
@@ -51,8 +53,8 @@
     {"load_lag", "duration_ms", "200", "Age of the load report."},
     {"network_delay", "duration_ms", "0", "Delay added to each response."},
     {"checks_fence", "boolean", "True", "Refuses an order whose fence is lower than one seen."},
-    {"crash_on", "string", "",
-     "A request whose body has this text crashes the engine; empty for none."},
+    {"crash_on", "string", "none",
+     "A request whose body has this text crashes the engine; none switches it off."},
     {"crash_mode", "string", "reset",
      "Crash by ending the process, or by dropping all connections and state."},
     {"seed", "integer", "1", "Seed of the random faults."},
@@ -74,7 +76,7 @@
     settings.m_port = FLAGS_port;
     check_pattern("region", FLAGS_region, "^[a-z0-9-]{1,64}$");
     settings.m_region = FLAGS_region;
-    check_pattern("platform", FLAGS_platform, "^([0-9a-fA-F.:\\[\\]]+:[0-9]+)?$");
+    check_pattern("platform", FLAGS_platform, "^(none|[0-9a-fA-F.:\\[\\]]+:[0-9]+)$");
     settings.m_platform = FLAGS_platform;
     check_pattern("model", FLAGS_model, "^[A-Za-z0-9._-]{1,64}$");
     settings.m_model = FLAGS_model;
--- a/tarragontrail/config/generated_engine_settings.hpp
+++ b/tarragontrail/config/generated_engine_settings.hpp
@@ -15,7 +15,8 @@
     std::string m_address = "127.0.0.1"; ///< Numeric address to bind.
     std::uint64_t m_port = 9100;         ///< TCP port.
     std::string m_region = "region-1";   ///< Region in log lines.
-    std::string m_platform = "";         ///< Address and port of the weight store; empty for none.
+    std::string m_platform =
+        "none"; ///< Address and port of the weight store; with none, weights load at once.
     std::string m_model = "model-1";     ///< Model loaded at the start.
     std::uint64_t m_weights_version = 1; ///< Version of the weights loaded at the start.
     double m_prefill_tokens_per_s =
@@ -32,7 +33,7 @@
     std::chrono::milliseconds m_network_delay{0}; ///< Delay added to each response.
     bool m_checks_fence = true; ///< Refuses an order whose fence is lower than one seen.
     std::string m_crash_on =
-        ""; ///< A request whose body has this text crashes the engine; empty for none.
+        "none"; ///< A request whose body has this text crashes the engine; none switches it off.
     std::string m_crash_mode =
         "reset"; ///< Crash by ending the process, or by dropping all connections and state.
     std::uint64_t m_seed = 1; ///< Seed of the random faults.
