Compare each window with the bursts allowed in it and follow the lint rules

The checker let the allowance of a window that spans the change drain at the new rate; one central bucket whose burst shrinks does not do that either. A window is now compared with the largest burst that was allowed within it, windows that start after the change with the new burst alone, once loans made before have lapsed. Ruled out: a fault of the core; the window had begun before the change.

--- a/tarragontrail/limits/admission_control.cpp
+++ b/tarragontrail/limits/admission_control.cpp
@@ -64,8 +64,8 @@
                                   core::time_point now)
 {
     const workspace_quota quota{
-        {std::min(tokens_per_second, LARGEST_LIMIT_TOKENS) * MICRO_TOKENS_PER_TOKEN,
-         std::min(burst_tokens, LARGEST_LIMIT_TOKENS) * MICRO_TOKENS_PER_TOKEN},
+        {std::min(tokens_per_second, largest_limit_tokens) * micro_tokens_per_token,
+         std::min(burst_tokens, largest_limit_tokens) * micro_tokens_per_token},
         limit_epoch};
     const auto [place, added] = m_limits.try_emplace(workspace, quota);
     if (added)
@@ -95,7 +95,7 @@
         refuse(request, refusal_reason::unknown_workspace, {});
         return;
     }
-    if (charge_tokens > limit->quota().m_limit.m_burst / MICRO_TOKENS_PER_TOKEN)
+    if (charge_tokens > limit->quota().m_limit.m_burst / micro_tokens_per_token)
     {
         refuse(request, refusal_reason::above_burst, {});
         return;
@@ -114,7 +114,7 @@
     // The share held here pays what it can; the rest is borrowed.
     request_state& state = place->second;
     state.m_workspace = workspace;
-    state.m_charge = charge_tokens * MICRO_TOKENS_PER_TOKEN;
+    state.m_charge = charge_tokens * micro_tokens_per_token;
     state.m_deadline = deadline;
     if (home_share* share = limit->usable_share(m_settings, now))
     {
@@ -133,8 +133,8 @@
         return;
     }
     request_state& state = place->second;
-    const std::uint64_t charged = state.m_charge / MICRO_TOKENS_PER_TOKEN;
-    const std::uint64_t used = std::min(used_tokens, charged) * MICRO_TOKENS_PER_TOKEN;
+    const std::uint64_t charged = state.m_charge / micro_tokens_per_token;
+    const std::uint64_t used = std::min(used_tokens, charged) * micro_tokens_per_token;
     refund(state, state.m_charge - used, now);
     m_requests.erase(place);
 }
--- a/tarragontrail/limits/fair_queue.cpp
+++ b/tarragontrail/limits/fair_queue.cpp
@@ -35,12 +35,12 @@
     lane& waiting = m_lanes[request.m_workspace];
     entry_list& list = waiting.m_lists[static_cast<std::size_t>(request.m_priority)];
     m_entries[slot].m_previous = list.m_last;
-    if (list.m_last != NO_SLOT)
+    if (list.m_last != no_slot)
     {
         m_entries[list.m_last].m_next = slot;
     }
     list.m_last = slot;
-    list.m_first = list.m_first == NO_SLOT ? slot : list.m_first;
+    list.m_first = list.m_first == no_slot ? slot : list.m_first;
     ++waiting.m_waiting;
     ++m_waiting;
     dispatch_ready();
@@ -98,7 +98,7 @@
     }
     const std::uint32_t slot = m_free.back();
     m_free.pop_back();
-    m_entries[slot] = entry{request, ++m_last_serial, NO_SLOT, NO_SLOT};
+    m_entries[slot] = entry{request, ++m_last_serial, no_slot, no_slot};
     m_slots.emplace(request.m_request, slot);
     m_expiries.push_back({request.m_deadline, slot, m_last_serial});
     std::push_heap(m_expiries.begin(), m_expiries.end(), later);
@@ -111,8 +111,8 @@
     lane& waiting = m_lanes.at(gone.m_request.m_workspace);
     entry_list& list = waiting.m_lists[static_cast<std::size_t>(gone.m_request.m_priority)];
     std::uint32_t& before =
-        gone.m_previous == NO_SLOT ? list.m_first : m_entries[gone.m_previous].m_next;
-    std::uint32_t& after = gone.m_next == NO_SLOT ? list.m_last : m_entries[gone.m_next].m_previous;
+        gone.m_previous == no_slot ? list.m_first : m_entries[gone.m_previous].m_next;
+    std::uint32_t& after = gone.m_next == no_slot ? list.m_last : m_entries[gone.m_next].m_previous;
     before = gone.m_next;
     after = gone.m_previous;
 
@@ -132,12 +132,12 @@
 {
     for (const entry_list& list : waiting.m_lists)
     {
-        if (list.m_first != NO_SLOT)
+        if (list.m_first != no_slot)
         {
             return list.m_first;
         }
     }
-    return NO_SLOT;
+    return no_slot;
 }
 
 void fair_queue::expire(core::time_point now)
--- a/tarragontrail/limits/fair_queue.hpp
+++ b/tarragontrail/limits/fair_queue.hpp
@@ -33,7 +33,7 @@
 };
 
 /// Number of priorities.
-constexpr std::size_t PRIORITY_COUNT = 3;
+constexpr std::size_t priority_count = 3;
 
 /// Request that waits for an engine.
 struct queued_request
@@ -100,27 +100,27 @@
     std::uint64_t in_flight_tokens() const noexcept { return m_in_flight; }
 
 private:
-    static constexpr std::uint32_t NO_SLOT = ~std::uint32_t{0};
+    static constexpr std::uint32_t no_slot = ~std::uint32_t{0};
 
     /// Waiting request, linked to its neighbours of the same workspace and priority.
     struct entry
     {
         queued_request m_request;
         std::uint64_t m_serial = 0; ///< Tells apart the users of a slot; zero when free.
-        std::uint32_t m_previous = NO_SLOT;
-        std::uint32_t m_next = NO_SLOT;
+        std::uint32_t m_previous = no_slot;
+        std::uint32_t m_next = no_slot;
     };
 
     struct entry_list
     {
-        std::uint32_t m_first = NO_SLOT;
-        std::uint32_t m_last = NO_SLOT;
+        std::uint32_t m_first = no_slot;
+        std::uint32_t m_last = no_slot;
     };
 
     /// One workspace's waiting requests.
     struct lane
     {
-        std::array<entry_list, PRIORITY_COUNT> m_lists; ///< Requests by priority.
+        std::array<entry_list, priority_count> m_lists; ///< Requests by priority.
         std::size_t m_waiting = 0;                      ///< Requests in all lists.
         std::uint64_t m_deficit = 0;                    ///< Tokens it may dispatch.
     };
@@ -128,7 +128,7 @@
     struct expiry
     {
         core::time_point m_deadline;
-        std::uint32_t m_slot = NO_SLOT;
+        std::uint32_t m_slot = no_slot;
         std::uint64_t m_serial = 0;
     };
 
--- a/tarragontrail/limits/headroom_history.hpp
+++ b/tarragontrail/limits/headroom_history.hpp
@@ -26,7 +26,7 @@
     void lower(std::uint64_t amount);
 
 private:
-    static constexpr std::size_t MOST_MINIMA = 64;
+    static constexpr std::size_t most_minima = 64;
 
     struct minimum
     {
--- a/tarragontrail/limits/loan_gathering.cpp
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -11,13 +11,13 @@
 /// Time in which a workspace's whole rate brings `amount`, rounded up to a millisecond.
 std::chrono::milliseconds time_to_accrue(std::uint64_t amount, std::uint64_t rate)
 {
-    constexpr double MILLISECONDS_PER_SECOND = 1000.0;
+    constexpr double milliseconds_per_second = 1000.0;
     if (rate == 0)
     {
         return {};
     }
     const double wait =
-        static_cast<double>(amount) / static_cast<double>(rate) * MILLISECONDS_PER_SECOND;
+        static_cast<double>(amount) / static_cast<double>(rate) * milliseconds_per_second;
     return std::chrono::milliseconds(static_cast<std::int64_t>(wait) + 1);
 }
 
@@ -205,7 +205,7 @@
     }
     state.m_is_admitted = true;
     ++m_counts.m_admitted;
-    m_actions.emplace_back(admitted{request, state.m_charge / MICRO_TOKENS_PER_TOKEN,
+    m_actions.emplace_back(admitted{request, state.m_charge / micro_tokens_per_token,
                                     static_cast<std::uint32_t>(state.m_loans.size())});
 }
 
--- a/tarragontrail/limits/token_bucket.cpp
+++ b/tarragontrail/limits/token_bucket.cpp
@@ -10,7 +10,7 @@
 /// Holds a rate times a duration without overflow.
 __extension__ using wide_uint = unsigned __int128;
 
-constexpr std::uint64_t NANOSECONDS_PER_SECOND = 1'000'000'000;
+constexpr std::uint64_t nanoseconds_per_second = 1'000'000'000;
 
 } // namespace
 
@@ -24,8 +24,8 @@
     m_filled_at = now;
 
     const wide_uint accrued = wide_uint{m_limit.m_rate} * elapsed + m_carry;
-    m_carry = static_cast<std::uint64_t>(accrued % NANOSECONDS_PER_SECOND);
-    const wide_uint whole = accrued / NANOSECONDS_PER_SECOND;
+    m_carry = static_cast<std::uint64_t>(accrued % nanoseconds_per_second);
+    const wide_uint whole = accrued / nanoseconds_per_second;
 
     add(static_cast<std::uint64_t>(std::min(whole, wide_uint{m_limit.m_burst})));
     note();
@@ -91,7 +91,7 @@
     {
         return core::duration::max();
     }
-    const wide_uint missing = wide_uint{amount - m_balance} * NANOSECONDS_PER_SECOND;
+    const wide_uint missing = wide_uint{amount - m_balance} * nanoseconds_per_second;
     const wide_uint wait = (missing + m_limit.m_rate - 1) / m_limit.m_rate;
     const auto longest = static_cast<wide_uint>(core::duration::max().count());
     return core::duration(static_cast<core::duration::rep>(std::min(wait, longest)));
--- a/tarragontrail/limits/token_bucket.hpp
+++ b/tarragontrail/limits/token_bucket.hpp
@@ -8,10 +8,10 @@
 namespace tarragontrail::limits {
 
 /// Micro-tokens in one token; all accounts are kept in micro-tokens.
-constexpr std::uint64_t MICRO_TOKENS_PER_TOKEN = 1'000'000;
+constexpr std::uint64_t micro_tokens_per_token = 1'000'000;
 
 /// Largest rate and burst of a workspace, in tokens.
-constexpr std::uint64_t LARGEST_LIMIT_TOKENS = 1'000'000'000;
+constexpr std::uint64_t largest_limit_tokens = 1'000'000'000;
 
 /// Rate and burst of one bucket.
 struct bucket_limit
--- a/tarragontrail/limits/workspace_limit.cpp
+++ b/tarragontrail/limits/workspace_limit.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Hint rounds after which a hint is repeated although nothing changed.
-constexpr int HINT_REPEAT_ROUNDS = 10;
+constexpr int hint_repeat_rounds = 10;
 
 bucket_limit smaller_of(const bucket_limit& left, const bucket_limit& right)
 {
@@ -109,7 +109,7 @@
     const std::uint64_t step = share->bucket().limit().m_burst / 100 * settings.m_hint_step_percent;
     return m_home->m_told_epoch != m_quota.m_epoch ||
            distance(m_home->m_told_left, share->bucket().balance()) > step ||
-           now - m_home->m_told_at >= HINT_REPEAT_ROUNDS * settings.m_hint_interval;
+           now - m_home->m_told_at >= hint_repeat_rounds * settings.m_hint_interval;
 }
 
 share_hint workspace_limit::make_hint(core::workspace_id workspace, core::view_number view,
--- a/unit_tests/limits/limit_checker.hpp
+++ b/unit_tests/limits/limit_checker.hpp
@@ -33,20 +33,21 @@
     /// Largest excess over all windows so far, in tokens; zero when the limit was never exceeded.
     ///
     /// Every admission counts at its moment, with what it used if it is settled, else with its
-    /// charge.
+    /// charge. A window may hold the largest burst that was allowed in it, and the rate of each
+    /// moment.
     double largest_excess() const
     {
-        double level = 0;   // Largest over all windows ending now of admitted - rate * window.
-        double allowed = 0; // Burst; after a change to a smaller one it drains at the new rate.
+        std::vector<window> windows;
         double worst = 0;
-        bucket_limit limit;
-        auto next = m_limits.begin();
+        double rate = 0;
         core::time_point last{};
+        auto next = m_limits.begin();
         const auto pass = [&](core::time_point now) {
-            const double drained = static_cast<double>(limit.m_rate) / 1e6 *
-                                   std::chrono::duration<double>(now - last).count();
-            level = std::max(0.0, level - drained);
-            allowed = std::max(static_cast<double>(limit.m_burst) / 1e6, allowed - drained);
+            const double drained = rate * std::chrono::duration<double>(now - last).count();
+            for (window& each : windows)
+            {
+                each.m_level = std::max(0.0, each.m_level - drained);
+            }
             last = now;
         };
         for (const admission& each : m_admissions)
@@ -54,19 +55,46 @@
             for (; next != m_limits.end() && next->m_from <= each.m_at; ++next)
             {
                 pass(next->m_from);
-                limit = next->m_limit;
+                rate = static_cast<double>(next->m_limit.m_rate) / micro_tokens_per_token;
+                change_burst(windows,
+                             static_cast<double>(next->m_limit.m_burst) / micro_tokens_per_token);
             }
             pass(each.m_at);
-            level += static_cast<double>(each.m_tokens);
-            worst = std::max(worst, level - allowed);
+            for (window& open : windows)
+            {
+                open.m_level += static_cast<double>(each.m_tokens);
+                worst = std::max(worst, open.m_level - open.m_burst);
+            }
         }
-        return worst < ROUNDING_TOKENS ? 0.0 : worst;
+        return worst < rounding_tokens ? 0.0 : worst;
     }
 
     std::size_t admissions() const { return m_admissions.size(); }
 
 private:
-    static constexpr double ROUNDING_TOKENS = 1e-3; ///< Error of the checker's own sums.
+    static constexpr double rounding_tokens = 1e-3; ///< Error of the checker's own sums.
+
+    /// Fullest window among those that started under one limit.
+    struct window
+    {
+        double m_level = 0; ///< Largest of admitted - rate * time over the windows.
+        double m_burst = 0; ///< Largest burst allowed since they started.
+    };
+
+    /// Windows that start from now on have the new burst; older ones keep a larger one.
+    static void change_burst(std::vector<window>& windows, double burst)
+    {
+        if (!windows.empty() && windows.back().m_burst == burst)
+        {
+            return;
+        }
+        std::erase_if(windows, [](const window& each) { return each.m_level == 0.0; });
+        for (window& each : windows)
+        {
+            each.m_burst = std::max(each.m_burst, burst);
+        }
+        windows.push_back({0, burst});
+    }
 
     struct admission
     {
--- a/unit_tests/limits/limit_network.hpp
+++ b/unit_tests/limits/limit_network.hpp
@@ -4,6 +4,7 @@
 #include "tarragontrail/limits/admission_control.hpp"
 #include "unit_tests/limits/limit_checker.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,7 +66,7 @@
     {
         config& changed = m_configs[workspace];
         changed.m_history.push_back(
-            {{rate * MICRO_TOKENS_PER_TOKEN, burst * MICRO_TOKENS_PER_TOKEN},
+            {{rate * micro_tokens_per_token, burst * micro_tokens_per_token},
              changed.m_history.size() + 1});
         for (std::size_t index = 0; index < m_nodes.size(); ++index)
         {
@@ -218,6 +219,7 @@
     struct config
     {
         std::vector<workspace_quota> m_history;
+        std::deque<std::pair<core::time_point, bucket_limit>> m_recent; ///< Largest limits in use.
     };
 
     struct offered
@@ -485,8 +487,8 @@
             return;
         }
         deliver(index, [=](admission_control& control, core::time_point now) {
-            control.set_limit(workspace, newest.m_limit.m_rate / MICRO_TOKENS_PER_TOKEN,
-                              newest.m_limit.m_burst / MICRO_TOKENS_PER_TOKEN, newest.m_epoch, now);
+            control.set_limit(workspace, newest.m_limit.m_rate / micro_tokens_per_token,
+                              newest.m_limit.m_burst / micro_tokens_per_token, newest.m_epoch, now);
         });
     }
 
@@ -507,6 +509,20 @@
             largest.m_rate = std::max(largest.m_rate, history[epoch - 1].m_limit.m_rate);
             largest.m_burst = std::max(largest.m_burst, history[epoch - 1].m_limit.m_burst);
         }
+
+        // Loans made under a larger limit may still be used until they lapse.
+        std::deque<std::pair<core::time_point, bucket_limit>>& recent =
+            m_configs[workspace].m_recent;
+        recent.emplace_back(m_now, largest);
+        while (recent.front().first + 2 * m_settings.m_loan_lifetime < m_now)
+        {
+            recent.pop_front();
+        }
+        for (const auto& [since, limit] : recent)
+        {
+            largest.m_rate = std::max(largest.m_rate, limit.m_rate);
+            largest.m_burst = std::max(largest.m_burst, limit.m_burst);
+        }
         m_checkers[workspace].set_limit(largest, m_now);
     }
 
