--- a/tarragontrail/membership/view_change.cpp
+++ b/tarragontrail/membership/view_change.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/membership/view_change.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace tarragontrail::membership {
@@ -32,6 +33,19 @@
     m_listed = std::move(listed);
 }
 
+void change_planner::on_view(const view& current)
+{
+    std::vector<core::instance_id> ids;
+    for (const member& each : current.members())
+    {
+        ids.push_back(each.m_id);
+    }
+    std::vector<core::instance_id> all;
+    std::set_union(m_members.begin(), m_members.end(), ids.begin(), ids.end(),
+                   std::back_inserter(all));
+    m_members = std::move(all);
+}
+
 std::vector<view_change> change_planner::needed(const view& current,
                                                 const failure_detector& detector) const
 {
@@ -50,7 +64,11 @@
         {
             member restarted = each;
             restarted.m_incarnation = detector.incarnation_of(each.m_id);
-            restarted.m_state = member_state::live;
+            const bool was_known = each.m_incarnation != core::incarnation{};
+            if (was_known && !is_stopping(each, detector))
+            {
+                restarted.m_state = member_state::live;
+            }
             changes.push_back({change_kind::put, std::move(restarted)});
         }
         else if (each.m_state == member_state::live && is_stopping(each, detector))
@@ -89,13 +107,14 @@
     for (const listed_instance& each : m_listed)
     {
         const core::instance_id id = each.m_member.m_id;
-        const bool heard_alive = detector.incarnation_of(id) != core::incarnation{} &&
-                                 detector.state_of(id) <= liveness::suspected;
-        if (!heard_alive || each.m_state != listed_state::live || current.find(id) != nullptr)
+        const bool usable = detector.state_of(id).value_or(liveness::alive) == liveness::alive;
+        if (!usable || each.m_state != listed_state::live || was_member(id) ||
+            current.find(id) != nullptr)
         {
             continue;
         }
-        // One write brings in all that are known to have started, not only the writer.
+        // One write brings in all that are listed, not only the writer. The incarnation of one
+        // that was not heard yet stays zero until gossip brings it.
         member added = each.m_member;
         added.m_incarnation = detector.incarnation_of(id);
         changes.push_back({change_kind::put, std::move(added)});
@@ -120,6 +139,11 @@
     }
 }
 
+bool change_planner::was_member(core::instance_id id) const noexcept
+{
+    return std::binary_search(m_members.begin(), m_members.end(), id);
+}
+
 const listed_instance* change_planner::find_listed(core::instance_id id) const noexcept
 {
     const auto found = std::lower_bound(m_listed.begin(), m_listed.end(), id, id_before);
--- a/tarragontrail/membership/view_change.hpp
+++ b/tarragontrail/membership/view_change.hpp
@@ -48,6 +48,10 @@
     /// This instance is shutting down.
     void leave() noexcept { m_leaving = true; }
 
+    /// A view came into force. Only a member itself may come back after it was taken out, as the
+    /// others' readings of the list and of its liveness may be older than the removal.
+    void on_view(const view& current);
+
     /// Changes that the view needs; empty when it is right.
     std::vector<view_change> needed(const view& current, const failure_detector& detector) const;
 
@@ -58,7 +62,7 @@
     /// Whether the member must be marked as draining.
     bool is_stopping(const member& each, const failure_detector& detector) const;
 
-    /// Adds listed instances that were heard and are no members yet.
+    /// Adds listed instances that are no members yet.
     void add_newcomers(const view& current, const failure_detector& detector,
                        std::vector<view_change>& changes) const;
 
@@ -67,10 +71,14 @@
 
     const listed_instance* find_listed(core::instance_id id) const noexcept;
 
-    member m_self;                         ///< This instance.
-    bool m_leaving = false;                ///< Whether it is shutting down.
-    std::vector<listed_instance> m_listed; ///< Newest reading, sorted by id.
-    std::vector<core::instance_id> m_seen; ///< Instances that were ever listed, sorted.
+    /// Whether the instance is or was in a view seen here.
+    bool was_member(core::instance_id id) const noexcept;
+
+    member m_self;                            ///< This instance.
+    bool m_leaving = false;                   ///< Whether it is shutting down.
+    std::vector<listed_instance> m_listed;    ///< Newest reading, sorted by id.
+    std::vector<core::instance_id> m_members; ///< Instances that were ever members, sorted.
+    std::vector<core::instance_id> m_seen;    ///< Instances that were ever listed, sorted.
 };
 
 /// View after the changes, numbered one higher; the same number when they change nothing.
--- a/tarragontrail/membership/view_keeper.cpp
+++ b/tarragontrail/membership/view_keeper.cpp
@@ -37,7 +37,9 @@
     }
     if (m_write_at && *m_write_at <= now)
     {
-        write(now);
+        // A version read costs less than a conflict, so a write goes out only on a fresh reading.
+        const bool is_fresh = now - *m_confirmed <= m_settings.m_write_after_read;
+        is_fresh ? write(now) : read(true, now);
         return;
     }
     if (m_next_poll <= now)
@@ -213,7 +215,14 @@
     {
         return up_to(first_delay);
     }
-    return first_delay + up_to(m_settings.m_other_delay);
+    // When many start at once each has a change of its own to make, which any other may make for
+    // it once gossip has brought its incarnation: the larger the crowd, the longer they wait.
+    const auto unknown =
+        std::count_if(m_view->members().begin(), m_view->members().end(),
+                      [](const member& each) { return each.m_incarnation == core::incarnation{}; });
+    const auto crowd = std::max(static_cast<std::size_t>(unknown), m_needed.size());
+    const core::duration longest = m_settings.m_other_delay + m_settings.m_crowd_delay * crowd;
+    return first_delay + up_to(longest);
 }
 
 core::duration view_keeper::up_to(core::duration longest)
--- a/tarragontrail/membership/view_keeper.hpp
+++ b/tarragontrail/membership/view_keeper.hpp
@@ -17,10 +17,12 @@
 /// Settings of view_keeper.
 struct view_keeper_settings
 {
-    std::chrono::milliseconds m_poll_interval{2000}; ///< Interval of version polls.
-    std::chrono::milliseconds m_call_timeout{1500};  ///< Wait for a reply of the table service.
-    std::chrono::milliseconds m_first_delay{200};    ///< Largest delay of the first to write.
-    std::chrono::milliseconds m_other_delay{4000};   ///< Largest further delay of the others.
+    std::chrono::milliseconds m_poll_interval{2000};   ///< Interval of version polls.
+    std::chrono::milliseconds m_write_after_read{250}; ///< Oldest reading to base a write on.
+    std::chrono::milliseconds m_call_timeout{1500};    ///< Wait for a reply of the table service.
+    std::chrono::milliseconds m_first_delay{200};      ///< Largest delay of the first to write.
+    std::chrono::milliseconds m_other_delay{4000};     ///< Largest further delay of the others.
+    std::chrono::milliseconds m_crowd_delay{50};       ///< Added to it for each change needed.
 };
 
 /// Action: a newer view is in force here.
--- a/unit_tests/membership/fake_fleet.cpp
+++ b/unit_tests/membership/fake_fleet.cpp
@@ -111,8 +111,11 @@
         }
         each.m_agent->on_timer(now());
         each.m_detector->on_timer(now());
-        each.m_keeper->set_needed(
-            each.m_planner->needed(*each.m_keeper->current(), *each.m_detector), now());
+        if (m_events.chance(0.1)) // About every half second.
+        {
+            each.m_keeper->set_needed(
+                each.m_planner->needed(*each.m_keeper->current(), *each.m_detector), now());
+        }
         each.m_keeper->on_timer(now());
     });
     if (m_instances[index].m_life == life)
@@ -352,6 +355,7 @@
 
 void fake_fleet::carry_out(std::size_t from, membership::view_changed& /*action*/)
 {
+    m_instances[from].m_planner->on_view(*m_instances[from].m_keeper->current());
     watch_view(m_instances[from]);
 }
 
