--- /dev/null
+++ b/unit_tests/config/bundle_test.cpp
@@ -0,0 +1,237 @@
+#include "tarragontrail/config/bundle_change.hpp"
+#include "tarragontrail/config/bundle_error.hpp"
+#include "tarragontrail/config/key_table.hpp"
+#include "unit_tests/config/sample_bundle.hpp"
+
+#include <algorithm>
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace tarragontrail;
+using namespace std::chrono_literals;
+using config::bundle;
+using config::key_verdict;
+using nlohmann::json;
+
+namespace {
+
+/// Bundle with random workspaces out of thirty; key numbers are never used for two workspaces.
+bundle random_bundle(std::uint64_t version)
+{
+    bundle made = test::sample_bundle(0, version);
+    made.m_limits.m_output_tokens = *rc::gen::inRange(1U, 100U);
+    for (std::size_t i = 0; i < 30; ++i)
+    {
+        if (*rc::gen::arbitrary<bool>())
+        {
+            continue;
+        }
+        config::workspace each = test::sample_bundle(i + 1).m_workspaces.back();
+        each.m_tokens_per_second = *rc::gen::inRange(1U, 5U);
+        each.m_first_key = static_cast<std::uint32_t>(made.m_keys.size());
+        each.m_key_count = *rc::gen::inRange<std::uint16_t>(0, 4);
+        for (std::uint32_t key = 0; key < each.m_key_count; ++key)
+        {
+            const auto owner = static_cast<std::uint32_t>(made.m_workspaces.size());
+            const auto state =
+                *rc::gen::element(config::key_state::active, config::key_state::withdrawn);
+            made.m_keys.push_back(
+                {config::sha256(test::key_text(i * 10 + key)), key, owner, state});
+        }
+        made.m_workspaces.push_back(each);
+    }
+    return made;
+}
+
+/// Error that the document gives after a value was replaced.
+std::string error_path(const char* pointer, const json& value)
+{
+    json document = json::parse(config::serialise(test::sample_bundle(3)));
+    document[json::json_pointer(pointer)] = value;
+    try
+    {
+        config::parse_bundle(document.dump());
+    }
+    catch (const config::bundle_error& failure)
+    {
+        return failure.path();
+    }
+    return "accepted";
+}
+
+void assert_refused(const char* pointer, const json& value)
+{
+    CPPUNIT_ASSERT_EQUAL(std::string(pointer), error_path(pointer, value));
+}
+
+config::freshness_word word_of(const char* domain, std::optional<std::chrono::milliseconds> store)
+{
+    config::freshness_word word;
+    word.m_domain = core::id_of<core::failure_domain_id>(domain);
+    word.m_store_heard = store.has_value();
+    word.m_store_age = store.value_or(0ms);
+    return word;
+}
+
+} // namespace
+
+/// Bundle documents, changes, keys and their freshness.
+class bundle_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(bundle_test);
+    CPPUNIT_TEST(wrong_values_are_refused_with_their_path);
+    CPPUNIT_TEST(documents_and_changes_lead_to_the_same_bundle);
+    CPPUNIT_TEST(any_damage_is_a_typed_error_or_harmless);
+    CPPUNIT_TEST(successor_may_not_revive_a_key);
+    CPPUNIT_TEST(keys_follow_bundle_and_withdrawals);
+    CPPUNIT_TEST(freshness_needs_store_or_every_domain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void wrong_values_are_refused_with_their_path()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted"), error_path("/version", 1));
+        assert_refused("/version", 0);
+        assert_refused("/workspaces/1/tokens_per_second", 0);
+        assert_refused("/workspaces/1/tokens_per_second", 1.5);
+        assert_refused("/workspaces/2/priority", 10);
+        assert_refused("/workspaces/2/name", "workspace-00001");
+        assert_refused("/workspaces/0/name", "with space");
+        assert_refused("/workspaces/0/keys/0/sha256", std::string(64, 'G'));
+        assert_refused("/workspaces/0/keys/0/sha256", std::string(63, 'a'));
+        assert_refused("/workspaces/1/keys/0/sha256",
+                       config::to_hex(config::sha256(test::key_text(0))));
+        assert_refused("/workspaces/0/keys/0/state", "lost");
+        assert_refused("/regions/1/name", "region-0");
+        assert_refused("/regions/1/failure_domains/0", "domain-0");
+        assert_refused("/upstreams/0/region", "elsewhere");
+        assert_refused("/upstreams/0/failure_domain", "domain-1");
+        assert_refused("/upstreams/0/model", "unknown");
+        assert_refused("/upstreams/0/address", "engine.example");
+        assert_refused("/upstreams/1/name", "engine-1");
+        assert_refused("/service_routes/0/upstreams/0", "engine-1");
+        assert_refused("/service_routes/0/path_prefix", "orders");
+        assert_refused("/open_routes/0", "v1");
+        assert_refused("/limits/queued_requests", 0);
+        CPPUNIT_ASSERT_EQUAL(std::string("/rollout/0/failure_domains/0"),
+                             error_path("/rollout", {{{"failure_domains", {"nowhere"}}}}));
+        CPPUNIT_ASSERT_EQUAL(std::string(""), error_path("/surplus", 1));
+    }
+
+    void documents_and_changes_lead_to_the_same_bundle()
+    {
+        CPPUNIT_ASSERT(rc::check("text and change round trips", [] {
+            const bundle base = random_bundle(4);
+            const bundle next = random_bundle(5);
+            const std::string text = config::serialise(next);
+            RC_ASSERT(config::serialise(config::parse_bundle(text)) == text);
+            const std::string change = config::make_change(base, next);
+            RC_ASSERT(config::serialise(config::apply_change(base, change)) == text);
+            RC_ASSERT_THROWS_AS(config::apply_change(next, change), config::bundle_error);
+        }));
+    }
+
+    void any_damage_is_a_typed_error_or_harmless()
+    {
+        const std::string text = config::serialise(test::sample_bundle(3));
+        CPPUNIT_ASSERT(rc::check("a damaged byte never escapes as another exception", [&] {
+            std::string damaged = text;
+            damaged[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+            damaged.resize(*rc::gen::element(text.size(), text.size() / 2));
+            try
+            {
+                config::parse_bundle(damaged);
+            }
+            catch (const config::bundle_error&)
+            {}
+        }));
+    }
+
+    void successor_may_not_revive_a_key()
+    {
+        bundle current = test::sample_bundle(3);
+        current.m_keys[1].m_state = config::key_state::withdrawn;
+        bundle next = current;
+        CPPUNIT_ASSERT_THROW(config::check_successor(current, next), config::bundle_error);
+        next.m_version = 2;
+        config::check_successor(current, next);
+        next.m_keys[1].m_state = config::key_state::active;
+        CPPUNIT_ASSERT_THROW(config::check_successor(current, next), config::bundle_error);
+    }
+
+    void keys_follow_bundle_and_withdrawals()
+    {
+        CPPUNIT_ASSERT(rc::check("verdicts match a plain model", [] {
+            const core::time_point now{1h};
+            config::key_table table{config::key_freshness_settings{}};
+            table.ages().on_store_confirmed(now);
+            std::map<std::size_t, bool> withdrawn;
+            bundle current = test::sample_bundle(20, 1);
+            table.apply(std::make_shared<const bundle>(current));
+            for (int step = 0; step < 30; ++step)
+            {
+                const auto key = *rc::gen::inRange<std::size_t>(0, 25);
+                const config::sha256_digest digest = config::sha256(test::key_text(key));
+                if (*rc::gen::arbitrary<bool>())
+                {
+                    table.withdraw(table.make_withdrawal(config::prefix_of(digest)));
+                    withdrawn[key] = true;
+                    continue;
+                }
+                // A later bundle, drafted before the withdrawals, lists some of them only.
+                ++current.m_version;
+                for (config::key_entry& entry : current.m_keys)
+                {
+                    const bool listed = withdrawn[entry.m_workspace] && *rc::gen::arbitrary<bool>();
+                    entry.m_state = listed ? config::key_state::withdrawn : entry.m_state;
+                }
+                table.apply(std::make_shared<const bundle>(current));
+                for (std::size_t i = 0; i < 25; ++i)
+                {
+                    const config::key_check check =
+                        table.check(config::sha256(test::key_text(i)), now);
+                    const key_verdict wanted = withdrawn[i] ? key_verdict::withdrawn
+                                               : i < 20     ? key_verdict::accepted
+                                                            : key_verdict::unknown_key;
+                    RC_ASSERT(check.m_verdict == wanted);
+                    RC_ASSERT((wanted != key_verdict::accepted || check.m_workspace_index == i));
+                }
+            }
+            const core::time_point late = now + 11s;
+            RC_ASSERT(table.check(config::sha256("other"), late).m_verdict ==
+                      key_verdict::view_too_old);
+        }));
+    }
+
+    void freshness_needs_store_or_every_domain()
+    {
+        const core::time_point now{1h};
+        config::key_freshness ages{config::key_freshness_settings{}};
+        CPPUNIT_ASSERT(ages.state(now) == config::freshness::too_old);
+        ages.set_domains(
+            {core::id_of<core::failure_domain_id>("a"), core::id_of<core::failure_domain_id>("b")});
+
+        // The store's word through a peer counts from its own age, not from its arrival.
+        ages.on_peer_word(word_of("a", 9000ms), now);
+        CPPUNIT_ASSERT(ages.state(now + 1s) == config::freshness::store_heard);
+        CPPUNIT_ASSERT(ages.state(now + 2s) == config::freshness::too_old);
+
+        // With the store silent every listed domain must have been heard.
+        ages.on_peer_word(word_of("a", std::nullopt), now + 5s);
+        CPPUNIT_ASSERT(ages.state(now + 5s) == config::freshness::too_old);
+        ages.on_peer_word(word_of("b", std::nullopt), now + 5s);
+        CPPUNIT_ASSERT(ages.state(now + 15s) == config::freshness::peers_agree);
+        CPPUNIT_ASSERT(ages.state(now + 16s) == config::freshness::too_old);
+
+        // A domain without listed instances is not waited for.
+        ages.set_domains({core::id_of<core::failure_domain_id>("a")});
+        ages.on_peer_word(word_of("a", std::nullopt), now + 20s);
+        CPPUNIT_ASSERT(ages.state(now + 25s) == config::freshness::peers_agree);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(bundle_test, "config");
