Drop a late answer for an older incarnation instead of asking on from its depth

Cause: a first answer given for the old incarnation set the known depth of the second question, which the watcher confirmed under the new one, so a decision expected pieces that the new incarnation never held. Ruled out: only comparing at the decision; the second answer carries the new incarnation.

--- a/tarragontrail/routing/router_lookup.cpp
+++ b/tarragontrail/routing/router_lookup.cpp
@@ -192,9 +192,10 @@
     item.m_replied = true;
     m_engines.on_incarnation(item.m_engine, reply.m_incarnation);
     learn_lifetime(item.m_engine, reply.m_block_lifetime);
+    // An answer for an older incarnation must not reach the next question as known depth.
     const engine_record* const engine = m_engines.find(item.m_engine);
-    const bool usable = engine != nullptr && reply.m_known &&
-                        reply.m_depth_lower <= reply.m_depth_upper &&
+    const bool current = engine != nullptr && engine->m_entry.m_incarnation == reply.m_incarnation;
+    const bool usable = current && reply.m_known && reply.m_depth_lower <= reply.m_depth_upper &&
                         reply.m_depth_upper <= request.m_hashes.size();
     item.m_known = usable;
     if (!usable)
--- a/unit_tests/routing/router_test.cpp
+++ b/unit_tests/routing/router_test.cpp
@@ -465,6 +465,7 @@
     CPPUNIT_TEST(chain_of_another_identity_is_refused);
     CPPUNIT_TEST(sent_prefix_is_followed_until_the_engine_restarts);
     CPPUNIT_TEST(watcher_answer_is_settled_by_a_second_question);
+    CPPUNIT_TEST(answer_for_an_older_incarnation_is_not_built_upon);
     CPPUNIT_TEST(change_of_hashing_depth_keeps_hits);
     CPPUNIT_TEST(hot_prefix_gets_more_engines);
     CPPUNIT_TEST(one_idle_engine_is_not_swamped);
@@ -476,8 +477,12 @@
 public:
     void every_request_is_decided_once_under_loss_and_crashes()
     {
-        CPPUNIT_ASSERT(rc::check("router under loss and crashes",
-                                 [](std::uint64_t seed) { random_run(seed).run(); }));
+        CPPUNIT_ASSERT(rc::check("router under loss and crashes", [](std::uint64_t seed) {
+            for (std::uint64_t run = 0; run < 5; ++run)
+            {
+                random_run(seed + run).run();
+            }
+        }));
     }
 
     void chain_of_another_identity_is_refused()
@@ -534,6 +539,24 @@
         CPPUNIT_FAIL("no decision");
     }
 
+    void answer_for_an_older_incarnation_is_not_built_upon()
+    {
+        small_fleet fleet(1);
+        const prompt text = make_prompt(1, 1, 100, 'a');
+        engine_index index(core::upstream_id{1}, {});
+        const auto held = text.m_chain.hashes().first(75);
+        index.on_snapshot({core::incarnation{1}, 0, {held.begin(), held.end()}}, fleet.m_now);
+        fleet.begin(text, core::request_id{1});
+        const auto question = std::get<send_lookup>(fleet.m_router.take_actions().at(0)).m_request;
+        const lookup_reply late = answer_lookup(question, index);
+        fleet.m_router.on_engine_incarnation(core::upstream_id{1}, core::incarnation{2},
+                                             fleet.m_now);
+        fleet.m_router.on_lookup_reply(late, fleet.m_now);
+        const auto decision = std::get<routed>(fleet.m_router.take_actions().at(0));
+        CPPUNIT_ASSERT(decision.m_incarnation == core::incarnation{2});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decision.m_expected_hit_pieces);
+    }
+
     void change_of_hashing_depth_keeps_hits()
     {
         routing_settings settings;
