--- a/schema/generate.py
+++ b/schema/generate.py
@@ -69,6 +69,7 @@
         keep_trailing_newline=True, undefined=jinja2.StrictUndefined)
     environment.filters.update(cpp_type=cpp_type, initialiser=initialiser, cpp_default=cpp_default)
     environment.filters["quoted"] = json.dumps
+    environment.filters["shown"] = lambda value: json.dumps(value) if isinstance(value, bool) else str(value)
     messages = json.loads((ROOT / "schema/messages.json").read_text())
     for suffix in ("hpp", "cpp"):
         text = environment.get_template(f"messages.{suffix}.j2").render(schema=messages)
--- a/tarragontrail/config/generated_engine_settings.cpp
+++ b/tarragontrail/config/generated_engine_settings.cpp
@@ -52,7 +52,7 @@
     {"event_loss", "number", "0.0", "Fraction of cache events that are lost."},
     {"load_lag", "duration_ms", "200", "Age of the load report."},
     {"network_delay", "duration_ms", "0", "Delay added to each response."},
-    {"checks_fence", "boolean", "True", "Refuses an order whose fence is lower than one seen."},
+    {"checks_fence", "boolean", "true", "Refuses an order whose fence is lower than one seen."},
     {"crash_on", "string", "none",
      "A request whose body has this text crashes the engine; none switches it off."},
     {"crash_mode", "string", "reset",
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -73,6 +73,8 @@
     }
     catch (const request_error& failure)
     {
+        observe::log("refused", {{"request", core::value_of(request->m_id)},
+                                 {"reason", to_string(failure.told().m_kind)}});
         m_callers.post(
             [listener, told = failure.told()] { listener->on_refused(told); });
     }
