Let the store's word vouch for keys as soon as its bundle is applied

The agent confirms the store's word only when the bundle is already in force, and the first answer of the store comes before the bundle's document, so keys stayed unvouched until the next poll, 2 s on. Ruled out: clock differences (ages count from the asking) and the peers' words (they vouch as well, but later). Conclusion: the word is remembered and counted when the bundle it names comes into force.

--- a/tarragontrail/config/bundle_agent.cpp
+++ b/tarragontrail/config/bundle_agent.cpp
@@ -201,7 +201,9 @@
 
 void bundle_agent::confirm_store(core::time_point asked_at)
 {
-    // The word vouches for keys only while the bundle that it names is the one in force here.
+    // The word vouches for keys only while the bundle that it names is the one in force here; one
+    // that came before the bundle counts once the bundle is applied.
+    m_store_word_at = asked_at;
     if (is_current())
     {
         m_keys.ages().on_store_confirmed(asked_at);
--- a/tarragontrail/config/bundle_agent.hpp
+++ b/tarragontrail/config/bundle_agent.hpp
@@ -199,6 +199,7 @@
     std::string m_change_object;                  ///< Object name of the change that led to it.
     std::string m_change_text;                    ///< That change, for peers.
     bool m_was_ready = false;                     ///< Whether the bundle in force was ever held.
+    std::optional<core::time_point> m_store_word_at; ///< Question that the store answered last.
     std::size_t m_failed_reads = 0;               ///< Reads that failed in a row.
     std::uint64_t m_last_operation = 0;           ///< Last operation id given.
     std::vector<action> m_actions;                ///< Actions not yet taken.
--- a/tarragontrail/config/bundle_agent_documents.cpp
+++ b/tarragontrail/config/bundle_agent_documents.cpp
@@ -103,6 +103,10 @@
     const std::uint64_t version = next.m_version;
     m_keys.apply(std::make_shared<const bundle>(std::move(next)));
     m_was_ready = m_was_ready || is_current();
+    if (m_store_word_at)
+    {
+        confirm_store(*m_store_word_at);
+    }
     m_actions.emplace_back(bundle_applied{version});
     fetch_target(now);
 }
