Refuse a guarded call within 5 s when the table is down; test failures on real processes

Cause: with the table down, a call without a timeout of its own got no answer in 30 s (processes suite, calls_run_once_over_outage_repeats_and_lost_replies, line 197: expected 503, actual 0). The guard waited for its intent until the caller's deadline, 120 s by default. Ruled out: a lost refusal between the threads (the log has none) and the platform client, whose calls end after 1.5 s each. Conclusion: nothing is lost by refusing before the dispatch, so that wait is bounded on its own.

--- a/tarragontrail/idempotency/call_guard.cpp
+++ b/tarragontrail/idempotency/call_guard.cpp
@@ -212,7 +212,10 @@
 
 core::time_point call_guard::limit_of(const guarded_entry& entry, const call_waiter& waiter)
 {
-    const bool bounded = entry.m_phase == entry_phase::following ||
+    // Before the dispatch nothing is lost by an early refusal, so a table that is down is not waited
+    // for until the caller's deadline.
+    const bool bounded = entry.m_phase == entry_phase::claiming ||
+                         entry.m_phase == entry_phase::following ||
                          (entry.m_phase == entry_phase::dispatched && waiter.m_repeat);
     return bounded ? std::min(waiter.m_deadline, waiter.m_wait_limit) : waiter.m_deadline;
 }
--- a/tarragontrail/idempotency/call_guard_settings.hpp
+++ b/tarragontrail/idempotency/call_guard_settings.hpp
@@ -21,7 +21,8 @@
     std::chrono::milliseconds m_answer_window{20}; ///< An answer waits this long for company.
     std::chrono::milliseconds m_retry_first{50};   ///< First pause after a failed table operation.
     std::chrono::milliseconds m_retry_limit{2000}; ///< Longest pause after failed operations.
-    std::chrono::milliseconds m_repeat_wait{5000}; ///< A repeat waits this long for the first call.
+    std::chrono::milliseconds m_repeat_wait{5000}; ///< A call waits this long for its intent, and a
+                                                   ///< repeat for the first call.
     std::chrono::milliseconds m_poll_first{50};    ///< First pause between a repeat's reads.
     std::chrono::milliseconds m_poll_limit{1000};  ///< Longest pause between a repeat's reads.
     std::uint64_t m_max_attempts = 3; ///< Dispatches of one call, all but one proven not run.
