--- a/tarragontrail/routing/flat_table.hpp
+++ b/tarragontrail/routing/flat_table.hpp
@@ -109,7 +109,8 @@
     std::size_t home(std::uint64_t key) const noexcept
     {
         __extension__ using wide = unsigned __int128;
-        return static_cast<std::size_t>((wide{key * multiplier} * m_slots.size()) >> 64);
+        const std::uint64_t mixed = key * multiplier;
+        return static_cast<std::size_t>((wide{mixed} * m_slots.size()) >> 64);
     }
 
     std::size_t next(std::size_t position) const noexcept
--- a/tarragontrail/routing/least_cost_policy.cpp
+++ b/tarragontrail/routing/least_cost_policy.cpp
@@ -29,6 +29,10 @@
 std::size_t least_cost_policy::choose(std::span<const candidate> candidates,
                                       core::seeded_random& random) const
 {
+    if (candidates.empty())
+    {
+        return 0;
+    }
     core::duration lowest = core::duration::max();
     for (const candidate& item : candidates)
     {
@@ -48,7 +52,7 @@
         ++count;
     }
     const std::size_t first = equal[0];
-    const std::size_t other = equal[random.below(count)];
+    const std::size_t other = equal[random.below(std::max<std::size_t>(count, 1))];
     return candidates[other].m_wait < candidates[first].m_wait ? other : first;
 }
 
--- a/tarragontrail/routing/predicted_blocks.cpp
+++ b/tarragontrail/routing/predicted_blocks.cpp
@@ -3,7 +3,6 @@
 #include "tarragontrail/core/hash.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace tarragontrail::routing {
 
@@ -30,10 +29,8 @@
 {
     // Deepest first, so that the ring drops the end of a chain before its start.
     const std::uint64_t engine_key = engine_key_of(engine, incarnation);
-    for (const std::uint64_t hash : std::views::reverse(hashes))
-    {
-        insert_key(key_of(engine_key, hash), now);
-    }
+    std::for_each(hashes.rbegin(), hashes.rend(),
+                  [&](std::uint64_t hash) { insert_key(key_of(engine_key, hash), now); });
 }
 
 std::size_t predicted_blocks::depth(core::upstream_id engine, core::incarnation incarnation,
@@ -42,7 +39,7 @@
 {
     // Whole chains are entered and dropped from the end, so the predicted part is a prefix.
     const std::uint64_t engine_key = engine_key_of(engine, incarnation);
-    const auto end = std::ranges::partition_point(hashes, [&](std::uint64_t hash) {
+    const auto end = std::partition_point(hashes.begin(), hashes.end(), [&](std::uint64_t hash) {
         const core::time_point* const inserted_at = m_entries.find(key_of(engine_key, hash));
         return inserted_at != nullptr && now - *inserted_at <= max_age;
     });
--- a/tarragontrail/routing/routing_policy.cpp
+++ b/tarragontrail/routing/routing_policy.cpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/core/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragontrail::routing {
 
@@ -14,7 +15,10 @@
     std::uint64_t m_score = 0;    ///< Score for the key.
     core::upstream_id m_engine{}; ///< Engine; breaks ties.
 
-    auto operator<=>(const scored_option&) const = default;
+    bool operator<(const scored_option& other) const noexcept
+    {
+        return std::pair(m_score, m_engine) < std::pair(other.m_score, other.m_engine);
+    }
 };
 
 } // namespace
