Ask no watcher when only one candidate is left

Cause: without a choice the answer changes nothing but costs bytes and time. Ruled out: skipping local indexes too; they cost neither.

--- a/tarragontrail/routing/router_lookup.cpp
+++ b/tarragontrail/routing/router_lookup.cpp
@@ -133,7 +133,8 @@
         {
             continue;
         }
-        if (ask_locally(request, item))
+        // Without a choice an answer is not worth its bytes.
+        if (ask_locally(request, item) || request.m_candidates.size() == 1)
         {
             continue;
         }
