Probe densely at the end of a prompt's chain

Cause: with depths 1, 2, 4, 8 and the last, a prompt that shares all but a short text of its own leaves a bracket of half its length, and the second question costs more than the first.

--- a/tarragontrail/routing/prefix_probe.cpp
+++ b/tarragontrail/routing/prefix_probe.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::uint64_t sparse_factor = 4;  ///< Ratio of two neighbouring sparse depths.
+constexpr std::uint64_t dense_distance = 8; ///< Pieces from the last depth to the first dense one.
+
 void add_depth(std::span<const std::uint64_t> hashes, std::uint64_t depth, lookup_request& request)
 {
     request.m_depths.push_back(depth);
@@ -38,14 +41,26 @@
     request.m_depth_lower = 0;
     request.m_depths.reserve(max_probe_hashes);
     request.m_hashes.reserve(max_probe_hashes);
-    for (std::uint64_t depth = 1; depth < hashes.size(); depth *= 2)
+    if (hashes.empty())
+    {
+        return;
+    }
+
+    // Sparse depths up to the dense end.
+    const std::uint64_t last = hashes.size();
+    const std::uint64_t dense = last > dense_distance ? last - dense_distance : 1;
+    for (std::uint64_t depth = 1; depth < dense; depth *= sparse_factor)
     {
         add_depth(hashes, depth, request);
     }
-    if (!hashes.empty())
+    for (std::uint64_t distance = dense_distance; distance > 0; distance /= 2)
     {
-        add_depth(hashes, hashes.size(), request);
+        if (distance < last)
+        {
+            add_depth(hashes, last - distance, request);
+        }
     }
+    add_depth(hashes, last, request);
 }
 
 void fill_settling_probe(std::span<const std::uint64_t> hashes, const depth_bracket& bracket,
@@ -58,7 +73,7 @@
         return;
     }
     const std::uint64_t width = upper - bracket.m_lower;
-    const std::uint64_t count = std::min<std::uint64_t>(width, max_probe_hashes);
+    const std::uint64_t count = std::min<std::uint64_t>(width, max_settle_hashes);
     for (std::uint64_t step = 1; step <= count; ++step)
     {
         add_depth(hashes, bracket.m_lower + width * step / count, request);
