--- a/performance_test/routing_performance.cpp
+++ b/performance_test/routing_performance.cpp
@@ -119,6 +119,27 @@
     }
 }
 
+/// Memory of what a router holds beside the engines, with so many agreed hashing depths.
+void fixed_memory(benchmark::State& state)
+{
+    const routing_settings settings;
+    const predicted_blocks predicted(settings.m_predicted_blocks);
+    anchor_learner learner(core::instance_id{1}, settings.m_anchor);
+    for (std::int64_t group = 1; group <= state.range(0); ++group)
+    {
+        learner.on_hint({static_cast<std::uint64_t>(group), 1, 1, 3, core::instance_id{2}}, {});
+    }
+    for ([[maybe_unused]] auto _ : state)
+    {
+        benchmark::DoNotOptimize(learner.bytes());
+    }
+    state.counters["predicted_bytes"] = static_cast<double>(predicted.bytes());
+    state.counters["learner_bytes"] = static_cast<double>(learner.bytes());
+    state.counters["rates_bytes"] = sizeof(hot_prefixes);
+    state.counters["engine_bytes"] = sizeof(engine_record);
+    state.counters["request_bytes"] = sizeof(request_record) + max_pieces * sizeof(std::uint64_t);
+}
+
 /// Router before engines of one model, with requests that finish after some others have begun.
 class decision_run
 {
@@ -232,5 +253,6 @@
 BENCHMARK(index_event)->Arg(10'000)->Arg(92'000)->Arg(200'000);
 BENCHMARK(lookup_answer)->Arg(10'000)->Arg(92'000)->Arg(200'000);
 BENCHMARK(chain_assign)->Arg(10)->Arg(100)->Arg(500);
+BENCHMARK(fixed_memory)->Arg(0)->Arg(36'000)->Iterations(1);
 BENCHMARK(decision_with_lookups)->Arg(8)->Arg(64)->Arg(710);
 BENCHMARK(decision_without_lookups)->Arg(8)->Arg(64)->Arg(710);
--- a/tarragontrail/routing/settings.hpp
+++ b/tarragontrail/routing/settings.hpp
@@ -21,9 +21,9 @@
     std::uint64_t m_expected_blocks = 92'000;         ///< Blocks that fit without growth.
     std::uint64_t m_max_bytes = 8'000'000;            ///< Most memory for the blocks.
     std::uint64_t m_max_buffered_events = 256;        ///< Batches kept while a snapshot is awaited.
-    std::chrono::milliseconds m_snapshot_retry{1000}; ///< Time until a snapshot is asked for again.
-    std::chrono::milliseconds m_lifetime_floor{1000}; ///< Shortest believed block lifetime.
-    std::chrono::milliseconds m_lifetime_ceiling{60'000}; ///< Longest believed block lifetime.
+    std::chrono::milliseconds m_snapshot_retry{1000}; ///< Time until a repeated request.
+    std::chrono::milliseconds m_lifetime_floor{1000}; ///< Shortest believed lifetime.
+    std::chrono::milliseconds m_lifetime_ceiling{60'000}; ///< Longest believed lifetime.
     double m_lifetime_gain = 0.05;                        ///< Weight of one observed eviction.
 };
 
@@ -35,12 +35,10 @@
     std::uint64_t m_max_agreed = 65'536; ///< Groups whose agreed depth is kept.
     std::uint64_t m_window_chains = 128; ///< Chains of a group between two evaluations.
     std::uint64_t m_min_branches = 8;    ///< Distinct prefixes that spread a group's load enough.
-    double m_min_reuse = 2.0; ///< Chains for each distinct prefix below which it is not shared.
-    std::uint64_t m_confirmations = 2; ///< Equal evaluations in a row before a change.
-    std::chrono::milliseconds m_min_interval{
-        60'000}; ///< Shortest time between two changes of a group.
-    std::chrono::milliseconds m_overlap{
-        60'000}; ///< Time over which prefixes move to the new depth.
+    double m_min_reuse = 2.0;            ///< Chains for each prefix that count as shared.
+    std::uint64_t m_confirmations = 2;   ///< Equal evaluations in a row before a change.
+    std::chrono::milliseconds m_min_interval{60'000}; ///< Shortest time between changes.
+    std::chrono::milliseconds m_overlap{60'000};      ///< Time over which prefixes move.
 };
 
 /// Settings of the transfer of cached blocks between engines; off while the link rate is zero.
@@ -57,33 +55,24 @@
     policy_kind m_policy = policy_kind::least_cost; ///< Way to choose an engine.
     std::uint64_t m_candidates = 3;                 ///< Engines weighed for one prefix; at most 16.
     std::chrono::milliseconds m_lookup_timeout{10}; ///< Longest wait for lookup replies.
-    std::uint64_t m_lookup_rounds = 2; ///< Questions to one watcher for one request; 0 asks none.
+    std::uint64_t m_lookup_rounds = 2;              ///< Questions to one watcher; 0 asks none.
     std::uint64_t m_settle_pieces = 8; ///< Width of a depth bracket that is worth another question.
     double m_recompute_weight = 1.0;   ///< Weight of recomputation against waiting.
     double m_bounded_load = 1.25;      ///< Load over the mean at which bounded rendezvous moves on.
-    std::chrono::milliseconds m_tie_margin{20}; ///< Costs this close count as equal.
-    std::chrono::milliseconds m_overload_wait{
-        2000}; ///< Wait at which other engines of the region are weighed.
-    std::chrono::milliseconds m_region_overload_wait{
-        4000}; ///< Wait of every local engine at which other regions are weighed.
-    std::chrono::milliseconds m_region_crossing_cost{
-        500}; ///< Cost added to an engine of another region.
-    std::uint64_t m_region_link_bytes_per_second =
-        100'000; ///< This instance's share of the link between regions.
-    std::uint64_t m_region_link_burst_bytes =
-        4'000'000; ///< Bytes that may cross at once after a quiet time.
-    std::uint64_t m_output_bytes_per_token = 256; ///< Bytes of one streamed output token.
-    double m_hot_requests_per_second =
-        2.0; ///< Rate of one prefix here that adds as many candidates again.
-    double m_default_prefill_tokens_per_second =
-        8000;                                  ///< Prefill rate of an engine without a report.
-    std::uint64_t m_predicted_blocks = 32'768; ///< Blocks predicted from own dispatches.
-    std::chrono::milliseconds m_predicted_lifetime{
-        5000}; ///< Lifetime of a prediction before evictions are seen.
-    std::chrono::milliseconds m_event_lag{
-        2000};                    ///< Age after which a watcher's answer overrides a prediction.
-    anchor_settings m_anchor;     ///< Hashing depths.
-    transfer_settings m_transfer; ///< Transfer of cached blocks.
+    std::chrono::milliseconds m_tie_margin{20};      ///< Costs this close count as equal.
+    std::chrono::milliseconds m_overload_wait{2000}; ///< Wait at which the candidates spill over.
+    std::chrono::milliseconds m_region_overload_wait{4000}; ///< Wait that opens other regions.
+    std::chrono::milliseconds m_region_crossing_cost{500};  ///< Cost of another region.
+    std::uint64_t m_region_link_bytes_per_second = 100'000; ///< Share of the link.
+    std::uint64_t m_region_link_burst_bytes = 4'000'000;    ///< Most bytes saved up.
+    std::uint64_t m_output_bytes_per_token = 256;           ///< Bytes of one streamed output token.
+    double m_hot_requests_per_second = 2.0;                 ///< Rate that adds m_candidates again.
+    double m_default_prefill_tokens_per_second = 8000;      ///< Rate without a report.
+    std::uint64_t m_predicted_blocks = 32'768;            ///< Blocks predicted from own dispatches.
+    std::chrono::milliseconds m_predicted_lifetime{5000}; ///< Lifetime until one is learned.
+    std::chrono::milliseconds m_event_lag{2000};          ///< Age that a watcher overrides.
+    anchor_settings m_anchor;                             ///< Hashing depths.
+    transfer_settings m_transfer;                         ///< Transfer of cached blocks.
 };
 
 } // namespace tarragontrail::routing
