--- /dev/null
+++ b/unit_tests/routing/fake_fleet.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "tarragontrail/core/random.hpp"
+#include "unit_tests/routing/router_fixture.hpp"
+
+#include <algorithm>
+#include <span>
+#include <vector>
+
+namespace router_fixture {
+
+/// Engine as it is, and what the router was told of it.
+struct fake_engine
+{
+    engine_entry m_entry;         ///< True state.
+    engine_index m_index;         ///< Index at its watcher.
+    bool m_listed = true;         ///< Whether the router's set has it.
+    engine_entry m_announced{};   ///< Entry in the router's set.
+    core::incarnation m_told{};   ///< Newest incarnation the router was told of.
+    std::uint64_t m_sequence = 0; ///< Last batch of events.
+};
+
+/// Engines 1 to 4 of this region and 5 and 6 of another, which change, crash and report at random.
+class fake_fleet
+{
+public:
+    fake_fleet(core::seeded_random& random, router& told) : m_random(random), m_router(told)
+    {
+        for (std::uint64_t id = 1; id <= 6; ++id)
+        {
+            m_engines.push_back({make_engine(id, id <= 4 ? home_region : far_region),
+                                 engine_index(core::upstream_id{id}, {})});
+            m_engines.back().m_index.on_snapshot({core::incarnation{1}, 0, {}}, {});
+        }
+    }
+
+    std::span<const fake_engine> engines() const { return m_engines; }
+    fake_engine& any() { return m_engines[m_random.below(m_engines.size())]; }
+    fake_engine& at(core::upstream_id id) { return m_engines[core::value_of(id) - 1]; }
+
+    /// Gives the router the set; it lags behind the engines but not behind what was told.
+    void announce(core::time_point now)
+    {
+        std::vector<engine_entry> entries;
+        for (fake_engine& engine : m_engines)
+        {
+            if (!engine.m_listed)
+            {
+                continue;
+            }
+            engine.m_announced = engine.m_entry;
+            if (m_random.below(2) == 0)
+            {
+                engine.m_announced.m_incarnation = std::max(engine.m_told, core::incarnation{1});
+            }
+            engine.m_told = std::max(engine.m_told, engine.m_announced.m_incarnation);
+            entries.push_back(engine.m_announced);
+        }
+        m_router.set_engines(entries, now);
+    }
+
+    /// Lists or delists an engine, and changes its state and weights.
+    void change(fake_engine& engine, core::time_point now)
+    {
+        constexpr std::array states{engine_state::ready,   engine_state::ready,
+                                    engine_state::ready,   engine_state::ready,
+                                    engine_state::leaving, engine_state::unready};
+        engine.m_listed = m_random.below(6) != 0;
+        engine.m_entry.m_state = states[m_random.below(states.size())];
+        engine.m_entry.m_weights_version = 1 + m_random.below(2);
+        announce(now);
+    }
+
+    /// Restarts an engine empty; the router may learn of it at once or later.
+    void crash(fake_engine& engine, core::time_point now)
+    {
+        const auto next = core::incarnation{core::value_of(engine.m_entry.m_incarnation) + 1};
+        engine.m_entry.m_incarnation = next;
+        engine.m_sequence = 0;
+        engine.m_index.on_snapshot({next, 0, {}}, now);
+        if (m_random.below(2) == 0)
+        {
+            m_router.on_engine_incarnation(engine.m_entry.m_upstream_id, next, now);
+            engine.m_told = next;
+        }
+    }
+
+    /// Reports a load late, now and then for an older incarnation.
+    void report_load(fake_engine& engine, core::time_point now)
+    {
+        load_report load;
+        const std::uint64_t newest = core::value_of(engine.m_entry.m_incarnation);
+        load.m_incarnation =
+            core::incarnation{newest - m_random.below(std::min<std::uint64_t>(newest, 2))};
+        load.m_queued_tokens = m_random.below(2) * m_random.below(100'000);
+        load.m_prefill_tokens_per_second = static_cast<double>(m_random.below(2) * 9000);
+        load.m_reported_at = now - std::chrono::milliseconds(m_random.below(900));
+        m_router.on_load_report(engine.m_entry.m_upstream_id, load, now);
+        engine.m_told = std::max(engine.m_told, load.m_incarnation);
+    }
+
+    /// Stores a random part of a chain; its event may be lost, and is then followed by a snapshot.
+    void store(fake_engine& engine, std::span<const std::uint64_t> hashes, core::time_point now)
+    {
+        cache_event event{engine.m_entry.m_incarnation, ++engine.m_sequence, {}, {}};
+        const auto kept = static_cast<std::ptrdiff_t>(m_random.below(hashes.size() + 1));
+        event.m_stored.assign(hashes.begin(), hashes.begin() + kept);
+        event.m_evicted.assign(hashes.begin() + kept, hashes.end());
+        if (m_random.below(10) != 0)
+        {
+            engine.m_index.on_event(event, now);
+        }
+        if (!engine.m_index.known())
+        {
+            engine.m_index.on_snapshot(
+                {engine.m_entry.m_incarnation, engine.m_sequence, event.m_stored}, now);
+        }
+    }
+
+    /// Whether the router may send work of a weights version to an engine.
+    static bool is_usable(const fake_engine& engine, std::uint64_t weights_version,
+                          std::span<const core::upstream_id> excluded)
+    {
+        const engine_entry& entry = engine.m_announced;
+        return engine.m_listed && entry.m_state == engine_state::ready &&
+               entry.m_weights_version == weights_version &&
+               std::ranges::count(excluded, entry.m_upstream_id) == 0;
+    }
+
+private:
+    core::seeded_random& m_random;      ///< Source of all choices.
+    router& m_router;                   ///< Router that is told.
+    std::vector<fake_engine> m_engines; ///< Engines by id.
+};
+
+} // namespace router_fixture
--- /dev/null
+++ b/unit_tests/routing/router_random_test.cpp
@@ -0,0 +1,303 @@
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/routing/prefix_probe.hpp"
+#include "unit_tests/routing/fake_fleet.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace router_fixture;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Router among fake engines and watchers whose links lose, delay, repeat and reorder lookups.
+class random_run
+{
+public:
+    explicit random_run(std::uint64_t seed)
+        : m_random(seed), m_settings(random_settings(seed)), m_router(self, m_settings),
+          m_fleet(m_random, m_router)
+    {
+        for (std::uint64_t kind = 0; kind < 16; ++kind)
+        {
+            const std::size_t pieces = kind % 4 * (kind % 4) * 6;
+            m_prompts.push_back(
+                make_prompt(kind % 2, 1 + kind / 8, pieces, static_cast<char>('a' + kind / 4 % 2)));
+        }
+        m_router.set_local_index(core::upstream_id{1}, &m_fleet.engines()[0].m_index);
+        m_fleet.announce(m_now);
+    }
+
+    void run()
+    {
+        for (int step = 0; step < 600; ++step)
+        {
+            take_step();
+            carry_out();
+        }
+        settle();
+    }
+
+private:
+    /// Request of the run.
+    struct fake_request
+    {
+        const prompt* m_prompt = nullptr;          ///< Prompt.
+        std::vector<core::upstream_id> m_excluded; ///< Engines not to use.
+        core::time_point m_begun{};                ///< When it began.
+        core::time_point m_deadline{};             ///< Caller's deadline.
+        int m_decisions = 0;                       ///< Routed and unroutable actions seen.
+        routed m_routed;                           ///< Decision, when it was routed.
+        bool m_running = false;                    ///< Routed and not finished.
+    };
+
+    void take_step()
+    {
+        switch (m_random.below(12))
+        {
+        case 0:
+            m_fleet.change(m_fleet.any(), m_now);
+            break;
+        case 1:
+            m_random.below(3) == 0 ? m_fleet.crash(m_fleet.any(), m_now)
+                                   : m_fleet.report_load(m_fleet.any(), m_now);
+            break;
+        case 2:
+            m_fleet.report_load(m_fleet.any(), m_now);
+            break;
+        case 3:
+        case 4:
+        case 5:
+            begin();
+            break;
+        case 6:
+        case 7:
+        case 8:
+            progress();
+            break;
+        default:
+            pass_time(std::chrono::microseconds(
+                m_random.below(m_random.below(20) == 0 ? 3'000'000 : 4000)));
+        }
+    }
+
+    void begin()
+    {
+        const core::request_id id{++m_last_id};
+        fake_request& request = m_requests[id];
+        request.m_prompt = &m_prompts[m_random.below(m_prompts.size())];
+        request.m_begun = m_now;
+        request.m_deadline =
+            m_now + std::chrono::milliseconds(m_random.below(30) == 0 ? m_random.below(8) : 5000);
+        while (m_random.below(4) == 0)
+        {
+            request.m_excluded.push_back(m_fleet.any().m_entry.m_upstream_id);
+        }
+        m_router.begin({id, request.m_prompt->m_identity, request.m_prompt->m_chain,
+                        request.m_prompt->m_chain.size() * tokens_per_piece + 100, 50,
+                        request.m_deadline, request.m_excluded},
+                       m_now);
+    }
+
+    void progress()
+    {
+        if (m_running.empty())
+        {
+            return;
+        }
+        const core::request_id id = m_running[m_random.below(m_running.size())];
+        fake_request& request = m_requests[id];
+        switch (m_random.below(3))
+        {
+        case 0:
+            dispatch(id, request);
+            break;
+        case 1:
+            m_router.on_first_token(id, m_now);
+            break;
+        default:
+            m_router.on_finished(id, 10, m_now);
+            std::erase(m_running, id);
+        }
+    }
+
+    void dispatch(core::request_id id, const fake_request& request)
+    {
+        m_router.on_dispatched(id, m_now);
+        const auto hashes = request.m_prompt->m_chain.hashes();
+        for (const std::uint64_t hash : hashes)
+        {
+            m_held.insert({request.m_routed.m_engine, request.m_routed.m_incarnation, hash});
+        }
+        fake_engine& engine = m_fleet.at(request.m_routed.m_engine);
+        if (engine.m_entry.m_incarnation == request.m_routed.m_incarnation)
+        {
+            m_fleet.store(engine, hashes, m_now);
+        }
+    }
+
+    void pass_time(core::duration step)
+    {
+        const core::time_point end = m_now + step;
+        for (auto next = next_event(); next <= end; next = next_event())
+        {
+            m_now = std::max(m_now, next);
+            deliver();
+            m_router.on_timer(m_now);
+            carry_out();
+        }
+        m_now = end;
+    }
+
+    core::time_point next_event() const
+    {
+        const core::time_point reply =
+            m_replies.empty() ? core::time_point::max() : m_replies.begin()->first;
+        return std::min(reply, m_router.next_deadline().value_or(core::time_point::max()));
+    }
+
+    void deliver()
+    {
+        while (!m_replies.empty() && m_replies.begin()->first <= m_now)
+        {
+            const lookup_reply reply = m_replies.begin()->second;
+            m_replies.erase(m_replies.begin());
+            m_router.on_lookup_reply(reply, m_now);
+        }
+    }
+
+    void carry_out()
+    {
+        for (const router_action& action : m_router.take_actions())
+        {
+            std::visit([&](const auto& item) { on_action(item); }, action);
+        }
+    }
+
+    void on_action(const send_lookup& action)
+    {
+        RC_ASSERT(action.m_request.m_hashes.size() <= max_probe_hashes);
+        RC_ASSERT(action.m_engine != core::upstream_id{1});
+        const fake_engine& engine = m_fleet.at(action.m_engine);
+        lookup_reply reply = answer_lookup(action.m_request, engine.m_index);
+        const std::uint64_t beyond_chain = m_random.below(50) == 0 ? 1000 : 0;
+        reply.m_depth_lower += beyond_chain;
+        reply.m_depth_upper += beyond_chain;
+        for (std::uint64_t copies = m_random.below(5); copies > 1; --copies)
+        {
+            m_replies.emplace(m_now + std::chrono::microseconds(m_random.below(14'000)), reply);
+        }
+    }
+
+    void on_action(const routed& decision)
+    {
+        fake_request& request = m_requests.at(decision.m_request_id);
+        ++request.m_decisions;
+        request.m_routed = decision;
+        m_running.push_back(decision.m_request_id);
+        const fake_engine& engine = m_fleet.at(decision.m_engine);
+        RC_ASSERT(is_usable(engine, request));
+        RC_ASSERT(decision.m_incarnation >= engine.m_told);
+        RC_ASSERT(decision.m_incarnation <= engine.m_entry.m_incarnation);
+        RC_ASSERT(m_now - request.m_begun <= m_settings.m_lookup_timeout);
+
+        // A hit must rest on blocks that this incarnation held or was sent under this identity.
+        const auto hashes = request.m_prompt->m_chain.hashes();
+        RC_ASSERT(decision.m_expected_hit_pieces <= hashes.size());
+        for (const std::uint64_t hash : hashes.first(decision.m_expected_hit_pieces))
+        {
+            RC_ASSERT(m_held.contains({decision.m_engine, decision.m_incarnation, hash}));
+        }
+
+        const bool crosses = engine.m_entry.m_region_id != home_region;
+        RC_ASSERT(crosses == (decision.m_link_bytes > 0));
+        m_link_bytes += static_cast<double>(decision.m_link_bytes);
+        const double seconds = std::chrono::duration<double>(m_now.time_since_epoch()).count();
+        const auto rate = static_cast<double>(m_settings.m_region_link_bytes_per_second);
+        const auto burst = static_cast<double>(m_settings.m_region_link_burst_bytes);
+        RC_ASSERT(m_link_bytes <= burst + rate * seconds + 1);
+    }
+
+    void on_action(const unroutable& decision)
+    {
+        fake_request& request = m_requests.at(decision.m_request_id);
+        ++request.m_decisions;
+        RC_ASSERT(m_now - request.m_begun <= m_settings.m_lookup_timeout);
+        if (decision.m_reason == unroutable_reason::deadline_passed)
+        {
+            RC_ASSERT(request.m_deadline <= m_now);
+            return;
+        }
+        // Refused only when no engine of the region is usable.
+        for (const fake_engine& engine : m_fleet.engines())
+        {
+            const bool local = engine.m_entry.m_region_id == home_region;
+            RC_ASSERT_FALSE((local && is_usable(engine, request)));
+        }
+    }
+
+    static bool is_usable(const fake_engine& engine, const fake_request& request)
+    {
+        return fake_fleet::is_usable(engine, request.m_prompt->m_identity.m_weights_version,
+                                     request.m_excluded);
+    }
+
+    /// Lets everything end; every request was decided once and every account is empty.
+    void settle()
+    {
+        pass_time(1s);
+        for (const auto& [id, request] : m_requests)
+        {
+            RC_ASSERT(request.m_decisions == 1);
+            m_router.on_finished(id, 0, m_now);
+            m_router.on_finished(id, 0, m_now);
+        }
+        RC_ASSERT(m_router.active_requests() == 0U);
+        RC_ASSERT(m_router.take_actions().empty());
+        for (const fake_engine& engine : m_fleet.engines())
+        {
+            RC_ASSERT(m_router.in_flight_tokens(engine.m_entry.m_upstream_id) == 0);
+            RC_ASSERT(m_router.in_flight_requests(engine.m_entry.m_upstream_id) == 0U);
+        }
+    }
+
+    core::seeded_random m_random;                            ///< Source of all choices.
+    routing_settings m_settings;                             ///< Settings of the router.
+    router m_router;                                         ///< Router under test.
+    core::time_point m_now{};                                ///< Time.
+    fake_fleet m_fleet;                                      ///< Engines.
+    std::vector<prompt> m_prompts;                           ///< Prompts in use.
+    std::map<core::request_id, fake_request> m_requests;     ///< All requests.
+    std::vector<core::request_id> m_running;                 ///< Routed and not finished.
+    std::multimap<core::time_point, lookup_reply> m_replies; ///< Replies under way.
+    std::set<std::tuple<core::upstream_id, core::incarnation, std::uint64_t>> m_held; ///< Blocks.
+    std::uint64_t m_last_id = 0; ///< Last request id.
+    double m_link_bytes = 0;     ///< Bytes that crossed.
+};
+
+} // namespace
+
+/// Router under random failures.
+class router_random_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(router_random_test);
+    CPPUNIT_TEST(every_request_is_decided_once_under_loss_and_crashes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void every_request_is_decided_once_under_loss_and_crashes()
+    {
+        CPPUNIT_ASSERT(rc::check("router under loss and crashes", [](std::uint64_t seed) {
+            for (std::uint64_t run = 0; run < 5; ++run)
+            {
+                random_run(seed + run).run();
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(router_random_test, "routing");
