Count requests being decoded as load

Cause: a hot prefix that is cached leaves no prompt tokens waiting, so by tokens alone one engine took every request of it; a test of 400 running requests of one prefix shows it. Also a reported prefill rate is believed down to an eighth of the setting only, as a report made while idle may show hardly any rate.

--- a/tarragontrail/routing/engine_entry.hpp
+++ b/tarragontrail/routing/engine_entry.hpp
@@ -35,8 +35,8 @@
     core::incarnation m_incarnation{};      ///< Incarnation that reports.
     std::uint64_t m_queued_tokens = 0;      ///< Prompt tokens waiting for prefill.
     std::uint64_t m_running = 0;            ///< Requests being decoded.
-    double m_prefill_tokens_per_second = 0; ///< Recent prefill rate; zero if unknown.
-    double m_decode_tokens_per_second = 0;  ///< Recent decode rate; zero if unknown.
+    double m_prefill_tokens_per_second = 0; ///< Rate while prefilling; zero if unknown.
+    double m_decode_tokens_per_second = 0;  ///< Rate while decoding; zero if unknown.
     core::time_point m_reported_at{};       ///< Moment that the figures describe.
 };
 
--- a/tarragontrail/routing/engine_load.cpp
+++ b/tarragontrail/routing/engine_load.cpp
@@ -18,10 +18,12 @@
 
     // What was routed before the report's moment is part of its figures.
     m_unreported_tokens = 0;
+    m_unreported_requests = 0;
     for (charged_request& request : m_requests)
     {
         request.m_unreported = request.m_charged_at >= report.m_reported_at;
         m_unreported_tokens += request.m_unreported ? request.m_tokens : 0;
+        m_unreported_requests += request.m_unreported ? 1 : 0;
     }
 }
 
@@ -31,6 +33,7 @@
     m_requests.push_back({request_id, charged, true, now});
     m_in_flight_tokens += charged;
     m_unreported_tokens += charged;
+    ++m_unreported_requests;
 }
 
 void engine_load::on_first_token(core::request_id request_id)
@@ -50,6 +53,7 @@
         return;
     }
     release_tokens(*request);
+    m_unreported_requests -= request->m_unreported ? 1 : 0;
     *request = m_requests.back();
     m_requests.pop_back();
     TARRAGONTRAIL_INVARIANT(!m_requests.empty() || m_in_flight_tokens == 0,
@@ -61,27 +65,35 @@
     m_requests.clear();
     m_in_flight_tokens = 0;
     m_unreported_tokens = 0;
+    m_unreported_requests = 0;
     m_report = {};
     m_reported = false;
 }
 
-core::duration engine_load::wait(double default_prefill_rate, core::time_point now) const noexcept
+core::duration engine_load::wait(const load_settings& settings, core::time_point now) const noexcept
 {
     // The reported queue has shrunk at the prefill rate since the report.
-    const double rate = prefill_rate(default_prefill_rate);
+    const double rate = prefill_rate(settings);
     const double age =
         std::max(0.0, std::chrono::duration<double>(now - m_report.m_reported_at).count());
     const double reported =
         m_reported ? std::max(0.0, static_cast<double>(m_report.m_queued_tokens) - rate * age)
                    : 0.0;
     const auto tokens = reported + static_cast<double>(m_unreported_tokens);
-    return prefill_time(static_cast<std::uint64_t>(tokens), rate);
+
+    // Each request being decoded takes a share of every step.
+    const std::int64_t running =
+        static_cast<std::int64_t>(m_report.m_running) + m_unreported_requests;
+    return prefill_time(static_cast<std::uint64_t>(tokens), rate) +
+           settings.m_running_delay * running;
 }
 
-double engine_load::prefill_rate(double default_rate) const noexcept
+double engine_load::prefill_rate(const load_settings& settings) const noexcept
 {
+    // A report made while idle may hardly show a rate.
+    const double fallback = std::max(settings.m_prefill_tokens_per_second, 1.0);
     const double reported = m_report.m_prefill_tokens_per_second;
-    return reported > 0 ? reported : std::max(default_rate, 1.0);
+    return reported > 0 ? std::max(reported, fallback * settings.m_slowest_share) : fallback;
 }
 
 void engine_load::release_tokens(charged_request& request)
--- a/tarragontrail/routing/engine_load.hpp
+++ b/tarragontrail/routing/engine_load.hpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/core/ids.hpp"
 #include "tarragontrail/routing/engine_entry.hpp"
+#include "tarragontrail/routing/settings.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -28,11 +29,11 @@
     /// Forgets report and requests, as after a restart of the engine.
     void clear();
 
-    /// Time until a prompt sent now reaches prefill.
-    core::duration wait(double default_prefill_rate, core::time_point now) const noexcept;
+    /// Time until a prompt sent now reaches prefill: queued tokens and requests being decoded.
+    core::duration wait(const load_settings& settings, core::time_point now) const noexcept;
 
     /// Prefill rate in tokens per second.
-    double prefill_rate(double default_rate) const noexcept;
+    double prefill_rate(const load_settings& settings) const noexcept;
 
     /// Prompt tokens charged and not yet prefilled.
     std::int64_t in_flight_tokens() const noexcept { return m_in_flight_tokens; }
@@ -58,6 +59,7 @@
     std::vector<charged_request> m_requests; ///< Requests of this instance.
     std::int64_t m_in_flight_tokens = 0;     ///< Sum of their tokens.
     std::int64_t m_unreported_tokens = 0;    ///< Part of the sum that the report lacks.
+    std::int64_t m_unreported_requests = 0;  ///< Requests that the report lacks.
 };
 
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/router_decision.cpp
+++ b/tarragontrail/routing/router_decision.cpp
@@ -106,10 +106,9 @@
     item.m_incarnation = incarnation;
     item.m_predicted = predicted > cached;
     item.m_hit_pieces = std::max(cached, predicted);
-    const double default_rate = m_settings.m_default_prefill_tokens_per_second;
-    item.m_wait = engine.m_load.wait(default_rate, now);
+    item.m_wait = engine.m_load.wait(m_settings.m_load, now);
     item.m_recompute = prefill_time(tokens_after(item.m_hit_pieces, request.m_prompt_tokens),
-                                    engine.m_load.prefill_rate(default_rate));
+                                    engine.m_load.prefill_rate(m_settings.m_load));
 }
 
 void router::weigh_transfer(const request_record& request, candidate& item) const
@@ -133,8 +132,7 @@
         return;
     }
     const std::uint64_t pieces = source->m_bracket.m_lower - item.m_hit_pieces;
-    const double rate = m_engines.find(item.m_engine)
-                            ->m_load.prefill_rate(m_settings.m_default_prefill_tokens_per_second);
+    const double rate = m_engines.find(item.m_engine)->m_load.prefill_rate(m_settings.m_load);
     const transfer_choice choice = choose_transfer(pieces, rate, m_settings.m_transfer);
     if (choice.m_source == block_source::recompute)
     {
--- a/tarragontrail/routing/router_lookup.cpp
+++ b/tarragontrail/routing/router_lookup.cpp
@@ -46,8 +46,7 @@
             continue;
         }
         const bool local = engine.m_entry.m_region_id == m_self.m_region_id;
-        const core::duration wait =
-            engine.m_load.wait(m_settings.m_default_prefill_tokens_per_second, now);
+        const core::duration wait = engine.m_load.wait(m_settings.m_load, now);
         (local ? m_options.m_local : m_options.m_remote)
             .push_back({engine.m_entry.m_upstream_id, wait});
     }
--- a/tarragontrail/routing/settings.hpp
+++ b/tarragontrail/routing/settings.hpp
@@ -49,6 +49,14 @@
     std::chrono::milliseconds m_set_up_time{20}; ///< Fixed time of one transfer.
 };
 
+/// Settings of the load estimate.
+struct load_settings
+{
+    double m_prefill_tokens_per_second = 8000;    ///< Rate of an engine without a report.
+    double m_slowest_share = 0.125;               ///< Least believed share of that rate.
+    std::chrono::milliseconds m_running_delay{5}; ///< Delay for each request being decoded.
+};
+
 /// Settings of the router.
 struct routing_settings
 {
@@ -67,10 +75,10 @@
     std::uint64_t m_region_link_burst_bytes = 4'000'000;    ///< Most bytes saved up.
     std::uint64_t m_output_bytes_per_token = 256;           ///< Bytes of one streamed output token.
     double m_hot_requests_per_second = 2.0;                 ///< Rate that adds m_candidates again.
-    double m_default_prefill_tokens_per_second = 8000;      ///< Rate without a report.
     std::uint64_t m_predicted_blocks = 32'768;            ///< Blocks predicted from own dispatches.
     std::chrono::milliseconds m_predicted_lifetime{5000}; ///< Lifetime until one is learned.
     std::chrono::milliseconds m_event_lag{2000};          ///< Age that a watcher overrides.
+    load_settings m_load;                                 ///< Load estimate.
     anchor_settings m_anchor;                             ///< Hashing depths.
     transfer_settings m_transfer;                         ///< Transfer of cached blocks.
 };
--- a/unit_tests/routing/fake_fleet.hpp
+++ b/unit_tests/routing/fake_fleet.hpp
@@ -20,6 +20,17 @@
     std::uint64_t m_sequence = 0; ///< Last batch of events.
 };
 
+/// Request of the run.
+struct fake_request
+{
+    const prompt* m_prompt = nullptr;          ///< Prompt.
+    std::vector<core::upstream_id> m_excluded; ///< Engines not to use.
+    core::time_point m_begun{};                ///< When it began.
+    core::time_point m_deadline{};             ///< Caller's deadline.
+    int m_decisions = 0;                       ///< Routed and unroutable actions seen.
+    routed m_routed;                           ///< Decision, when it was routed.
+};
+
 /// Engines 1 to 4 of this region and 5 and 6 of another, which change, crash and report at random.
 class fake_fleet
 {
@@ -117,14 +128,13 @@
         }
     }
 
-    /// Whether the router may send work of a weights version to an engine.
-    static bool is_usable(const fake_engine& engine, std::uint64_t weights_version,
-                          std::span<const core::upstream_id> excluded)
+    /// Whether the router may send a request to an engine.
+    static bool is_usable(const fake_engine& engine, const fake_request& request)
     {
         const engine_entry& entry = engine.m_announced;
         return engine.m_listed && entry.m_state == engine_state::ready &&
-               entry.m_weights_version == weights_version &&
-               std::ranges::count(excluded, entry.m_upstream_id) == 0;
+               entry.m_weights_version == request.m_prompt->m_identity.m_weights_version &&
+               std::ranges::count(request.m_excluded, entry.m_upstream_id) == 0;
     }
 
 private:
--- a/unit_tests/routing/router_random_test.cpp
+++ b/unit_tests/routing/router_random_test.cpp
@@ -43,18 +43,6 @@
     }
 
 private:
-    /// Request of the run.
-    struct fake_request
-    {
-        const prompt* m_prompt = nullptr;          ///< Prompt.
-        std::vector<core::upstream_id> m_excluded; ///< Engines not to use.
-        core::time_point m_begun{};                ///< When it began.
-        core::time_point m_deadline{};             ///< Caller's deadline.
-        int m_decisions = 0;                       ///< Routed and unroutable actions seen.
-        routed m_routed;                           ///< Decision, when it was routed.
-        bool m_running = false;                    ///< Routed and not finished.
-    };
-
     void take_step()
     {
         switch (m_random.below(12))
@@ -200,7 +188,7 @@
         request.m_routed = decision;
         m_running.push_back(decision.m_request_id);
         const fake_engine& engine = m_fleet.at(decision.m_engine);
-        RC_ASSERT(is_usable(engine, request));
+        RC_ASSERT(fake_fleet::is_usable(engine, request));
         RC_ASSERT(decision.m_incarnation >= engine.m_told);
         RC_ASSERT(decision.m_incarnation <= engine.m_entry.m_incarnation);
         RC_ASSERT(m_now - request.m_begun <= m_settings.m_lookup_timeout);
@@ -236,16 +224,10 @@
         for (const fake_engine& engine : m_fleet.engines())
         {
             const bool local = engine.m_entry.m_region_id == home_region;
-            RC_ASSERT_FALSE((local && is_usable(engine, request)));
+            RC_ASSERT_FALSE((local && fake_fleet::is_usable(engine, request)));
         }
     }
 
-    static bool is_usable(const fake_engine& engine, const fake_request& request)
-    {
-        return fake_fleet::is_usable(engine, request.m_prompt->m_identity.m_weights_version,
-                                     request.m_excluded);
-    }
-
     /// Lets everything end; every request was decided once and every account is empty.
     void settle()
     {
--- a/unit_tests/routing/router_test.cpp
+++ b/unit_tests/routing/router_test.cpp
@@ -1,76 +1,17 @@
 #include "tarragontrail/core/invariant.hpp"
 #include "tarragontrail/routing/prefix_probe.hpp"
 #include "tarragontrail/routing/transfer_choice.hpp"
-#include "unit_tests/routing/router_fixture.hpp"
+#include "unit_tests/routing/small_fleet.hpp"
 
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <rapidcheck.h>
 
 using namespace router_fixture;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Router with local engines 1 to `count`, driven one request at a time.
-class small_fleet
-{
-public:
-    explicit small_fleet(std::uint64_t count, routing_settings settings = {}, std::uint64_t far = 0)
-        : m_router(self, settings)
-    {
-        std::vector<engine_entry> engines;
-        for (std::uint64_t id = 1; id <= count + far; ++id)
-        {
-            engines.push_back(make_engine(id, id <= count ? home_region : far_region));
-        }
-        m_router.set_engines(engines, m_now);
-    }
-
-    /// Routes a prompt without any watcher's answer and leaves it running.
-    routed route(const prompt& text, core::request_id id)
-    {
-        begin(text, id);
-        m_now += 10ms;
-        m_router.on_timer(m_now);
-        return std::get<routed>(m_router.take_actions().back());
-    }
-
-    void begin(const prompt& text, core::request_id id)
-    {
-        m_router.begin({id,
-                        text.m_identity,
-                        text.m_chain,
-                        text.m_chain.size() * tokens_per_piece,
-                        50,
-                        m_now + 60s,
-                        {}},
-                       m_now);
-    }
-
-    /// Routes, sends and ends one request.
-    routed complete(const prompt& text, core::request_id id)
-    {
-        const routed decision = route(text, id);
-        m_router.on_dispatched(id, m_now);
-        m_router.on_first_token(id, m_now);
-        m_router.on_finished(id, 10, m_now);
-        return decision;
-    }
-
-    void report(std::uint64_t engine, std::uint64_t queued_tokens)
-    {
-        m_router.on_load_report(core::upstream_id{engine},
-                                {core::incarnation{1}, queued_tokens, 0, 8000, 100, m_now}, m_now);
-    }
-
-    router m_router;                               ///< Router under test.
-    core::time_point m_now{std::chrono::hours(1)}; ///< Time.
-};
-
-} // namespace
-
 /// Decisions of the router.
 class router_test : public CppUnit::TestFixture
 {
@@ -81,6 +22,7 @@
     CPPUNIT_TEST(answer_for_an_older_incarnation_is_not_built_upon);
     CPPUNIT_TEST(change_of_hashing_depth_keeps_hits);
     CPPUNIT_TEST(hot_prefix_gets_more_engines);
+    CPPUNIT_TEST(running_requests_spread_a_cached_prefix);
     CPPUNIT_TEST(one_idle_engine_is_not_swamped);
     CPPUNIT_TEST(other_region_only_under_overload_and_within_budget);
     CPPUNIT_TEST(transfer_is_chosen_by_time);
@@ -217,6 +159,22 @@
                              fleet.complete(cold, core::request_id{400}).m_candidates);
     }
 
+    void running_requests_spread_a_cached_prefix()
+    {
+        // Every request is decoded for long, and its prefix is cached, so no prompt waits.
+        small_fleet fleet(20);
+        const prompt hot = make_prompt(1, 1, 4, 'h');
+        std::map<core::upstream_id, int> running;
+        for (std::uint64_t id = 1; id <= 400; ++id)
+        {
+            const routed decision = fleet.route(hot, core::request_id{id});
+            fleet.m_router.on_dispatched(core::request_id{id}, fleet.m_now);
+            fleet.m_router.on_first_token(core::request_id{id}, fleet.m_now);
+            ++running[decision.m_engine];
+        }
+        CPPUNIT_ASSERT(running.size() >= 3);
+    }
+
     void one_idle_engine_is_not_swamped()
     {
         // Many instances share one stale report that shows a single idle engine.
@@ -247,10 +205,14 @@
             return core::value_of(decision.m_engine) > 2;
         };
         CPPUNIT_ASSERT(!is_far(fleet.complete(text, core::request_id{1})));
-        const auto overload = [&] {
-            fleet.report(1, 400'000);
-            fleet.report(2, 400'000);
+        const auto overload = [&](std::uint64_t queued_tokens = 400'000) {
+            fleet.report(1, queued_tokens);
+            fleet.report(2, queued_tokens);
         };
+
+        // A wait of three seconds opens no other region yet.
+        overload(24'000);
+        CPPUNIT_ASSERT(!is_far(fleet.complete(text, core::request_id{9})));
         overload();
         const routed crossed = fleet.complete(text, core::request_id{2});
         CPPUNIT_ASSERT(is_far(crossed) && crossed.m_reason == route_reason::other_region);
