--- a/tarragontrail/routing/engine_load.cpp
+++ b/tarragontrail/routing/engine_load.cpp
@@ -56,8 +56,9 @@
     m_unreported_requests -= request->m_unreported ? 1 : 0;
     *request = m_requests.back();
     m_requests.pop_back();
-    TARRAGONTRAIL_INVARIANT(!m_requests.empty() || m_in_flight_tokens == 0,
-                            "account_returns_to_zero");
+    const bool all_zero =
+        m_in_flight_tokens == 0 && m_unreported_tokens == 0 && m_unreported_requests == 0;
+    TARRAGONTRAIL_INVARIANT(!m_requests.empty() || all_zero, "account_returns_to_zero");
 }
 
 void engine_load::clear()
--- a/tarragontrail/routing/policies.cpp
+++ b/tarragontrail/routing/policies.cpp
@@ -20,4 +20,9 @@
     return least_cost_policy(settings);
 }
 
+policy_kind kind_of(const policy_variant& policy) noexcept
+{
+    return std::visit([](const auto& item) { return item.m_kind; }, policy);
+}
+
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/policies.hpp
+++ b/tarragontrail/routing/policies.hpp
@@ -17,4 +17,7 @@
 /// Policy that the settings name.
 policy_variant make_policy(const routing_settings& settings);
 
+/// Name of a policy.
+policy_kind kind_of(const policy_variant& policy) noexcept;
+
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/router_decision.cpp
+++ b/tarragontrail/routing/router_decision.cpp
@@ -190,8 +190,8 @@
     decision.m_expected_hit_pieces = chosen.m_hit_pieces;
     decision.m_pieces = request.m_hashes.size();
     decision.m_expected_wait = chosen.m_wait;
-    decision.m_policy = m_settings.m_policy;
-    decision.m_reason = reason_of(m_settings.m_policy, chosen, request.m_timed_out);
+    decision.m_policy = kind_of(m_policy);
+    decision.m_reason = reason_of(decision.m_policy, chosen, request.m_timed_out);
     decision.m_candidates = request.m_candidates.size();
     decision.m_anchor_depth = request.m_anchor_depth;
     decision.m_cost = chosen.m_cost;
