--- a/tarragontrail/limits/homes.cpp
+++ b/tarragontrail/limits/homes.cpp
@@ -3,6 +3,8 @@
 #include "tarragontrail/core/hash.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace tarragontrail::limits {
 namespace {
@@ -32,6 +34,11 @@
     });
 }
 
+bool contains(const std::vector<core::region_id>& regions, core::region_id region)
+{
+    return std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
 std::uint64_t split(std::uint64_t whole, std::size_t index, std::size_t count)
 {
     return whole / count + (index < whole % count ? 1 : 0);
@@ -42,34 +49,24 @@
 std::vector<core::instance_id> homes_of(core::workspace_id workspace,
                                         const std::vector<member>& members, std::size_t count)
 {
-    const std::vector<member> ranked = rank(workspace, members);
+    // The regions take turns, each with its best member that is left.
+    std::vector<member> left = rank(workspace, members);
     std::vector<core::instance_id> homes;
-    std::vector<core::region_id> regions;
-
-    // The best member of each region comes first.
-    for (const member& candidate : ranked)
-    {
-        if (homes.size() == count ||
-            std::find(regions.begin(), regions.end(), candidate.m_region) != regions.end())
-        {
-            continue;
-        }
-        regions.push_back(candidate.m_region);
-        homes.push_back(candidate.m_instance);
-    }
-
-    // The rest follow by score.
-    for (const member& candidate : ranked)
+    while (homes.size() < count && !left.empty())
     {
-        if (homes.size() >= count)
+        std::vector<core::region_id> had_turn;
+        std::vector<member> next;
+        for (const member& candidate : left)
         {
-            break;
-        }
-        if (std::find(homes.begin(), homes.end(), candidate.m_instance) != homes.end())
-        {
-            continue;
+            if (homes.size() == count || contains(had_turn, candidate.m_region))
+            {
+                next.push_back(candidate);
+                continue;
+            }
+            had_turn.push_back(candidate.m_region);
+            homes.push_back(candidate.m_instance);
         }
-        homes.push_back(candidate.m_instance);
+        left = std::move(next);
     }
     return homes;
 }
@@ -77,7 +74,7 @@
 core::instance_id successor_of(const share_row& row, std::size_t index,
                                const std::vector<member>& members)
 {
-    // Regions of the holders that stay.
+    // Regions of the holders that stay, one entry for each.
     std::vector<core::region_id> covered;
     for (const member& candidate : members)
     {
@@ -90,24 +87,21 @@
         }
     }
 
-    // The first free member of an uncovered region, else the first free one.
-    core::instance_id first_free{};
+    // The best free member of the region with the fewest holders.
+    core::instance_id chosen{};
+    std::ptrdiff_t fewest = std::numeric_limits<std::ptrdiff_t>::max();
     for (const member& candidate : rank(row.m_workspace, members))
     {
-        if (holds_slot(row, candidate.m_instance))
+        const std::ptrdiff_t holders =
+            std::count(covered.begin(), covered.end(), candidate.m_region);
+        if (holders >= fewest || holds_slot(row, candidate.m_instance))
         {
             continue;
         }
-        if (std::find(covered.begin(), covered.end(), candidate.m_region) == covered.end())
-        {
-            return candidate.m_instance;
-        }
-        if (first_free == core::instance_id{})
-        {
-            first_free = candidate.m_instance;
-        }
+        fewest = holders;
+        chosen = candidate.m_instance;
     }
-    return first_free;
+    return chosen;
 }
 
 bucket_limit part_of(const bucket_limit& limit, std::size_t index, std::size_t count)
--- a/tarragontrail/limits/homes.hpp
+++ b/tarragontrail/limits/homes.hpp
@@ -18,7 +18,7 @@
     bool operator==(const member&) const = default;
 };
 
-/// Homes of a workspace by rendezvous hashing, best first; every region has one when there is room.
+/// Homes of a workspace by rendezvous hashing, best first; the regions take turns.
 ///
 /// Returns `count` instances, or all members when the fleet is smaller.
 std::vector<core::instance_id> homes_of(core::workspace_id workspace,
@@ -26,7 +26,7 @@
 
 /// Instance that takes over a share; zero when every member already holds one.
 ///
-/// Prefers a member of a region that no remaining holder is in, then the best rendezvous score.
+/// Prefers the region with the fewest remaining holders, then the best rendezvous score.
 core::instance_id successor_of(const share_row& row, std::size_t index,
                                const std::vector<member>& members);
 
--- a/unit_tests/limits/limit_network.hpp
+++ b/unit_tests/limits/limit_network.hpp
@@ -40,6 +40,7 @@
         bool m_is_admitted = false;
         refusal_reason m_reason{};
         std::uint32_t m_loans = 0;
+        core::time_point m_decided_at;
     };
 
     limit_network(const limit_settings& settings, const network_settings& network,
@@ -300,14 +301,14 @@
     {
         const std::uint64_t request = core::value_of(item.m_request);
         offered& offer = m_offers.at(request);
-        m_outcomes[request] = {true, true, {}, item.m_loans};
+        m_outcomes[request] = {true, true, {}, item.m_loans, m_now};
         offer.m_number = m_checkers[offer.m_workspace].on_admitted(offer.m_charge, m_now);
         at(m_now + offer.m_duration, [this, request] { finish(request); });
     }
 
     void perform(std::size_t, const refused& item)
     {
-        m_outcomes[core::value_of(item.m_request)] = {true, false, item.m_reason, 0};
+        m_outcomes[core::value_of(item.m_request)] = {true, false, item.m_reason, 0, m_now};
         m_offers.erase(core::value_of(item.m_request));
     }
 
