--- a/tarragontrail/limits/homes.cpp
+++ b/tarragontrail/limits/homes.cpp
@@ -9,22 +9,69 @@
 namespace tarragontrail::limits {
 namespace {
 
-std::uint64_t score_of(core::workspace_id workspace, core::instance_id instance)
+/// Member and its rendezvous score for one workspace.
+struct scored_member
 {
-    return core::rendezvous_score(core::value_of(workspace), core::value_of(instance));
+    std::uint64_t m_score = 0;
+    member m_member;
+
+    /// Orders from the best to the worst.
+    bool operator<(const scored_member& other) const
+    {
+        return m_score != other.m_score ? m_score > other.m_score
+                                        : m_member.m_instance > other.m_member.m_instance;
+    }
+};
+
+/// Best members of one region, best first.
+struct region_ranking
+{
+    core::region_id m_region{};
+    std::vector<scored_member> m_best;
+};
+
+scored_member score(core::workspace_id workspace, const member& candidate)
+{
+    return {core::rendezvous_score(core::value_of(workspace), core::value_of(candidate.m_instance)),
+            candidate};
 }
 
-/// Members from the best to the worst rendezvous score.
-std::vector<member> rank(core::workspace_id workspace, const std::vector<member>& members)
+/// Inserts a candidate unless `count` better ones are there.
+void insert(region_ranking& ranking, const scored_member& candidate, std::size_t count)
 {
-    std::vector<member> ranked = members;
-    std::sort(ranked.begin(), ranked.end(), [&](const member& left, const member& right) {
-        const std::uint64_t left_score = score_of(workspace, left.m_instance);
-        const std::uint64_t right_score = score_of(workspace, right.m_instance);
-        return left_score != right_score ? left_score > right_score
-                                         : left.m_instance > right.m_instance;
-    });
-    return ranked;
+    std::vector<scored_member>& best = ranking.m_best;
+    if (best.size() == count && !(candidate < best.back()))
+    {
+        return;
+    }
+    if (best.size() == count)
+    {
+        best.pop_back();
+    }
+    best.insert(std::upper_bound(best.begin(), best.end(), candidate), candidate);
+}
+
+/// The best `count` members of each region; the region of the best member comes first.
+std::vector<region_ranking> rank_regions(core::workspace_id workspace,
+                                         const std::vector<member>& members, std::size_t count)
+{
+    std::vector<region_ranking> regions;
+    for (const member& candidate : members)
+    {
+        auto region = std::find_if(regions.begin(), regions.end(), [&](const region_ranking& each) {
+            return each.m_region == candidate.m_region;
+        });
+        if (region == regions.end())
+        {
+            region = regions.insert(region, {candidate.m_region, {}});
+        }
+        insert(*region, score(workspace, candidate), count);
+    }
+    std::sort(regions.begin(), regions.end(),
+              [](const region_ranking& left, const region_ranking& right) {
+                  return left.m_best.front() < right.m_best.front();
+              });
+    return regions;
 }
 
 bool holds_slot(const share_row& row, core::instance_id instance)
@@ -34,11 +81,6 @@
     });
 }
 
-bool contains(const std::vector<core::region_id>& regions, core::region_id region)
-{
-    return std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
 std::uint64_t split(std::uint64_t whole, std::size_t index, std::size_t count)
 {
     return whole / count + (index < whole % count ? 1 : 0);
@@ -49,24 +91,21 @@
 std::vector<core::instance_id> homes_of(core::workspace_id workspace,
                                         const std::vector<member>& members, std::size_t count)
 {
-    // The regions take turns, each with its best member that is left.
-    std::vector<member> left = rank(workspace, members);
+    const std::vector<region_ranking> regions = rank_regions(workspace, members, count);
     std::vector<core::instance_id> homes;
-    while (homes.size() < count && !left.empty())
+    const std::size_t wanted = std::min(count, members.size());
+
+    // The regions take turns, each with its best member that is left.
+    for (std::size_t turn = 0; homes.size() < wanted; ++turn)
     {
-        std::vector<core::region_id> had_turn;
-        std::vector<member> next;
-        for (const member& candidate : left)
+        for (const region_ranking& region : regions)
         {
-            if (homes.size() == count || contains(had_turn, candidate.m_region))
+            if (homes.size() == wanted || turn >= region.m_best.size())
             {
-                next.push_back(candidate);
                 continue;
             }
-            had_turn.push_back(candidate.m_region);
-            homes.push_back(candidate.m_instance);
+            homes.push_back(region.m_best[turn].m_member.m_instance);
         }
-        left = std::move(next);
     }
     return homes;
 }
@@ -88,20 +127,22 @@
     }
 
     // The best free member of the region with the fewest holders.
-    core::instance_id chosen{};
+    scored_member chosen;
     std::ptrdiff_t fewest = std::numeric_limits<std::ptrdiff_t>::max();
-    for (const member& candidate : rank(row.m_workspace, members))
+    for (const member& candidate : members)
     {
         const std::ptrdiff_t holders =
             std::count(covered.begin(), covered.end(), candidate.m_region);
-        if (holders >= fewest || holds_slot(row, candidate.m_instance))
+        const scored_member next = score(row.m_workspace, candidate);
+        if (holds_slot(row, candidate.m_instance) || holders > fewest ||
+            (holders == fewest && !(next < chosen)))
         {
             continue;
         }
         fewest = holders;
-        chosen = candidate.m_instance;
+        chosen = next;
     }
-    return chosen;
+    return chosen.m_member.m_instance;
 }
 
 bucket_limit part_of(const bucket_limit& limit, std::size_t index, std::size_t count)
