Stress the limits with floods, short pauses and restarts; test claims one by one

Floods after silence, pauses of up to 1.5 s with loans in hand and charges used in full make windows tight.

--- a/tarragontrail/limits/loan_gathering.cpp
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -59,6 +59,7 @@
         return;
     }
     const auto place = m_requests.find(asked.m_request);
+    TARRAGONTRAIL_INVARIANT(place != m_requests.end(), "limits.open_ask_has_request");
     request_state& state = place->second;
     --state.m_open_asks;
     state.m_open_amount -= asked.m_amount;
@@ -298,7 +299,7 @@
     if (share != nullptr && unused > 0)
     {
         share->advance(m_settings, now);
-        share->bucket().refund(unused, state.m_own_mark);
+        share->bucket().refund(std::min(unused, state.m_own), state.m_own_mark);
     }
 }
 
@@ -330,6 +331,7 @@
         send_settle(asked.m_lender, asked.m_workspace, timed.m_loan_id, 0);
 
         const auto place = m_requests.find(asked.m_request);
+        TARRAGONTRAIL_INVARIANT(place != m_requests.end(), "limits.open_ask_has_request");
         --place->second.m_open_asks;
         place->second.m_open_amount -= asked.m_amount;
         place->second.m_met_timeout = true;
--- a/unit_tests/limits/admission_control_test.cpp
+++ b/unit_tests/limits/admission_control_test.cpp
@@ -12,6 +12,8 @@
 
 constexpr core::workspace_id small{11};
 constexpr core::workspace_id large{12};
+constexpr core::instance_id home_1{1};
+constexpr core::instance_id home_2{2};
 
 limit_settings test_settings()
 {
@@ -20,22 +22,54 @@
     return settings;
 }
 
-/// Offers requests at random instances for `span`, in steps of 50 ms; returns the last request
-/// number.
-std::uint64_t offer_load(limit_network& network, core::seeded_random& random, core::duration span,
-                         std::uint64_t first, std::uint64_t largest_charge)
+/// Load of one run.
+struct load
+{
+    std::uint64_t m_largest_charge = 400;
+    bool m_has_refunds = true;
+    std::uint64_t m_last_request = 0;
+};
+
+void offer_one(limit_network& network, core::seeded_random& random, load& load)
+{
+    const std::uint64_t charge = 1 + random.below(load.m_largest_charge);
+    const std::uint64_t used = load.m_has_refunds ? random.below(charge + 1) : charge;
+    network.offer(random.below(network.size()), ++load.m_last_request,
+                  random.below(3) == 0 ? small : large, charge, used,
+                  std::chrono::milliseconds(random.below(8000)));
+}
+
+/// Offers more than the whole burst at one moment, while some instances are stopped for a moment.
+void flood(limit_network& network, core::seeded_random& random, load& load)
+{
+    for (int count = 0; count < 60; ++count)
+    {
+        offer_one(network, random, load);
+    }
+    network.run_for(std::chrono::milliseconds(random.below(20)));
+    for (std::size_t count = random.below(4); count > 0; --count)
+    {
+        network.pause(random.below(network.size()), std::chrono::milliseconds(random.below(1500)));
+    }
+}
+
+/// Offers requests at random instances for `span`: a steady load, or silence and then floods.
+void offer_load(limit_network& network, core::seeded_random& random, core::duration span,
+                load& load)
 {
-    std::uint64_t request = first;
     const core::time_point end = network.now() + span;
-    while (network.now() < end)
+    const bool is_steady = random.below(2) == 0;
+    while (is_steady && network.now() < end)
     {
-        const std::uint64_t charge = 1 + random.below(largest_charge);
-        const core::duration duration = std::chrono::milliseconds(random.below(8000));
-        network.offer(random.below(network.size()), ++request, random.below(3) == 0 ? small : large,
-                      charge, random.below(charge + 1), duration);
+        offer_one(network, random, load);
         network.run_for(std::chrono::milliseconds(random.below(100)));
     }
-    return request;
+    network.run_until(end);
+    for (std::size_t count = is_steady ? 0 : 1 + random.below(3); count > 0; --count)
+    {
+        flood(network, random, load);
+        network.run_for(std::chrono::milliseconds(random.below(1200)));
+    }
 }
 
 /// Restarts every instance that is up.
@@ -69,6 +103,8 @@
     case 3:
         if (network.is_up(chosen))
         {
+            network.stop(chosen);
+            network.run_for(std::chrono::milliseconds(random.below(3000)));
             network.start(chosen);
         }
         break;
@@ -129,6 +165,9 @@
     CPPUNIT_TEST(restart_in_outage_freezes_shares_when_ids_come_back);
     CPPUNIT_TEST(charge_above_one_share_is_gathered);
     CPPUNIT_TEST(grown_limit_waits_for_every_home);
+    CPPUNIT_TEST(claim_is_cancelled_before_a_share_is_used);
+    CPPUNIT_TEST(takeover_counts_only_what_the_list_showed);
+    CPPUNIT_TEST(changed_rate_counts_from_the_change_on);
     CPPUNIT_TEST(refusals_name_their_reason);
     CPPUNIT_TEST_SUITE_END();
 
@@ -147,12 +186,12 @@
             network.set_limit(small, 37, 1001);
             network.set_limit(large, 1500, 4000);
 
-            std::uint64_t request = 0;
+            load load;
+            load.m_has_refunds = random.below(2) == 0;
             std::size_t gone = 0;
             for (int round = 0; round < 25; ++round)
             {
-                request = offer_load(network, random, std::chrono::seconds(1 + random.below(9)),
-                                     request, 400);
+                offer_load(network, random, std::chrono::seconds(1 + random.below(9)), load);
                 stir(network, random, faults.m_ids_are_unique, gone);
                 RC_ASSERT(network.most_holders() <= 1u);
                 RC_ASSERT(network.checker(small).largest_excess() == 0.0);
@@ -164,10 +203,10 @@
             network.set_limit(large, 2000, 8000);
             network.run_for(std::chrono::seconds(30));
             RC_ASSERT(network.most_holders() == 1u);
-            network.offer(network.size() - 1, ++request, large, 6000, 6000,
+            network.offer(network.size() - 1, ++load.m_last_request, large, 6000, 6000,
                           std::chrono::seconds(1));
             network.run_for(std::chrono::seconds(2));
-            RC_ASSERT(network.outcome(request).m_is_admitted);
+            RC_ASSERT(network.outcome(load.m_last_request).m_is_admitted);
             RC_ASSERT(network.checker(large).largest_excess() == 0.0);
         }));
     }
@@ -272,6 +311,68 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4000}, sum_of_bursts(network));
     }
 
+    void claim_is_cancelled_before_a_share_is_used()
+    {
+        core::time_point now{std::chrono::hours(1)};
+        admission_control control(test_settings(), home_1, 1);
+        control.set_genesis({{home_1, {}}}, now);
+        control.set_limit(large, 10, 100, 1, now);
+        control.set_listed({home_1}, now, now);
+        control.learn_share_row({large, 1, {{home_1, home_2}}}, now);
+        control.confirm_rows(now);
+        CPPUNIT_ASSERT(control.find(large)->share() == nullptr);
+
+        // The claim is cancelled by compare-and-set; only its answer makes the share usable.
+        const auto actions = control.take_actions();
+        const auto& write = std::get<write_share_row>(actions.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, write.m_expected_version);
+        CPPUNIT_ASSERT((write.m_row.m_slots.front() == share_slot{home_1, {}}));
+        control.on_timer(now + std::chrono::seconds(60));
+        CPPUNIT_ASSERT(control.find(large)->share() == nullptr);
+        control.on_share_row(write.m_row, now + std::chrono::seconds(61));
+        CPPUNIT_ASSERT(control.find(large)->share() != nullptr);
+    }
+
+    void takeover_counts_only_what_the_list_showed()
+    {
+        const limit_settings settings = test_settings();
+        const core::time_point start{std::chrono::hours(1)};
+        share_ownership ownership(settings, home_2);
+        ownership.set_genesis({{home_1, {}}});
+        ownership.set_members({{home_1, {}}, {home_2, {}}}, start);
+        ownership.confirm_rows(start);
+        ownership.track(large, start);
+        ownership.set_listed({home_2}, start, start);
+        core::time_point now = start + settings.m_list_lag;
+        ownership.set_listed({home_2}, now, now);
+        ownership.on_timer(now);
+        ownership.on_row(std::get<write_share_row>(ownership.take_actions().at(0)).m_row, now);
+
+        // A list that was asked for early and arrives late proves nothing of the time between.
+        const core::time_point late = now + std::chrono::hours(1);
+        ownership.set_listed({home_2}, now + std::chrono::milliseconds(1), late);
+        ownership.on_timer(late);
+        CPPUNIT_ASSERT(ownership.take_actions().empty());
+        ownership.set_listed({home_2}, late, late);
+        ownership.on_timer(late + settings.m_row_timeout);
+        const auto actions = ownership.take_actions();
+        const auto& write = std::get<write_share_row>(actions.at(0));
+        CPPUNIT_ASSERT((write.m_row.m_slots.front() == share_slot{home_2, {}}));
+    }
+
+    void changed_rate_counts_from_the_change_on()
+    {
+        core::time_point now{std::chrono::hours(1)};
+        admission_control control(test_settings(), home_1, 1);
+        control.set_genesis({{home_1, {}}}, now);
+        control.confirm_rows(now);
+        control.set_limit(large, 10, 100, 1, now);
+        now += test_settings().m_loan_lifetime + std::chrono::seconds(5);
+        control.set_limit(large, 1000, 100, 2, now);
+        CPPUNIT_ASSERT_EQUAL(50 * micro_tokens_per_token,
+                             control.find(large)->share()->bucket().balance());
+    }
+
     void refusals_name_their_reason()
     {
         const core::time_point now{std::chrono::hours(1)};
