Test the lifetime of loans and the wait of a takeover at their edges

Before, broken lines for reservations, early lapse, stale loans and a short takeover wait went unseen by the random run, whose windows are seldom tight in all shares at once; now each fails one directed test.

--- a/unit_tests/limits/admission_control_test.cpp
+++ b/unit_tests/limits/admission_control_test.cpp
@@ -39,17 +39,23 @@
                   std::chrono::milliseconds(random.below(8000)));
 }
 
-/// Offers more than the whole burst at one moment, while some instances are stopped for a moment.
+/// Offers more than the whole burst at one moment, as instances go on that were stopped over loans.
 void flood(limit_network& network, core::seeded_random& random, load& load)
 {
-    for (int count = 0; count < 60; ++count)
+    for (int count = 0; count < 4; ++count)
     {
         offer_one(network, random, load);
     }
-    network.run_for(std::chrono::milliseconds(random.below(20)));
+    network.run_for(std::chrono::microseconds(random.below(20'000)));
+    const std::chrono::milliseconds stop(200 + random.below(2500));
     for (std::size_t count = random.below(4); count > 0; --count)
     {
-        network.pause(random.below(network.size()), std::chrono::milliseconds(random.below(1500)));
+        network.pause(random.below(network.size()), stop);
+    }
+    network.run_for(stop - std::chrono::milliseconds(random.below(200)));
+    for (int count = 0; count < 60; ++count)
+    {
+        offer_one(network, random, load);
     }
 }
 
@@ -104,7 +110,7 @@
         if (network.is_up(chosen))
         {
             network.stop(chosen);
-            network.run_for(std::chrono::milliseconds(random.below(3000)));
+            network.run_for(std::chrono::milliseconds(random.below(5500)));
             network.start(chosen);
         }
         break;
@@ -168,6 +174,8 @@
     CPPUNIT_TEST(claim_is_cancelled_before_a_share_is_used);
     CPPUNIT_TEST(takeover_counts_only_what_the_list_showed);
     CPPUNIT_TEST(changed_rate_counts_from_the_change_on);
+    CPPUNIT_TEST(loan_is_used_only_within_its_lifetime);
+    CPPUNIT_TEST(gathered_loan_goes_stale);
     CPPUNIT_TEST(refusals_name_their_reason);
     CPPUNIT_TEST_SUITE_END();
 
@@ -348,9 +356,16 @@
         ownership.on_timer(now);
         ownership.on_row(std::get<write_share_row>(ownership.take_actions().at(0)).m_row, now);
 
+        // One moment short of the wait nothing is taken over.
+        const core::duration wait = 2 * settings.m_list_lag + settings.m_loan_lifetime;
+        const core::time_point short_of = now + wait - std::chrono::milliseconds(1);
+        ownership.set_listed({home_2}, short_of, short_of);
+        ownership.on_timer(short_of);
+        CPPUNIT_ASSERT(ownership.take_actions().empty());
+
         // A list that was asked for early and arrives late proves nothing of the time between.
         const core::time_point late = now + std::chrono::hours(1);
-        ownership.set_listed({home_2}, now + std::chrono::milliseconds(1), late);
+        ownership.set_listed({home_2}, short_of, late);
         ownership.on_timer(late);
         CPPUNIT_ASSERT(ownership.take_actions().empty());
         ownership.set_listed({home_2}, late, late);
@@ -373,6 +388,47 @@
                              control.find(large)->share()->bucket().balance());
     }
 
+    void loan_is_used_only_within_its_lifetime()
+    {
+        const core::duration lifetime = test_settings().m_loan_lifetime;
+        for (const core::duration early : {core::duration(1), core::duration(0)})
+        {
+            const core::time_point asked_at{std::chrono::hours(1)};
+            admission_control borrower = make_borrower({home_1}, asked_at);
+            borrower.admit(core::request_id{1}, large, 60, asked_at + 2 * lifetime, asked_at);
+            const auto asked = take_requests(borrower);
+            const core::time_point now = asked_at + lifetime - early;
+            borrower.on_loan_reply(home_1, grant(asked.at(0), 60, 0), now);
+            const action first = borrower.take_actions().at(0);
+            CPPUNIT_ASSERT_EQUAL(early > core::duration(0),
+                                 std::holds_alternative<admitted>(first));
+        }
+    }
+
+    void gathered_loan_goes_stale()
+    {
+        const core::time_point asked_at{std::chrono::hours(1)};
+        admission_control borrower = make_borrower({home_1, home_2}, asked_at);
+        core::time_point now = asked_at;
+        borrower.admit(core::request_id{1}, large, 80, now + std::chrono::hours(1), now);
+        const auto asked = take_requests(borrower);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked.size());
+
+        // One lender gives a part and is asked again; its second loan comes when the others are
+        // stale.
+        now += std::chrono::milliseconds(10);
+        borrower.on_loan_reply(asked[0].m_to, grant(asked[0], 30, 20), now);
+        borrower.on_loan_reply(asked[1].m_to, grant(asked[1], 30, 0), now);
+        const auto repeated = take_requests(borrower);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, repeated.size());
+        now = asked_at + test_settings().m_loan_lifetime + std::chrono::milliseconds(5);
+        borrower.on_loan_reply(repeated[0].m_to, grant(repeated[0], 20, 0), now);
+        for (const action& each : borrower.take_actions())
+        {
+            CPPUNIT_ASSERT(!std::holds_alternative<admitted>(each));
+        }
+    }
+
     void refusals_name_their_reason()
     {
         const core::time_point now{std::chrono::hours(1)};
@@ -397,6 +453,42 @@
     }
 
 private:
+    using sent_request = send_to<loan_request>;
+
+    /// Instance that is no home; the limit of 100 tokens is split over `homes`.
+    static admission_control make_borrower(const std::vector<core::instance_id>& homes,
+                                           core::time_point now)
+    {
+        std::vector<member> members;
+        for (const core::instance_id home : homes)
+        {
+            members.push_back({home, {}});
+        }
+        admission_control borrower(test_settings(), core::instance_id{9}, 1);
+        borrower.set_genesis(members, now);
+        borrower.set_limit(large, 10, 100, 1, now);
+        return borrower;
+    }
+
+    static std::vector<sent_request> take_requests(admission_control& borrower)
+    {
+        std::vector<sent_request> requests;
+        for (const action& each : borrower.take_actions())
+        {
+            if (const auto* request = std::get_if<sent_request>(&each))
+            {
+                requests.push_back(*request);
+            }
+        }
+        return requests;
+    }
+
+    static loan_reply grant(const sent_request& request, std::uint64_t tokens, std::uint64_t left)
+    {
+        return {request.m_message.m_loan_id,   large, true, tokens * micro_tokens_per_token,
+                left * micro_tokens_per_token, {}};
+    }
+
     static std::size_t index_of_home(const limit_network& network)
     {
         std::size_t index = 0;
--- a/unit_tests/limits/token_bucket_test.cpp
+++ b/unit_tests/limits/token_bucket_test.cpp
@@ -145,6 +145,12 @@
         share.settle(borrower, {1, {}, 0}, settings, now);
         CPPUNIT_ASSERT(!share.lend(borrower, {1, {}, 5, {}}, settings, now).m_granted);
 
+        // Until it lapses a loan counts against the burst.
+        home_share lent({100 * micro_tokens_per_token, 100 * micro_tokens_per_token}, {});
+        lent.lend(borrower, {3, {}, 60 * micro_tokens_per_token, {}}, settings, now);
+        lent.advance(settings, now + settings.m_loan_lifetime - std::chrono::milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(40 * micro_tokens_per_token, lent.bucket().balance());
+
         // A repeated request takes nothing more; a lapsed loan cannot be renewed.
         const loan_request request{2, {}, 60 * micro_tokens_per_token, {}};
         CPPUNIT_ASSERT(share.lend(borrower, request, settings, now).m_granted);
