--- a/performance_test/limits_comparison.cpp
+++ b/performance_test/limits_comparison.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t burst_tokens = 60'000;
 constexpr std::chrono::seconds run_length{1200};
 constexpr std::chrono::seconds warm_up{20};
+constexpr std::chrono::seconds first_restart{300};
+constexpr std::chrono::seconds restart_gap{10};
 
 /// What is varied between runs.
 struct comparison_case
@@ -26,6 +28,8 @@
     double m_steered = 0.9; ///< Part of the requests that land at a home of their workspace.
     bool m_has_faults = false;
     std::uint64_t m_seed = 1;
+    bool m_restarts_fleet = false; ///< Every instance restarts during the table's outage.
+    bool m_ids_are_unique = false; ///< Restarted instances need no word of the table.
 };
 
 /// Counts of one way in one run.
@@ -234,6 +238,7 @@
     limit_settings settings;
     settings.m_homes = chosen.m_homes;
     network_settings network_faults;
+    network_faults.m_ids_are_unique = chosen.m_ids_are_unique;
     network_faults.m_list_lag = std::chrono::milliseconds(settings.m_list_lag);
     limit_network network(settings, network_faults, chosen.m_seed);
     if (!chosen.m_has_faults)
@@ -245,11 +250,17 @@
         network.set_limit(id_of_workspace(index), rate_tokens, burst_tokens);
     }
     const core::time_point start = network.now();
+    std::size_t restarted = 0;
     for (std::size_t number = 0; number < script.size(); ++number)
     {
         const scripted_request& request = script[number];
         network.run_until(start + request.m_at);
         apply_faults(network, faults, request.m_at);
+        if (chosen.m_restarts_fleet && restarted < instance_count &&
+            request.m_at >= first_restart + restarted * restart_gap)
+        {
+            network.start(restarted++);
+        }
         network.offer(request.m_entry, number, id_of_workspace(request.m_workspace),
                       request.m_charge, request.m_used, request.m_run_time);
     }
@@ -304,12 +315,18 @@
             }
         }
     }
+    for (const bool ids_are_unique : {true, false})
+    {
+        cases.push_back({fmt::format("faults, fleet restarts in the outage, ids {}",
+                                     ids_are_unique ? "never come back" : "come back"),
+                         4, 0.8, 0.9, true, 1, true, ids_are_unique});
+    }
     for (const comparison_case& chosen : cases)
     {
         const fault_plan faults = plan_faults(chosen);
         const std::vector<scripted_request> script = script_load(chosen, faults);
         const std::vector<bool> central = admit_centrally(script);
-        if (chosen.m_homes == 4)
+        if (chosen.m_homes == 4 && !chosen.m_restarts_fleet)
         {
             run_baselines(chosen, faults, script, central);
         }
