--- a/tarragontrail/limits/admission_control.cpp
+++ b/tarragontrail/limits/admission_control.cpp
@@ -7,7 +7,7 @@
 
 admission_control::admission_control(const limit_settings& settings, core::instance_id self,
                                      std::uint64_t loan_seed)
-    : m_settings(settings), m_self(self), m_ownership(settings, self), m_next_loan_id(loan_seed)
+    : m_settings(settings), m_self(self), m_ownership(settings, self), m_sent(loan_seed)
 {}
 
 void admission_control::set_genesis(std::vector<member> members, core::time_point now)
@@ -207,9 +207,9 @@
     const auto consider = [&](core::time_point due) {
         earliest = earliest ? std::min(*earliest, due) : due;
     };
-    if (!m_timeouts.empty())
+    if (const auto due = m_sent.next_deadline())
     {
-        consider(m_timeouts.front().m_due);
+        consider(*due);
     }
     if (!m_homes.empty())
     {
--- a/tarragontrail/limits/admission_control.hpp
+++ b/tarragontrail/limits/admission_control.hpp
@@ -2,10 +2,10 @@
 
 #include "tarragontrail/limits/actions.hpp"
 #include "tarragontrail/limits/limit_settings.hpp"
+#include "tarragontrail/limits/sent_loans.hpp"
 #include "tarragontrail/limits/share_ownership.hpp"
 #include "tarragontrail/limits/workspace_limit.hpp"
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -112,40 +112,6 @@
 
     using request_map = std::unordered_map<core::request_id, request_state>;
 
-    enum class ask_state : std::uint8_t
-    {
-        open,      ///< The answer is awaited.
-        taken,     ///< The loan belongs to its request.
-        abandoned, ///< A loan that still arrives goes back.
-    };
-
-    /// Loan request that was sent, remembered until its loan could not be used any more.
-    struct ask
-    {
-        core::request_id m_request{};
-        core::workspace_id m_workspace{};
-        core::instance_id m_lender{};
-        std::uint64_t m_amount = 0;
-        core::time_point m_asked_at;
-        ask_state m_state = ask_state::open;
-    };
-
-    struct timed_ask
-    {
-        core::time_point m_due;
-        std::uint64_t m_loan_id = 0;
-    };
-
-    /// Lender that may be asked next.
-    struct candidate
-    {
-        core::instance_id m_instance{};
-        std::uint64_t m_burst = 0;
-        std::uint64_t m_estimate = 0;
-        bool m_is_paused = false;
-        bool m_is_repeat = false;
-    };
-
     limit_context context_of(const share_row& row, core::time_point now) const;
     workspace_limit* find_limit(core::workspace_id workspace);
     void follow_ownership(core::time_point now);
@@ -177,12 +143,9 @@
     std::unordered_map<core::workspace_id, workspace_limit> m_limits; ///< All workspaces.
     std::unordered_set<core::workspace_id> m_homes; ///< Workspaces with a share here.
     request_map m_requests;                         ///< Requests not yet settled.
-    std::unordered_map<std::uint64_t, ask> m_asks;  ///< Loan requests by loan id.
-    std::deque<timed_ask> m_timeouts;               ///< Asks in order of timing out.
-    std::deque<timed_ask> m_forgetting;             ///< Asks in order of being forgotten.
+    sent_loans m_sent;                              ///< Loan requests sent.
     paused_lenders m_paused;                        ///< Lenders that timed out.
-    std::uint64_t m_next_loan_id;                   ///< Next loan id.
-    std::vector<candidate> m_candidates;            ///< Buffer of ask_more.
+    std::vector<ranked_lender> m_candidates;        ///< Buffer of ask_more.
     core::time_point m_next_hints;                  ///< Next round of hints.
     admission_counts m_counts;                      ///< For metrics.
     std::vector<action> m_actions;                  ///< Actions not yet taken.
--- a/tarragontrail/limits/lender_book.cpp
+++ b/tarragontrail/limits/lender_book.cpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/limits/homes.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragontrail::limits {
 
@@ -66,6 +67,22 @@
     return held < amount;
 }
 
+void lender_book::rank(const paused_lenders& paused, core::time_point now,
+                       std::vector<ranked_lender>& ranked) const
+{
+    ranked.clear();
+    for (const lender& home : m_homes)
+    {
+        ranked.push_back({home.m_instance, home.m_part.m_burst, estimate(home, now),
+                          paused.is_paused(home.m_instance, now), false});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_lender& left, const ranked_lender& right) {
+                  return std::pair(!left.m_is_paused, left.m_estimate) >
+                         std::pair(!right.m_is_paused, right.m_estimate);
+              });
+}
+
 bool paused_lenders::is_paused(core::instance_id instance, core::time_point now) const
 {
     const auto found = m_until.find(instance);
--- a/tarragontrail/limits/loan_gathering.cpp
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -34,12 +34,12 @@
 void admission_control::on_loan_reply(core::instance_id from, const loan_reply& message,
                                       core::time_point now)
 {
-    const auto found = m_asks.find(message.m_loan_id);
-    if (found == m_asks.end() || found->second.m_lender != from)
+    sent_loan* sent = m_sent.find(message.m_loan_id);
+    if (sent == nullptr || sent->m_lender != from)
     {
         return;
     }
-    ask& asked = found->second;
+    sent_loan& asked = *sent;
     m_paused.resume(from);
     if (workspace_limit* limit = find_limit(asked.m_workspace))
     {
@@ -49,12 +49,12 @@
 
     // Nobody waits for an abandoned loan; it goes back.
     const core::time_point usable_until = asked.m_asked_at + m_settings.m_loan_lifetime;
-    if (asked.m_state == ask_state::abandoned ||
-        (asked.m_state == ask_state::open && now >= usable_until))
+    if (asked.m_state == sent_loan::state::abandoned ||
+        (asked.m_state == sent_loan::state::open && now >= usable_until))
     {
         send_settle(from, asked.m_workspace, message.m_loan_id, 0);
     }
-    if (asked.m_state != ask_state::open)
+    if (asked.m_state != sent_loan::state::open)
     {
         return;
     }
@@ -63,7 +63,7 @@
     request_state& state = place->second;
     --state.m_open_asks;
     state.m_open_amount -= asked.m_amount;
-    asked.m_state = ask_state::abandoned;
+    asked.m_state = sent_loan::state::abandoned;
     for (asked_lender& each : state.m_asked)
     {
         each.m_has_more = each.m_lender == from ? message.m_left > 0 : each.m_has_more;
@@ -71,7 +71,7 @@
     if (message.m_granted && now < usable_until)
     {
         ++m_counts.m_loans_granted;
-        asked.m_state = ask_state::taken;
+        asked.m_state = sent_loan::state::taken;
         state.m_loans.push_back(
             {from, message.m_loan_id, std::min(message.m_amount, asked.m_amount), usable_until});
     }
@@ -116,30 +116,18 @@
     }
 
     // The fullest first; those that did not answer lately last.
-    m_candidates.clear();
-    for (const lender& home : book.homes())
-    {
-        const auto asked = find_asked(state.m_asked, home.m_instance);
-        const bool is_repeat = asked != state.m_asked.end();
-        if (is_repeat && (asked->m_is_repeated || !asked->m_has_more))
-        {
-            continue;
-        }
-        m_candidates.push_back({home.m_instance, home.m_part.m_burst,
-                                lender_book::estimate(home, now),
-                                m_paused.is_paused(home.m_instance, now), is_repeat});
-    }
-    std::sort(m_candidates.begin(), m_candidates.end(),
-              [](const candidate& left, const candidate& right) {
-                  return std::pair(!left.m_is_paused, left.m_estimate) >
-                         std::pair(!right.m_is_paused, right.m_estimate);
-              });
+    book.rank(m_paused, now, m_candidates);
+    std::erase_if(m_candidates, [&](ranked_lender& each) {
+        const auto asked = find_asked(state.m_asked, each.m_instance);
+        each.m_is_repeat = asked != state.m_asked.end();
+        return each.m_is_repeat && (asked->m_is_repeated || !asked->m_has_more);
+    });
 
     // One lender that has enough is asked alone, else as many as are needed.
     std::uint64_t wanted = lacking - state.m_open_amount;
     for (std::size_t index = 0; index < m_candidates.size() && wanted > 0; ++index)
     {
-        const candidate& next = m_candidates[index];
+        const ranked_lender& next = m_candidates[index];
         const bool is_last = index + 1 == m_candidates.size();
         const std::uint64_t most = is_last && !next.m_is_repeat ? next.m_burst : next.m_estimate;
         const std::uint64_t amount = std::min(wanted, most);
@@ -156,9 +144,8 @@
                                 core::instance_id lender, std::uint64_t amount,
                                 core::time_point now)
 {
-    const std::uint64_t loan_id = m_next_loan_id++;
-    m_asks.emplace(loan_id, ask{request, state.m_workspace, lender, amount, now, ask_state::open});
-    m_timeouts.push_back({now + m_settings.m_reply_timeout, loan_id});
+    const std::uint64_t loan_id = m_sent.add(
+        {request, state.m_workspace, lender, amount, now, sent_loan::state::open}, m_settings);
     const auto before = find_asked(state.m_asked, lender);
     if (before == state.m_asked.end())
     {
@@ -274,12 +261,10 @@
     }
     for (const asked_lender& each : state.m_asked)
     {
-        const auto found = m_asks.find(each.m_loan_id);
-        if (found == m_asks.end() || found->second.m_state != ask_state::open)
+        if (!m_sent.abandon(each.m_loan_id))
         {
             continue;
         }
-        found->second.m_state = ask_state::abandoned;
         send_settle(each.m_lender, state.m_workspace, each.m_loan_id, 0);
     }
     state.m_open_asks = 0;
@@ -315,33 +300,20 @@
 
 void admission_control::time_out_asks(core::time_point now)
 {
-    while (!m_timeouts.empty() && m_timeouts.front().m_due <= now)
+    while (const auto loan_id = m_sent.time_out_one(m_settings, now))
     {
-        const timed_ask timed = m_timeouts.front();
-        m_timeouts.pop_front();
-        ask& asked = m_asks.at(timed.m_loan_id);
-        m_forgetting.push_back({asked.m_asked_at + m_settings.m_loan_lifetime, timed.m_loan_id});
-        if (asked.m_state != ask_state::open)
-        {
-            continue;
-        }
+        const sent_loan late = *m_sent.find(*loan_id);
         ++m_counts.m_asks_timed_out;
-        asked.m_state = ask_state::abandoned;
-        m_paused.pause(asked.m_lender, now + m_settings.m_lender_pause);
-        send_settle(asked.m_lender, asked.m_workspace, timed.m_loan_id, 0);
+        m_paused.pause(late.m_lender, now + m_settings.m_lender_pause);
+        send_settle(late.m_lender, late.m_workspace, *loan_id, 0);
 
-        const auto place = m_requests.find(asked.m_request);
+        const auto place = m_requests.find(late.m_request);
         TARRAGONTRAIL_INVARIANT(place != m_requests.end(), "limits.open_ask_has_request");
         --place->second.m_open_asks;
-        place->second.m_open_amount -= asked.m_amount;
+        place->second.m_open_amount -= late.m_amount;
         place->second.m_met_timeout = true;
         gather(place, now);
     }
-    while (!m_forgetting.empty() && m_forgetting.front().m_due <= now)
-    {
-        m_asks.erase(m_forgetting.front().m_loan_id);
-        m_forgetting.pop_front();
-    }
 }
 
 void admission_control::send_settle(core::instance_id lender, core::workspace_id workspace,
