--- a/stand_ins/chat_request.hpp
+++ b/stand_ins/chat_request.hpp
@@ -14,7 +14,7 @@
     std::uint64_t m_salt = 0;              ///< Beginning of the hash chain.
     std::uint64_t m_prompt_tokens = 0;     ///< Tokens of the prompt.
     std::uint64_t m_resume_from = 0;       ///< Answer tokens that the client has already.
-    std::int64_t m_priority = 0;           ///< The lowest is served first.
+    std::int64_t m_priority = 0;           ///< The highest is served first.
     bool m_stream = false;                 ///< Answer as server-sent events.
     load::answer_text m_answer{"", "", 0}; ///< Tokens to generate.
 };
--- a/stand_ins/engine_scheduler.cpp
+++ b/stand_ins/engine_scheduler.cpp
@@ -28,13 +28,13 @@
     const std::size_t cached = m_cache.count_prefix(request.m_blocks);
     job->m_uncached_tokens =
         request.m_prompt_tokens + request.m_resume_from - cached * load::block_tokens;
-    m_waiting.emplace(queue_key(request.m_priority, job->m_arrival), job);
+    m_waiting.emplace(queue_key(-request.m_priority, job->m_arrival), job);
     start_next();
 }
 
 bool engine_scheduler::cancel(const job_pointer& job)
 {
-    const queue_key key(job->m_request.m_priority, job->m_arrival);
+    const queue_key key(-job->m_request.m_priority, job->m_arrival);
     const bool in_prefill = m_prefill == job;
     if (m_waiting.erase(key) + m_decoding.erase(job) + (in_prefill ? 1 : 0) == 0)
     {
--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -113,7 +113,7 @@
 void engine_server::serve_chat(const exchange_pointer& exchange)
 {
     chat_request request = parse_chat_request(exchange->request());
-    if (request.m_model != m_model)
+    if (m_model.empty() || request.m_model.substr(0, request.m_model.find(':')) != m_model)
     {
         throw bad_request("model not loaded: " + request.m_model, 404);
     }
