--- a/tarragontrail/config/bundle_agent.hpp
+++ b/tarragontrail/config/bundle_agent.hpp
@@ -177,32 +177,32 @@
     void request_state(core::instance_id peer, core::time_point now);
     core::duration up_to(core::duration longest);
 
-    bundle_agent_settings m_settings;             ///< Intervals.
-    core::instance_id m_self;                     ///< This instance.
-    std::string m_failure_domain;                 ///< Its failure domain.
-    key_table& m_keys;                            ///< Keys, withdrawals and bundle in force.
-    core::seeded_random m_random;                 ///< Jitter.
-    bundle_fetch m_fetch;                         ///< Fetch of the target bundle.
-    std::optional<head_row> m_head;               ///< Head row as last learned.
-    std::string m_head_text;                      ///< Its text.
-    std::uint64_t m_head_revision = 0;            ///< Its table version.
-    std::optional<head_row> m_hint;               ///< Copy of unknown age from the object store.
-    std::optional<pending_call> m_read;           ///< Read under way.
-    std::optional<pending_call> m_write;          ///< Write under way.
-    std::optional<pending_call> m_object;         ///< Object call under way.
-    core::time_point m_next_poll{};               ///< Moment of the next poll.
-    std::optional<core::time_point> m_persist_at; ///< Moment to write unwritten withdrawals.
-    core::time_point m_next_request{};            ///< Earliest moment of a state request.
-    core::time_point m_requested_at{};            ///< Moment of the last state request.
-    std::uint64_t m_request_sequence = 0;         ///< Sequence of the last state request.
-    std::string m_applied_object;                 ///< Object name of the document in force.
-    std::string m_change_object;                  ///< Object name of the change that led to it.
-    std::string m_change_text;                    ///< That change, for peers.
-    bool m_was_ready = false;                     ///< Whether the bundle in force was ever held.
+    bundle_agent_settings m_settings;                ///< Intervals.
+    core::instance_id m_self;                        ///< This instance.
+    std::string m_failure_domain;                    ///< Its failure domain.
+    key_table& m_keys;                               ///< Keys, withdrawals and bundle in force.
+    core::seeded_random m_random;                    ///< Jitter.
+    bundle_fetch m_fetch;                            ///< Fetch of the target bundle.
+    std::optional<head_row> m_head;                  ///< Head row as last learned.
+    std::string m_head_text;                         ///< Its text.
+    std::uint64_t m_head_revision = 0;               ///< Its table version.
+    std::optional<head_row> m_hint;                  ///< Copy of unknown age from the object store.
+    std::optional<pending_call> m_read;              ///< Read under way.
+    std::optional<pending_call> m_write;             ///< Write under way.
+    std::optional<pending_call> m_object;            ///< Object call under way.
+    core::time_point m_next_poll{};                  ///< Moment of the next poll.
+    std::optional<core::time_point> m_persist_at;    ///< Moment to write unwritten withdrawals.
+    core::time_point m_next_request{};               ///< Earliest moment of a state request.
+    core::time_point m_requested_at{};               ///< Moment of the last state request.
+    std::uint64_t m_request_sequence = 0;            ///< Sequence of the last state request.
+    std::string m_applied_object;                    ///< Object name of the document in force.
+    std::string m_change_object;                     ///< Object name of the change that led to it.
+    std::string m_change_text;                       ///< That change, for peers.
+    bool m_was_ready = false;                        ///< Whether the bundle in force was ever held.
     std::optional<core::time_point> m_store_word_at; ///< Question that the store answered last.
-    std::size_t m_failed_reads = 0;               ///< Reads that failed in a row.
-    std::uint64_t m_last_operation = 0;           ///< Last operation id given.
-    std::vector<action> m_actions;                ///< Actions not yet taken.
+    std::size_t m_failed_reads = 0;                  ///< Reads that failed in a row.
+    std::uint64_t m_last_operation = 0;              ///< Last operation id given.
+    std::vector<action> m_actions;                   ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::config
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -125,12 +125,10 @@
     : m_admin(admin), m_control(control), m_plane(plane), m_callers(callers),
       m_operators(std::move(operators)),
       m_server(
-          admin.context(),
-          net::make_endpoint(plane.self().m_address, plane.self().m_ports.m_admin),
+          admin.context(), net::make_endpoint(plane.self().m_address, plane.self().m_ports.m_admin),
           server_settings(), [this](const exchange_pointer& exchange) { on_request(exchange); },
           [](net::request_fault fault) { return problem_response(bad_input(fault)); })
-{
-}
+{}
 
 void admin_server::on_request(const exchange_pointer& exchange)
 {
@@ -179,9 +177,8 @@
     }
     if (path == "/admin/v1/head")
     {
-        run(exchange, [this](core::time_point now) {
-            return m_plane.config().approvals().status("", now);
-        });
+        run(exchange,
+            [this](core::time_point now) { return m_plane.config().approvals().status("", now); });
         return;
     }
     if (path.starts_with(drafts_prefix))
@@ -254,8 +251,10 @@
         const auto& applied = m_plane.config().applied();
         if (!applied)
         {
-            return problem_response({problem_kind::not_ready, core::execution::not_run,
-                                     "no configuration is in force here yet", {}});
+            return problem_response({problem_kind::not_ready,
+                                     core::execution::not_run,
+                                     "no configuration is in force here yet",
+                                     {}});
         }
         return net::make_json_response(status_ok, config::serialise(*applied));
     });
@@ -324,10 +323,11 @@
     if (!body.contains("digest") || !body["digest"].is_string() ||
         !config::from_hex(body["digest"].get<std::string>(), digest))
     {
-        refuse(problem_kind::malformed_request, "digest is not the SHA-256 of a key in hexadecimal");
+        refuse(problem_kind::malformed_request,
+               "digest is not the SHA-256 of a key in hexadecimal");
     }
-    observe::log("key_withdrawn", {{"operator", name},
-                                   {"digest", body["digest"].get<std::string>().substr(0, 16)}});
+    observe::log("key_withdrawn",
+                 {{"operator", name}, {"digest", body["digest"].get<std::string>().substr(0, 16)}});
     ask(exchange, [this, digest] {
         m_plane.config().withdraw(config::prefix_of(digest), core::runtime_clock::now());
         m_plane.pump();
@@ -341,8 +341,7 @@
     std::uint64_t number = 0;
     std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(), number);
     ask(exchange, [this, number] {
-        const bool cleared =
-            m_plane.recovery().blame().clear(number, core::runtime_clock::now());
+        const bool cleared = m_plane.recovery().blame().clear(number, core::runtime_clock::now());
         m_plane.pump();
         return ok({{"cleared", cleared}});
     });
@@ -364,7 +363,9 @@
         catch (const config::bundle_error& failure)
         {
             respond(exchange, problem_response({problem_kind::malformed_request,
-                                                core::execution::not_run, failure.what(), {}}));
+                                                core::execution::not_run,
+                                                failure.what(),
+                                                {}}));
         }
         catch (const request_error& failure)
         {
--- a/tarragontrail/entry/admin_server.hpp
+++ b/tarragontrail/entry/admin_server.hpp
@@ -54,13 +54,13 @@
     void ask(const exchange_pointer& exchange, std::function<net::http_response()> work);
     void respond(const exchange_pointer& exchange, net::http_response response);
 
-    net::duty& m_admin;               ///< Thread of this listener.
-    control_port& m_control;          ///< Way to the control thread.
-    control_plane& m_plane;           ///< Asked on its own thread only.
-    const caller_server& m_callers;   ///< Counts of requests.
-    operator_directory m_operators;   ///< Operators.
+    net::duty& m_admin;                  ///< Thread of this listener.
+    control_port& m_control;             ///< Way to the control thread.
+    control_plane& m_plane;              ///< Asked on its own thread only.
+    const caller_server& m_callers;      ///< Counts of requests.
+    operator_directory m_operators;      ///< Operators.
     std::atomic<bool> m_draining{false}; ///< Shutting down.
-    net::http_server m_server;        ///< Listener.
+    net::http_server m_server;           ///< Listener.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/call_flow.cpp
+++ b/tarragontrail/entry/call_flow.cpp
@@ -76,10 +76,9 @@
 
 call_flow::call_flow(control_context& context, net::duty& callers, std::uint64_t seed)
     : m_context(context), m_callers(callers),
-      m_guard(idempotency::call_guard_settings{}, context.m_self.m_id,
-              context.m_self.m_incarnation, seed)
-{
-}
+      m_guard(idempotency::call_guard_settings{}, context.m_self.m_id, context.m_self.m_incarnation,
+              seed)
+{}
 
 void call_flow::connect(config_service& config, limits_service& limits, recovery_service& recovery)
 {
@@ -108,8 +107,8 @@
     const core::time_point now = core::runtime_clock::now();
     try
     {
-        running& each =
-            m_calls.insert_or_assign(request->m_id, admit(request, listener, arrived)).first->second;
+        running& each = m_calls.insert_or_assign(request->m_id, admit(request, listener, arrived))
+                            .first->second;
         if (each.m_keyed)
         {
             const std::uint64_t charge = 1 + request->m_body.size() / bytes_per_token;
@@ -145,16 +144,20 @@
     each.m_route = find_route(*each.m_bundle, request->m_path);
     if (each.m_route == nullptr)
     {
-        throw request_error({problem_kind::no_such_route, core::execution::not_run,
-                             "nothing is served at this path", {}});
+        throw request_error({problem_kind::no_such_route,
+                             core::execution::not_run,
+                             "nothing is served at this path",
+                             {}});
     }
     each.m_keyed = !each.m_bundle->is_open_route(request->m_path);
     if (each.m_keyed)
     {
         if (!request->m_caller.m_digest)
         {
-            throw request_error({problem_kind::key_missing, core::execution::not_run,
-                                 "this route needs a key", {}});
+            throw request_error({problem_kind::key_missing,
+                                 core::execution::not_run,
+                                 "this route needs a key",
+                                 {}});
         }
         const config::key_check key =
             m_config->check(*request->m_caller.m_digest, core::runtime_clock::now());
@@ -220,9 +223,9 @@
     for (const std::string& name : each.m_route->m_upstreams)
     {
         const auto& all = m_config->applied()->m_upstreams;
-        const auto found = std::find_if(all.begin(), all.end(), [&name](const config::upstream& one) {
-            return one.m_name == name;
-        });
+        const auto found =
+            std::find_if(all.begin(), all.end(),
+                         [&name](const config::upstream& one) { return one.m_name == name; });
         if (found == all.end() || found->m_state != config::upstream_state::ready ||
             !m_recovery->allows(found->m_id))
         {
@@ -271,8 +274,9 @@
         each.m_excluded.clear();
         if (each.m_idempotent)
         {
-            refuse(id, {problem_kind::no_upstream, core::execution::not_run,
-                        "no service can take the call", std::chrono::milliseconds(1000)},
+            refuse(id,
+                   {problem_kind::no_upstream, core::execution::not_run,
+                    "no service can take the call", std::chrono::milliseconds(1000)},
                    now);
             return;
         }
@@ -280,14 +284,14 @@
         return;
     }
     each.m_service = service->m_id;
-    observe::log("call_routed", {{"request", core::value_of(id)},
-                                 {"attempt", attempt},
-                                 {"service", service->m_name},
-                                 {"path", each.m_request->m_path},
-                                 {"idempotent", each.m_idempotent},
-                                 {"reason", service->m_region == m_context.m_self.m_region
-                                                ? "near"
-                                                : "other_region"}});
+    observe::log(
+        "call_routed",
+        {{"request", core::value_of(id)},
+         {"attempt", attempt},
+         {"service", service->m_name},
+         {"path", each.m_request->m_path},
+         {"idempotent", each.m_idempotent},
+         {"reason", service->m_region == m_context.m_self.m_region ? "near" : "other_region"}});
     const call_order order{id, attempt, service->m_name,
                            net::make_endpoint(service->m_address, service->m_port),
                            each.m_deadline};
@@ -323,10 +327,9 @@
                                      {"attempt", attempt},
                                      {"fault", net::to_string(failure.m_fault)},
                                      {"not_run", not_run}});
-        m_recovery->on_attempt(each->m_service,
-                               not_run ? connection_outcome::not_made
-                                       : connection_outcome::lost_fresh,
-                               now);
+        m_recovery->on_attempt(
+            each->m_service,
+            not_run ? connection_outcome::not_made : connection_outcome::lost_fresh, now);
         each->m_excluded.push_back(each->m_service);
         if (each->m_idempotent)
         {
@@ -350,8 +353,7 @@
                                 const net::call_failure& failure, core::time_point now)
 {
     const bool not_run = failure.m_stage == net::call_stage::connecting;
-    const core::execution execution =
-        not_run ? core::execution::not_run : core::execution::unknown;
+    const core::execution execution = not_run ? core::execution::not_run : core::execution::unknown;
     const auto decision =
         m_recovery->budget().decide({each.m_attempt, true, execution, each.m_deadline, {}}, now);
     if (const auto* retry = std::get_if<recovery::retry>(&decision))
@@ -361,8 +363,9 @@
         each.m_wake = now + retry->m_after;
         return;
     }
-    refuse(id, {problem_kind::upstream_failed, execution, "the service failed and no retry is left",
-                std::chrono::milliseconds(1000)},
+    refuse(id,
+           {problem_kind::upstream_failed, execution, "the service failed and no retry is left",
+            std::chrono::milliseconds(1000)},
            now);
 }
 
@@ -435,12 +438,11 @@
     {
         return;
     }
-    observe::log("call_answered", {{"request", core::value_of(id)},
-                                   {"status", result.m_status},
-                                   {"replayed", replayed}});
-    m_callers.post([listener = each->m_listener, result, replayed] {
-        listener->on_answer(result, replayed);
-    });
+    observe::log(
+        "call_answered",
+        {{"request", core::value_of(id)}, {"status", result.m_status}, {"replayed", replayed}});
+    m_callers.post(
+        [listener = each->m_listener, result, replayed] { listener->on_answer(result, replayed); });
     finish(id, !replayed, now);
 }
 
--- a/tarragontrail/entry/call_flow.hpp
+++ b/tarragontrail/entry/call_flow.hpp
@@ -75,19 +75,19 @@
     /// One call from begin to end.
     struct running
     {
-        std::shared_ptr<const call_request> m_request; ///< Request.
-        std::shared_ptr<call_listener> m_listener;     ///< Its session.
+        std::shared_ptr<const call_request> m_request;  ///< Request.
+        std::shared_ptr<call_listener> m_listener;      ///< Its session.
         const config::service_route* m_route = nullptr; ///< Route, in the bundle below.
         std::shared_ptr<const config::bundle> m_bundle; ///< Bundle that it was begun under.
-        core::workspace_id m_workspace{};              ///< Owner of the key; zero on open routes.
-        bool m_keyed = false;                          ///< Runs for a workspace.
-        bool m_idempotent = false;                     ///< May be repeated.
-        bool m_charged = false;                        ///< Admitted by the limits.
-        std::uint64_t m_attempt = 1;                   ///< Attempt under way.
-        core::upstream_id m_service{};                 ///< Service chosen.
-        std::vector<core::upstream_id> m_excluded;     ///< Services not to use again.
-        core::time_point m_deadline{};                 ///< Caller's deadline.
-        std::optional<core::time_point> m_wake;        ///< End of the pause before a retry.
+        core::workspace_id m_workspace{};               ///< Owner of the key; zero on open routes.
+        bool m_keyed = false;                           ///< Runs for a workspace.
+        bool m_idempotent = false;                      ///< May be repeated.
+        bool m_charged = false;                         ///< Admitted by the limits.
+        std::uint64_t m_attempt = 1;                    ///< Attempt under way.
+        core::upstream_id m_service{};                  ///< Service chosen.
+        std::vector<core::upstream_id> m_excluded;      ///< Services not to use again.
+        core::time_point m_deadline{};                  ///< Caller's deadline.
+        std::optional<core::time_point> m_wake;         ///< End of the pause before a retry.
     };
 
     running* find(core::request_id id);
@@ -104,12 +104,12 @@
     void refuse(core::request_id id, const problem& told, core::time_point now);
     void finish(core::request_id id, bool ran, core::time_point now);
 
-    control_context& m_context;             ///< Shared means.
-    net::duty& m_callers;                   ///< Thread of the sessions.
-    config_service* m_config = nullptr;     ///< Keys and bundle.
-    limits_service* m_limits = nullptr;     ///< Admission.
-    recovery_service* m_recovery = nullptr; ///< Retries and circuits.
-    idempotency::call_guard m_guard;        ///< Non-idempotent calls.
+    control_context& m_context;                            ///< Shared means.
+    net::duty& m_callers;                                  ///< Thread of the sessions.
+    config_service* m_config = nullptr;                    ///< Keys and bundle.
+    limits_service* m_limits = nullptr;                    ///< Admission.
+    recovery_service* m_recovery = nullptr;                ///< Retries and circuits.
+    idempotency::call_guard m_guard;                       ///< Non-idempotent calls.
     std::unordered_map<core::request_id, running> m_calls; ///< All calls.
 };
 
--- a/tarragontrail/entry/call_request.cpp
+++ b/tarragontrail/entry/call_request.cpp
@@ -23,8 +23,10 @@
     parsed.m_idempotency_key = net::header_value(request, "Idempotency-Key");
     if (parsed.m_idempotency_key.size() > longest_idempotency_key)
     {
-        throw request_error({problem_kind::malformed_request, core::execution::not_run,
-                             "Idempotency-Key is longer than 255 bytes", {}});
+        throw request_error({problem_kind::malformed_request,
+                             core::execution::not_run,
+                             "Idempotency-Key is longer than 255 bytes",
+                             {}});
     }
     parsed.m_timeout = timeout_of(request);
     const std::uint64_t target =
--- a/tarragontrail/entry/call_session.cpp
+++ b/tarragontrail/entry/call_session.cpp
@@ -17,8 +17,7 @@
                            net::http_client& client, const session_settings& settings)
     : m_exchange(std::move(exchange)), m_request(std::move(request)), m_control(control),
       m_client(client), m_settings(settings)
-{
-}
+{}
 
 void call_session::start(std::function<void()> on_closed)
 {
@@ -39,8 +38,8 @@
 void call_session::on_dispatch(const call_order& order)
 {
     // The head is built anew, so that neither the caller's key nor its other headers go along.
-    net::http_request request = net::make_request(verb_of(m_request->m_method),
-                                                  m_request->m_target, m_request->m_body);
+    net::http_request request =
+        net::make_request(verb_of(m_request->m_method), m_request->m_target, m_request->m_body);
     request.set("X-Request-Id", std::to_string(core::value_of(order.m_request)));
     if (!m_request->m_content_type.empty())
     {
@@ -64,8 +63,8 @@
     settings.m_first_byte_timeout = std::max(left, std::chrono::milliseconds(1));
     settings.m_idle_timeout = m_settings.m_silence;
     m_client.fetch(order.m_endpoint, std::move(request), settings,
-                   [self = shared_from_this(), attempt = order.m_attempt](
-                       const net::http_client::fetch_result& result) {
+                   [self = shared_from_this(),
+                    attempt = order.m_attempt](const net::http_client::fetch_result& result) {
                        self->on_result(attempt, result);
                    });
 }
--- a/tarragontrail/entry/caller_server.cpp
+++ b/tarragontrail/entry/caller_server.cpp
@@ -17,14 +17,20 @@
     switch (fault)
     {
     case net::request_fault::head_too_large:
-        return {problem_kind::request_too_large, core::execution::not_run,
-                "the request's head is too large", {}};
+        return {problem_kind::request_too_large,
+                core::execution::not_run,
+                "the request's head is too large",
+                {}};
     case net::request_fault::body_too_large:
-        return {problem_kind::request_too_large, core::execution::not_run,
-                "the request's body is too large", {}};
+        return {problem_kind::request_too_large,
+                core::execution::not_run,
+                "the request's body is too large",
+                {}};
     case net::request_fault::too_slow:
-        return {problem_kind::request_too_slow, core::execution::not_run,
-                "the request did not arrive in time", {}};
+        return {problem_kind::request_too_slow,
+                core::execution::not_run,
+                "the request did not arrive in time",
+                {}};
     case net::request_fault::malformed:
         break;
     }
@@ -44,7 +50,7 @@
     {
         addresses.push_back({{"address", each.m_address}, {"port", each.m_port}});
     }
-    return {{"addresses", std::move(addresses)}, {"keep_ms", answer.m_keep.count()}};
+    return {{"locations", std::move(addresses)}, {"keep_ms", answer.m_keep.count()}};
 }
 
 } // namespace
@@ -64,8 +70,7 @@
               m_metrics.count_request("bad_input");
               return problem_response(fault_problem(fault));
           })
-{
-}
+{}
 
 void caller_server::stop_accepting()
 {
@@ -123,15 +128,16 @@
 {
     if (exchange->request().method() != boost::beast::http::verb::post)
     {
-        throw request_error({problem_kind::no_such_route, core::execution::not_run,
-                             "completions are asked for with POST", {}});
+        throw request_error({problem_kind::no_such_route,
+                             core::execution::not_run,
+                             "completions are asked for with POST",
+                             {}});
     }
     auto request = std::make_shared<completion_request>(
         parse_completion(exchange->request(), m_settings.m_completion));
     request->m_id = next_id();
-    const auto session =
-        std::make_shared<completion_session>(exchange, request, m_control, m_client,
-                                             m_callers.context(), m_settings.m_session);
+    const auto session = std::make_shared<completion_session>(
+        exchange, request, m_control, m_client, m_callers.context(), m_settings.m_session);
     ++m_sessions;
     m_metrics.count_request("completion");
     session->start([this] { --m_sessions; });
@@ -160,8 +166,7 @@
         const std::size_t homes = m_plane.locate_homes(id);
         const auto answer = m_plane.membership().locate(id, homes, place);
         m_callers.post([exchange, answer] {
-            exchange->respond(
-                net::make_json_response(status_ok, locate_json(answer).dump()));
+            exchange->respond(net::make_json_response(status_ok, locate_json(answer).dump()));
         });
     });
     if (!taken)
--- a/tarragontrail/entry/caller_server.hpp
+++ b/tarragontrail/entry/caller_server.hpp
@@ -10,10 +10,10 @@
 /// Settings of the callers' listener.
 struct caller_settings
 {
-    net::http_server_settings m_server;  ///< Bounds on requests.
-    session_settings m_session;          ///< Timeouts of attempts.
-    completion_limits m_completion;      ///< Bounds on completions.
-    std::size_t m_session_limit = 2048;  ///< Requests served at once.
+    net::http_server_settings m_server; ///< Bounds on requests.
+    session_settings m_session;         ///< Timeouts of attempts.
+    completion_limits m_completion;     ///< Bounds on completions.
+    std::size_t m_session_limit = 2048; ///< Requests served at once.
 };
 
 /// Callers' HTTP listener: completions, plain-service routes, locate.
@@ -38,16 +38,16 @@
     void list_models(const std::shared_ptr<net::http_exchange>& exchange);
     core::request_id next_id();
 
-    net::duty& m_callers;               ///< Thread of this listener.
-    control_port& m_control;            ///< Decisions.
-    control_plane& m_plane;             ///< Asked on its own thread only.
-    caller_settings m_settings;         ///< Bounds and timeouts.
-    observe::metrics& m_metrics;        ///< Counters.
-    net::http_client m_client;          ///< Connections to upstreams.
-    std::uint64_t m_id_seed;            ///< Differs between instances and starts.
-    std::uint64_t m_requests = 0;       ///< Requests taken on.
+    net::duty& m_callers;                   ///< Thread of this listener.
+    control_port& m_control;                ///< Decisions.
+    control_plane& m_plane;                 ///< Asked on its own thread only.
+    caller_settings m_settings;             ///< Bounds and timeouts.
+    observe::metrics& m_metrics;            ///< Counters.
+    net::http_client m_client;              ///< Connections to upstreams.
+    std::uint64_t m_id_seed;                ///< Differs between instances and starts.
+    std::uint64_t m_requests = 0;           ///< Requests taken on.
     std::atomic<std::size_t> m_sessions{0}; ///< Requests being served.
-    net::http_server m_server;          ///< Listener.
+    net::http_server m_server;              ///< Listener.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -42,8 +42,7 @@
                                  const limits::fair_queue_settings& queue_settings)
     : m_context(context), m_callers(callers), m_queue_settings(queue_settings),
       m_client(context.m_control.context())
-{
-}
+{}
 
 void completion_flow::connect(config_service& config, limits_service& limits,
                               routing_service& routing, recovery_service& recovery)
@@ -61,8 +60,7 @@
 }
 
 void completion_flow::begin(std::shared_ptr<const completion_request> request,
-                            std::shared_ptr<completion_listener> listener,
-                            core::time_point arrived)
+                            std::shared_ptr<completion_listener> listener, core::time_point arrived)
 {
     try
     {
@@ -75,8 +73,7 @@
     {
         observe::log("refused", {{"request", core::value_of(request->m_id)},
                                  {"reason", to_string(failure.told().m_kind)}});
-        m_callers.post(
-            [listener, told = failure.told()] { listener->on_refused(told); });
+        m_callers.post([listener, told = failure.told()] { listener->on_refused(told); });
     }
     m_context.m_pump();
 }
@@ -106,8 +103,10 @@
     const auto model = core::id_of<core::model_id>(request->m_model);
     if (!m_routing->engines().serves(model))
     {
-        throw request_error({problem_kind::no_such_model, core::execution::not_run,
-                             "no engine serves the model " + request->m_model, {}});
+        throw request_error({problem_kind::no_such_model,
+                             core::execution::not_run,
+                             "no engine serves the model " + request->m_model,
+                             {}});
     }
 
     running each;
@@ -115,8 +114,7 @@
     each.m_listener = std::move(listener);
     each.m_workspace = key.m_workspace;
     each.m_priority = bundle->m_workspaces.at(key.m_workspace_index).m_priority;
-    each.m_fingerprint =
-        core::hash_pair(core::value_of(key.m_workspace), request->m_fingerprint);
+    each.m_fingerprint = core::hash_pair(core::value_of(key.m_workspace), request->m_fingerprint);
     each.m_arrived = arrived;
     const auto limit = bundle->m_limits.m_request_timeout;
     each.m_deadline = arrived + std::min(request->m_timeout.value_or(limit), limit);
@@ -136,7 +134,8 @@
     case config::key_verdict::withdrawn:
         return {problem_kind::key_withdrawn, core::execution::not_run, "the key was withdrawn", {}};
     case config::key_verdict::unknown_key:
-        return {problem_kind::key_unknown, core::execution::not_run, "no workspace has this key", {}};
+        return {
+            problem_kind::key_unknown, core::execution::not_run, "no workspace has this key", {}};
     default:
         return {problem_kind::keys_not_vouched, core::execution::not_run,
                 "this instance cannot vouch for keys now", std::chrono::milliseconds(2000)};
@@ -205,8 +204,10 @@
     {
     case recovery::blame_verdict::quarantined:
         leave_engine(id, *each, 0, now);
-        refuse(id, {problem_kind::quarantined, each->m_execution,
-                    "this request crashed several engines and is refused for a while", {}});
+        refuse(id, {problem_kind::quarantined,
+                    each->m_execution,
+                    "this request crashed several engines and is refused for a while",
+                    {}});
         return;
     case recovery::blame_verdict::hold:
         leave_engine(id, *each, 0, now);
@@ -278,7 +279,8 @@
 void completion_flow::send(core::request_id id, core::time_point now)
 {
     running* each = find(id);
-    const engine_info* engine = each == nullptr ? nullptr : m_routing->engines().find(each->m_engine);
+    const engine_info* engine =
+        each == nullptr ? nullptr : m_routing->engines().find(each->m_engine);
     if (engine == nullptr)
     {
         return;
@@ -433,7 +435,8 @@
 void completion_flow::cancel(core::request_id id, const problem& told, core::time_point now)
 {
     running* each = find(id);
-    observe::log("cancelled", {{"request", core::value_of(id)}, {"reason", to_string(told.m_kind)}});
+    observe::log("cancelled",
+                 {{"request", core::value_of(id)}, {"reason", to_string(told.m_kind)}});
     const auto listener = each->m_listener;
     if (each->m_stage == stage::dispatched)
     {
--- a/tarragontrail/entry/completion_flow.hpp
+++ b/tarragontrail/entry/completion_flow.hpp
@@ -17,14 +17,14 @@
 /// Order to send a completion to an engine.
 struct dispatch_order
 {
-    core::request_id m_request{};    ///< Request.
-    std::uint64_t m_attempt = 1;     ///< Counts from one.
-    core::upstream_id m_engine{};    ///< Engine.
-    std::string m_engine_name;       ///< Its name, for logs.
-    net::tcp::endpoint m_endpoint;   ///< Its address.
-    std::string m_cache_salt;        ///< Root of the prompt's identity.
-    std::uint64_t m_priority = 0;    ///< Priority at the engine.
-    core::time_point m_deadline{};   ///< Caller's deadline.
+    core::request_id m_request{};  ///< Request.
+    std::uint64_t m_attempt = 1;   ///< Counts from one.
+    core::upstream_id m_engine{};  ///< Engine.
+    std::string m_engine_name;     ///< Its name, for logs.
+    net::tcp::endpoint m_endpoint; ///< Its address.
+    std::string m_cache_salt;      ///< Root of the prompt's identity.
+    std::uint64_t m_priority = 0;  ///< Priority at the engine.
+    core::time_point m_deadline{}; ///< Caller's deadline.
 };
 
 /// Receives the decisions on one completion, on the callers' thread.
@@ -46,18 +46,18 @@
 /// How an attempt at an engine failed.
 struct attempt_failure
 {
-    std::uint64_t m_attempt = 1;         ///< Attempt.
-    net::call_failure m_failure;         ///< What the connection did.
-    std::uint64_t m_delivered = 0;       ///< Tokens that the caller has.
+    std::uint64_t m_attempt = 1;   ///< Attempt.
+    net::call_failure m_failure;   ///< What the connection did.
+    std::uint64_t m_delivered = 0; ///< Tokens that the caller has.
 };
 
 /// How a completion ended at its engine.
 struct completion_end
 {
-    bool m_complete = false;             ///< The end marker came.
-    std::uint64_t m_output_tokens = 0;   ///< Tokens generated for this request.
-    std::uint64_t m_prompt_tokens = 0;   ///< Prompt tokens as the engine counted them.
-    std::uint64_t m_cached_tokens = 0;   ///< Of these, found in its cache.
+    bool m_complete = false;           ///< The end marker came.
+    std::uint64_t m_output_tokens = 0; ///< Tokens generated for this request.
+    std::uint64_t m_prompt_tokens = 0; ///< Prompt tokens as the engine counted them.
+    std::uint64_t m_cached_tokens = 0; ///< Of these, found in its cache.
 };
 
 /// What a caller is told of a refused key.
@@ -119,25 +119,25 @@
     /// One request from begin to end.
     struct running
     {
-        std::shared_ptr<const completion_request> m_request;  ///< Request.
-        std::shared_ptr<completion_listener> m_listener;      ///< Its session.
-        core::workspace_id m_workspace{};                     ///< Owner of the key.
-        std::uint64_t m_priority = 0;                         ///< Priority at engines.
-        std::uint64_t m_fingerprint = 0;                      ///< Request within its workspace.
-        routing::prefix_identity m_identity;                  ///< Identity of its prompt.
-        routing::prefix_chain m_chain;                        ///< Chain of its prompt.
-        stage m_stage = stage::admitting;                     ///< Progress.
-        std::uint64_t m_attempt = 1;                          ///< Attempt under way.
-        std::vector<core::upstream_id> m_excluded;            ///< Engines not to use again.
-        core::upstream_id m_engine{};                         ///< Engine chosen.
-        core::incarnation m_incarnation{};                    ///< Its incarnation when chosen.
-        std::uint64_t m_expected_hit = 0;                     ///< Pieces expected in its cache.
+        std::shared_ptr<const completion_request> m_request;    ///< Request.
+        std::shared_ptr<completion_listener> m_listener;        ///< Its session.
+        core::workspace_id m_workspace{};                       ///< Owner of the key.
+        std::uint64_t m_priority = 0;                           ///< Priority at engines.
+        std::uint64_t m_fingerprint = 0;                        ///< Request within its workspace.
+        routing::prefix_identity m_identity;                    ///< Identity of its prompt.
+        routing::prefix_chain m_chain;                          ///< Chain of its prompt.
+        stage m_stage = stage::admitting;                       ///< Progress.
+        std::uint64_t m_attempt = 1;                            ///< Attempt under way.
+        std::vector<core::upstream_id> m_excluded;              ///< Engines not to use again.
+        core::upstream_id m_engine{};                           ///< Engine chosen.
+        core::incarnation m_incarnation{};                      ///< Its incarnation when chosen.
+        std::uint64_t m_expected_hit = 0;                       ///< Pieces expected in its cache.
         core::execution m_execution = core::execution::not_run; ///< Over all attempts.
-        core::time_point m_arrived{};                         ///< Arrival.
-        core::time_point m_deadline{};                        ///< Caller's deadline.
-        core::time_point m_wake{};                            ///< End of the pause.
-        attempt_failure m_failure;                            ///< Failure that is probed.
-        bool m_first_token = false;                           ///< A token has arrived.
+        core::time_point m_arrived{};                           ///< Arrival.
+        core::time_point m_deadline{};                          ///< Caller's deadline.
+        core::time_point m_wake{};                              ///< End of the pause.
+        attempt_failure m_failure;                              ///< Failure that is probed.
+        bool m_first_token = false;                             ///< A token has arrived.
     };
 
     running* find(core::request_id id);
@@ -156,17 +156,17 @@
     void cancel(core::request_id id, const problem& told, core::time_point now);
     void log_decision(const running& each, const routing::routed& decision) const;
 
-    control_context& m_context;             ///< Shared means.
-    net::duty& m_callers;                   ///< Thread of the sessions.
-    limits::fair_queue_settings m_queue_settings; ///< For each engine's queue.
-    config_service* m_config = nullptr;     ///< Keys and bundle.
-    limits_service* m_limits = nullptr;     ///< Admission.
-    routing_service* m_routing = nullptr;   ///< Engines.
-    recovery_service* m_recovery = nullptr; ///< Blame and retries.
-    net::http_client m_client;              ///< Connections for probes.
-    std::unordered_map<core::request_id, running> m_requests;       ///< All requests.
-    std::map<core::upstream_id, limits::fair_queue> m_queues;       ///< By engine.
-    core::time_point m_next_recheck{};      ///< Next check of all keys.
+    control_context& m_context;                               ///< Shared means.
+    net::duty& m_callers;                                     ///< Thread of the sessions.
+    limits::fair_queue_settings m_queue_settings;             ///< For each engine's queue.
+    config_service* m_config = nullptr;                       ///< Keys and bundle.
+    limits_service* m_limits = nullptr;                       ///< Admission.
+    routing_service* m_routing = nullptr;                     ///< Engines.
+    recovery_service* m_recovery = nullptr;                   ///< Blame and retries.
+    net::http_client m_client;                                ///< Connections for probes.
+    std::unordered_map<core::request_id, running> m_requests; ///< All requests.
+    std::map<core::upstream_id, limits::fair_queue> m_queues; ///< By engine.
+    core::time_point m_next_recheck{};                        ///< Next check of all keys.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/completion_request.cpp
+++ b/tarragontrail/entry/completion_request.cpp
@@ -147,8 +147,10 @@
     }
     if (contains_key(request, key))
     {
-        throw request_error({problem_kind::key_in_request, core::execution::not_run,
-                             "the key may stand in its header only", {}});
+        throw request_error({problem_kind::key_in_request,
+                             core::execution::not_run,
+                             "the key may stand in its header only",
+                             {}});
     }
     return {config::sha256(key)};
 }
@@ -189,8 +191,7 @@
     parsed.m_prompt_tokens = parsed.m_prompt.size() / routing::bytes_per_token + 1;
     parsed.m_max_output_tokens =
         unsigned_member(body, "max_tokens", limits.m_default_output_tokens);
-    if (parsed.m_max_output_tokens == 0 ||
-        parsed.m_max_output_tokens > limits.m_max_output_tokens)
+    if (parsed.m_max_output_tokens == 0 || parsed.m_max_output_tokens > limits.m_max_output_tokens)
     {
         refuse("max_tokens lies outside 1 to " + std::to_string(limits.m_max_output_tokens));
     }
--- a/tarragontrail/entry/completion_request.hpp
+++ b/tarragontrail/entry/completion_request.hpp
@@ -21,18 +21,18 @@
 /// Chat completion as its caller sent it.
 struct completion_request
 {
-    core::request_id m_id{};                ///< Given by this instance.
-    caller_identity m_caller;               ///< Who calls.
-    std::string m_path;                     ///< Path, for open routes.
-    std::string m_model;                    ///< Model's name.
-    std::string m_adapter;                  ///< Adapter's name; empty for the plain model.
-    std::string m_prompt;                   ///< Canonical text of all messages.
-    nlohmann::json m_body;                  ///< Body, for the engine.
-    std::uint64_t m_prompt_tokens = 0;      ///< Estimated length of the prompt.
-    std::uint64_t m_max_output_tokens = 0;  ///< Most tokens to generate.
-    std::uint64_t m_resume_from = 0;        ///< Token offset at which the caller resumes.
-    std::uint64_t m_fingerprint = 0;        ///< Hash of the whole request within its workspace.
-    bool m_stream = false;                  ///< The caller wants a stream.
+    core::request_id m_id{};               ///< Given by this instance.
+    caller_identity m_caller;              ///< Who calls.
+    std::string m_path;                    ///< Path, for open routes.
+    std::string m_model;                   ///< Model's name.
+    std::string m_adapter;                 ///< Adapter's name; empty for the plain model.
+    std::string m_prompt;                  ///< Canonical text of all messages.
+    nlohmann::json m_body;                 ///< Body, for the engine.
+    std::uint64_t m_prompt_tokens = 0;     ///< Estimated length of the prompt.
+    std::uint64_t m_max_output_tokens = 0; ///< Most tokens to generate.
+    std::uint64_t m_resume_from = 0;       ///< Token offset at which the caller resumes.
+    std::uint64_t m_fingerprint = 0;       ///< Hash of the whole request within its workspace.
+    bool m_stream = false;                 ///< The caller wants a stream.
     std::optional<std::chrono::milliseconds> m_timeout; ///< The caller's own timeout.
 };
 
--- a/tarragontrail/entry/completion_retry.cpp
+++ b/tarragontrail/entry/completion_retry.cpp
@@ -69,25 +69,25 @@
         on_probed(id, core::incarnation{}, core::runtime_clock::now());
         return;
     }
-    m_client.fetch(engine->m_endpoint, net::make_request(boost::beast::http::verb::get, "/load"),
-                   probe_call(), [this, id](const net::http_client::fetch_result& result) {
-                       const core::time_point now = core::runtime_clock::now();
-                       core::incarnation found{};
-                       try
-                       {
-                           if (result.m_ok && result.m_response.result_int() == status_ok)
-                           {
-                               found = parse_engine_report(result.m_response.body(), now)
-                                           .m_load.m_incarnation;
-                           }
-                       }
-                       catch (const nlohmann::json::exception&)
-                       {
-                           found = core::incarnation{};
-                       }
-                       on_probed(id, found, now);
-                       m_context.m_pump();
-                   });
+    m_client.fetch(
+        engine->m_endpoint, net::make_request(boost::beast::http::verb::get, "/load"), probe_call(),
+        [this, id](const net::http_client::fetch_result& result) {
+            const core::time_point now = core::runtime_clock::now();
+            core::incarnation found{};
+            try
+            {
+                if (result.m_ok && result.m_response.result_int() == status_ok)
+                {
+                    found = parse_engine_report(result.m_response.body(), now).m_load.m_incarnation;
+                }
+            }
+            catch (const nlohmann::json::exception&)
+            {
+                found = core::incarnation{};
+            }
+            on_probed(id, found, now);
+            m_context.m_pump();
+        });
 }
 
 void completion_flow::on_probed(core::request_id id, core::incarnation found, core::time_point now)
@@ -114,8 +114,7 @@
 void completion_flow::decide_retry(core::request_id id, running& each, core::time_point now)
 {
     const bool not_run = each.m_failure.m_failure.m_stage == net::call_stage::connecting;
-    const core::execution execution =
-        not_run ? core::execution::not_run : core::execution::unknown;
+    const core::execution execution = not_run ? core::execution::not_run : core::execution::unknown;
     leave_engine(id, each, each.m_failure.m_delivered, now);
     if (not_run && each.m_attempt == 1)
     {
@@ -133,17 +132,17 @@
         return;
     }
     const bool begun = each.m_failure.m_delivered > 0;
-    refuse(id, {begun ? problem_kind::stream_broken : problem_kind::upstream_failed,
-                each.m_execution,
-                begun ? "the stream broke; resume it with Last-Event-ID"
-                      : "the engine failed and no retry is left",
-                std::chrono::milliseconds(1000)});
+    refuse(id,
+           {begun ? problem_kind::stream_broken : problem_kind::upstream_failed, each.m_execution,
+            begun ? "the stream broke; resume it with Last-Event-ID"
+                  : "the engine failed and no retry is left",
+            std::chrono::milliseconds(1000)});
 }
 
 void completion_flow::on_engine_restarted(core::upstream_id engine, core::incarnation before)
 {
-    observe::log("engine_restarted", {{"engine", core::value_of(engine)},
-                                      {"before", core::value_of(before)}});
+    observe::log("engine_restarted",
+                 {{"engine", core::value_of(engine)}, {"before", core::value_of(before)}});
     m_recovery->blame().on_engine_crashed(engine, before, core::runtime_clock::now());
 }
 
--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -53,8 +53,7 @@
 public:
     attempt_listener(std::weak_ptr<completion_session> session, std::uint64_t attempt)
         : m_session(std::move(session)), m_attempt(attempt)
-    {
-    }
+    {}
 
     void on_head(const net::http_response& head) override
     {
@@ -107,8 +106,7 @@
                                        const session_settings& settings)
     : m_exchange(std::move(exchange)), m_request(std::move(request)), m_control(control),
       m_client(client), m_settings(settings), m_timer(context)
-{
-}
+{}
 
 void completion_session::start(std::function<void()> on_closed)
 {
@@ -148,9 +146,9 @@
     body["cache_salt"] = order.m_cache_salt;
     body["priority"] = order.m_priority;
     body["resume_from"] = m_tracker->delivered();
-    net::http_request request = net::make_request(
-        http::verb::post, "/v1/chat/completions",
-        body.dump(-1, ' ', false, json::error_handler_t::replace));
+    net::http_request request =
+        net::make_request(http::verb::post, "/v1/chat/completions",
+                          body.dump(-1, ' ', false, json::error_handler_t::replace));
     request.set("X-Request-Id", chunk_identity(order.m_request, order.m_attempt));
 
     net::call_settings settings;
@@ -208,8 +206,8 @@
 
 void completion_session::on_engine_status(std::uint64_t attempt, unsigned status)
 {
-    observe::log("engine_refused", {{"request", core::value_of(m_request->m_id)},
-                                    {"status", status}});
+    observe::log("engine_refused",
+                 {{"request", core::value_of(m_request->m_id)}, {"status", status}});
     lose_attempt(attempt, {net::call_stage::receiving, net::call_fault::malformed, false});
 }
 
@@ -259,8 +257,10 @@
         else
         {
             const auto& failed = std::get<recovery::failed>(action);
-            fail({problem_kind::deadline_passed, failed.m_execution,
-                  "the request's deadline passed", {}});
+            fail({problem_kind::deadline_passed,
+                  failed.m_execution,
+                  "the request's deadline passed",
+                  {}});
         }
     }
     arm_timer();
@@ -299,8 +299,7 @@
     m_exchange->begin_stream(std::move(head));
 }
 
-void completion_session::write_chunk(const json& choice, std::uint64_t next_offset,
-                                     bool with_usage)
+void completion_session::write_chunk(const json& choice, std::uint64_t next_offset, bool with_usage)
 {
     json chunk{{"id", std::to_string(core::value_of(m_request->m_id))},
                {"object", "chat.completion.chunk"},
--- a/tarragontrail/entry/config_service.cpp
+++ b/tarragontrail/entry/config_service.cpp
@@ -14,8 +14,7 @@
     : m_context(context), m_listener(listener), m_keys(freshness),
       m_agent(settings, context.m_self.m_id, context.m_self.m_failure_domain, m_keys, seed),
       m_approval(config::approval_settings{}, seed + 1)
-{
-}
+{}
 
 void config_service::start(core::time_point now)
 {
@@ -105,19 +104,19 @@
     else if constexpr (std::is_same_v<Action, config::object_get>)
     {
         const auto operation = action.m_operation;
-        m_context.m_platform.get_object(
-            action.m_name, [this, operation](const std::optional<std::string>& bytes) {
-                const core::time_point now = core::runtime_clock::now();
-                if (bytes)
-                {
-                    m_agent.on_object(operation, *bytes, now);
-                }
-                else
-                {
-                    m_agent.on_object_failed(operation, now);
-                }
-                m_context.m_pump();
-            });
+        m_context.m_platform.get_object(action.m_name,
+                                        [this, operation](const std::optional<std::string>& bytes) {
+                                            const core::time_point now = core::runtime_clock::now();
+                                            if (bytes)
+                                            {
+                                                m_agent.on_object(operation, *bytes, now);
+                                            }
+                                            else
+                                            {
+                                                m_agent.on_object_failed(operation, now);
+                                            }
+                                            m_context.m_pump();
+                                        });
     }
     else if constexpr (std::is_same_v<Action, config::bundle_applied>)
     {
@@ -150,19 +149,19 @@
     else if constexpr (std::is_same_v<Action, config::object_put>)
     {
         const auto operation = action.m_operation;
-        m_context.m_platform.put_object(
-            action.m_name, action.m_bytes, [this, operation](std::optional<bool> stored) {
-                const core::time_point now = core::runtime_clock::now();
-                if (stored)
-                {
-                    m_approval.on_object_stored(operation, now);
-                }
-                else
-                {
-                    m_approval.on_object_failed(operation, now);
-                }
-                m_context.m_pump();
-            });
+        m_context.m_platform.put_object(action.m_name, action.m_bytes,
+                                        [this, operation](std::optional<bool> stored) {
+                                            const core::time_point now = core::runtime_clock::now();
+                                            if (stored)
+                                            {
+                                                m_approval.on_object_stored(operation, now);
+                                            }
+                                            else
+                                            {
+                                                m_approval.on_object_failed(operation, now);
+                                            }
+                                            m_context.m_pump();
+                                        });
     }
     else if constexpr (std::is_same_v<Action, config::command_done>)
     {
--- a/tarragontrail/entry/config_service.hpp
+++ b/tarragontrail/entry/config_service.hpp
@@ -53,8 +53,8 @@
     void on_withdrawal(const config::withdrawal& learned, core::time_point now);
 
     /// A peer's freshness arrived.
-    void on_freshness(const config::freshness_word& word,
-                      std::optional<core::time_point> asked_at, core::time_point now);
+    void on_freshness(const config::freshness_word& word, std::optional<core::time_point> asked_at,
+                      core::time_point now);
 
     /// Members of the view and failure domains of the platform's list.
     void set_members(const std::vector<core::instance_id>& members);
@@ -70,10 +70,7 @@
     config::agent_state state() const noexcept { return m_agent.state(); }
 
     /// Whether a call of on_keys_changed would find other ages than before.
-    config::freshness freshness_now(core::time_point now) const
-    {
-        return m_keys.ages().state(now);
-    }
+    config::freshness freshness_now(core::time_point now) const { return m_keys.ages().state(now); }
 
     /// Bundle in force; null before the first.
     const std::shared_ptr<const config::bundle>& applied() const { return m_keys.applied(); }
@@ -99,11 +96,11 @@
     void carry_out_approval(const Action& action);
     void finish(config::command_id command, const command_outcome& outcome);
 
-    control_context& m_context;     ///< Shared means.
-    config_listener& m_listener;    ///< Told of changes.
-    config::key_table m_keys;       ///< Keys and bundle in force.
-    config::bundle_agent m_agent;   ///< Keeps them up to date.
-    config::approval m_approval;    ///< Operators' commands.
+    control_context& m_context;                               ///< Shared means.
+    config_listener& m_listener;                              ///< Told of changes.
+    config::key_table m_keys;                                 ///< Keys and bundle in force.
+    config::bundle_agent m_agent;                             ///< Keeps them up to date.
+    config::approval m_approval;                              ///< Operators' commands.
     std::map<config::command_id, command_handler> m_commands; ///< Commands under way.
 };
 
--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -61,8 +61,7 @@
                              const control_settings& settings)
     : m_peers(control.context(), peer_endpoint(self), {self.m_id, self.m_incarnation},
               settings.m_links, *this),
-      m_context{self, control, platform, m_peers, metrics, [this] { pump(); }},
-      m_timer(control.context()),
+      m_context{self, control, platform, m_peers, metrics, [this] { pump(); }}, m_timer(control.context()),
       m_membership(m_context, settings.m_membership, *this, seed_of(self, 1)),
       m_config(m_context, settings.m_freshness, settings.m_bundle, *this, seed_of(self, 2)),
       m_limits(m_context, settings.m_limits, *this, seed_of(self, 3)),
@@ -70,7 +69,7 @@
       m_calls(m_context, callers, seed_of(self, 4)),
       m_routing(m_context, settings.m_routing, m_membership, m_completions, seed_of(self, 5)),
       m_recovery(m_context, m_membership, *this, seed_of(self, 6)),
-      m_services{&m_membership, &m_config, &m_limits, &m_routing,
+      m_services{&m_membership, &m_config, &m_limits,     &m_routing,
                  &m_recovery,   &m_calls,  &m_completions}
 {
     m_completions.connect(m_config, m_limits, m_routing, m_recovery);
@@ -211,7 +210,8 @@
     metrics.set_control("platform_reads", static_cast<double>(platform.m_reads));
     metrics.set_control("platform_writes", static_cast<double>(platform.m_writes));
     metrics.set_control("platform_failures", static_cast<double>(platform.m_failures));
-    metrics.set_control("view", static_cast<double>(core::value_of(m_membership.current().number())));
+    metrics.set_control("view",
+                        static_cast<double>(core::value_of(m_membership.current().number())));
     metrics.set_control("members", static_cast<double>(m_membership.current().members().size()));
     const auto& applied = m_config.applied();
     metrics.set_control("bundle_version", applied ? static_cast<double>(applied->m_version) : 0);
--- a/tarragontrail/entry/control_plane.hpp
+++ b/tarragontrail/entry/control_plane.hpp
@@ -12,13 +12,13 @@
 /// Settings of everything on the control thread.
 struct control_settings
 {
-    membership_settings m_membership;              ///< View, heartbeats, gossip.
-    config::key_freshness_settings m_freshness;    ///< How old a word on keys may be.
-    config::bundle_agent_settings m_bundle;        ///< Bundle.
-    limits_service_settings m_limits;              ///< Rate and burst.
-    routing_service_settings m_routing;            ///< Engines.
-    limits::fair_queue_settings m_queue;           ///< Queue in front of each engine.
-    net::peer_link_settings m_links;               ///< Links to other instances.
+    membership_settings m_membership;           ///< View, heartbeats, gossip.
+    config::key_freshness_settings m_freshness; ///< How old a word on keys may be.
+    config::bundle_agent_settings m_bundle;     ///< Bundle.
+    limits_service_settings m_limits;           ///< Rate and burst.
+    routing_service_settings m_routing;         ///< Engines.
+    limits::fair_queue_settings m_queue;        ///< Queue in front of each engine.
+    net::peer_link_settings m_links;            ///< Links to other instances.
 };
 
 /// All decision cores of one entry instance on one thread, and the messages between instances.
@@ -83,20 +83,20 @@
     void on_timer();
     void publish_metrics();
 
-    net::peer_network m_peers;           ///< Other instances.
-    control_context m_context;           ///< Shared means.
-    net::timer m_timer;                  ///< Earliest deadline of all services.
-    membership_service m_membership;     ///< View, heartbeats, gossip.
-    config_service m_config;             ///< Bundle and keys.
-    limits_service m_limits;             ///< Rate and burst.
-    completion_flow m_completions;       ///< Completions.
-    call_flow m_calls;                   ///< Calls to plain services.
-    routing_service m_routing;           ///< Engines.
-    recovery_service m_recovery;         ///< Crashes and retries.
+    net::peer_network m_peers;                ///< Other instances.
+    control_context m_context;                ///< Shared means.
+    net::timer m_timer;                       ///< Earliest deadline of all services.
+    membership_service m_membership;          ///< View, heartbeats, gossip.
+    config_service m_config;                  ///< Bundle and keys.
+    limits_service m_limits;                  ///< Rate and burst.
+    completion_flow m_completions;            ///< Completions.
+    call_flow m_calls;                        ///< Calls to plain services.
+    routing_service m_routing;                ///< Engines.
+    recovery_service m_recovery;              ///< Crashes and retries.
     std::vector<control_service*> m_services; ///< All of the above.
     std::optional<core::time_point> m_armed;  ///< Deadline that the timer is set to.
-    core::time_point m_next_metrics{};   ///< Next update of the gauges.
-    bool m_pumping = false;              ///< Actions are being carried out.
+    core::time_point m_next_metrics{};        ///< Next update of the gauges.
+    bool m_pumping = false;                   ///< Actions are being carried out.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/control_port.hpp
+++ b/tarragontrail/entry/control_port.hpp
@@ -11,15 +11,15 @@
 public:
     control_port(net::duty& control, completion_flow& completions, call_flow& calls)
         : m_control(control), m_completions(completions), m_calls(calls)
-    {
-    }
+    {}
 
     /// Takes on a completion; false when the control thread has too much to do.
     bool begin(std::shared_ptr<const completion_request> request,
                std::shared_ptr<completion_listener> listener);
 
     /// Takes on a call to a plain service; false when the control thread has too much to do.
-    bool begin(std::shared_ptr<const call_request> request, std::shared_ptr<call_listener> listener);
+    bool begin(std::shared_ptr<const call_request> request,
+               std::shared_ptr<call_listener> listener);
 
     // Events of completions.
     void first_token(core::request_id id);
--- a/tarragontrail/entry/control_service.hpp
+++ b/tarragontrail/entry/control_service.hpp
@@ -14,12 +14,12 @@
 /// What every service on the control thread uses.
 struct control_context
 {
-    membership::member m_self;       ///< This instance.
-    net::duty& m_control;            ///< Control thread.
-    platform_client& m_platform;     ///< Platform's services.
-    net::peer_network& m_peers;      ///< Other instances.
-    observe::metrics& m_metrics;     ///< Counters.
-    std::function<void()> m_pump;    ///< Carries out actions after an event from outside.
+    membership::member m_self;    ///< This instance.
+    net::duty& m_control;         ///< Control thread.
+    platform_client& m_platform;  ///< Platform's services.
+    net::peer_network& m_peers;   ///< Other instances.
+    observe::metrics& m_metrics;  ///< Counters.
+    std::function<void()> m_pump; ///< Carries out actions after an event from outside.
 };
 
 /// One group of decision cores on the control thread, with the carrying out of their actions.
--- a/tarragontrail/entry/engine_directory.hpp
+++ b/tarragontrail/entry/engine_directory.hpp
@@ -25,17 +25,17 @@
 /// Engine as the bundle and its watcher describe it.
 struct engine_info
 {
-    std::string m_name;              ///< Name.
-    core::upstream_id m_id{};        ///< Hash of the name.
-    net::tcp::endpoint m_endpoint;   ///< Address.
-    core::region_id m_region{};      ///< Region.
+    std::string m_name;                         ///< Name.
+    core::upstream_id m_id{};                   ///< Hash of the name.
+    net::tcp::endpoint m_endpoint;              ///< Address.
+    core::region_id m_region{};                 ///< Region.
     core::failure_domain_id m_failure_domain{}; ///< Failure domain.
-    core::model_id m_model{};        ///< Model.
-    std::string m_model_name;        ///< Model's name.
-    bool m_checks_fence = false;     ///< Refuses orders with an old fencing number.
-    bool m_configured_ready = true;  ///< The bundle lets it take work.
-    bool m_reachable = true;         ///< This instance's circuit to it is closed.
-    engine_status m_status;          ///< What its watcher found.
+    core::model_id m_model{};                   ///< Model.
+    std::string m_model_name;                   ///< Model's name.
+    bool m_checks_fence = false;                ///< Refuses orders with an old fencing number.
+    bool m_configured_ready = true;             ///< The bundle lets it take work.
+    bool m_reachable = true;                    ///< This instance's circuit to it is closed.
+    engine_status m_status;                     ///< What its watcher found.
 };
 
 /// All engines of the bundle in force with what is known of each.
--- a/tarragontrail/entry/engine_watcher.cpp
+++ b/tarragontrail/entry/engine_watcher.cpp
@@ -30,8 +30,7 @@
 {
 public:
     explicit stream_listener(std::weak_ptr<engine_watcher> watcher) : m_watcher(std::move(watcher))
-    {
-    }
+    {}
 
     void on_head(const net::http_response& head) override { m_ok = head.result_int() == status_ok; }
 
@@ -40,8 +39,8 @@
         const auto watcher = m_watcher.lock();
         if (watcher && m_ok)
         {
-            watcher->m_reader.feed(piece,
-                                   [&watcher](std::string_view data) { watcher->on_stream_data(data); });
+            watcher->m_reader.feed(
+                piece, [&watcher](std::string_view data) { watcher->on_stream_data(data); });
         }
     }
 
@@ -67,8 +66,7 @@
                                const engine_watcher_settings& settings, report_handler on_report)
     : m_client(client), m_engine(engine), m_endpoint(endpoint), m_settings(settings),
       m_on_report(std::move(on_report)), m_index(engine, settings.m_index)
-{
-}
+{}
 
 engine_watcher::~engine_watcher()
 {
@@ -143,8 +141,8 @@
     }
     catch (const json::exception& failure)
     {
-        observe::log("cache_event_refused", {{"engine", core::value_of(m_engine)},
-                                             {"reason", failure.what()}});
+        observe::log("cache_event_refused",
+                     {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
         m_index.on_stream_lost(now);
     }
     run_index_actions();
@@ -200,8 +198,8 @@
     }
     catch (const json::exception& failure)
     {
-        observe::log("load_report_refused", {{"engine", core::value_of(m_engine)},
-                                             {"reason", failure.what()}});
+        observe::log("load_report_refused",
+                     {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
     }
     m_on_report(std::nullopt);
 }
@@ -212,16 +210,15 @@
     {
         return;
     }
-    m_snapshot =
-        m_client.fetch(m_endpoint, net::make_request(http::verb::get, "/cache_blocks"),
-                       short_call(),
-                       [weak = weak_from_this()](net::http_client::fetch_result result) {
-                           const auto self = weak.lock();
-                           if (self && !self->m_stopped)
-                           {
-                               self->on_snapshot(result);
-                           }
-                       });
+    m_snapshot = m_client.fetch(m_endpoint, net::make_request(http::verb::get, "/cache_blocks"),
+                                short_call(),
+                                [weak = weak_from_this()](net::http_client::fetch_result result) {
+                                    const auto self = weak.lock();
+                                    if (self && !self->m_stopped)
+                                    {
+                                        self->on_snapshot(result);
+                                    }
+                                });
 }
 
 void engine_watcher::on_snapshot(const net::http_client::fetch_result& result)
@@ -242,8 +239,8 @@
     }
     catch (const json::exception& failure)
     {
-        observe::log("cache_snapshot_refused", {{"engine", core::value_of(m_engine)},
-                                                {"reason", failure.what()}});
+        observe::log("cache_snapshot_refused",
+                     {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
     }
     run_index_actions();
 }
--- a/tarragontrail/entry/engine_watcher.hpp
+++ b/tarragontrail/entry/engine_watcher.hpp
@@ -23,10 +23,10 @@
 /// Settings of one engine's watcher.
 struct engine_watcher_settings
 {
-    std::chrono::milliseconds m_load_interval{200};    ///< Time between load reports.
+    std::chrono::milliseconds m_load_interval{200};     ///< Time between load reports.
     std::chrono::milliseconds m_stream_silence{15'000}; ///< A silent event stream is opened anew.
-    std::chrono::milliseconds m_retry{500};            ///< Pause after a failed call.
-    routing::engine_index_settings m_index;            ///< Block index.
+    std::chrono::milliseconds m_retry{500};             ///< Pause after a failed call.
+    routing::engine_index_settings m_index;             ///< Block index.
 };
 
 /// Follows one engine's cache events and load for the whole fleet, on the control thread.
@@ -70,20 +70,20 @@
     void on_snapshot(const net::http_client::fetch_result& result);
     void run_index_actions();
 
-    net::http_client& m_client;            ///< Connections.
-    core::upstream_id m_engine;            ///< Engine.
-    net::tcp::endpoint m_endpoint;         ///< Its address.
-    engine_watcher_settings m_settings;    ///< Intervals.
-    report_handler m_on_report;            ///< Told of reports.
-    routing::engine_index m_index;         ///< Blocks held.
-    net::sse_reader m_reader;              ///< Events of the stream.
-    std::shared_ptr<net::http_call> m_stream;   ///< Event stream under way.
-    std::shared_ptr<net::http_call> m_load;     ///< Load call under way.
-    std::shared_ptr<net::http_call> m_snapshot; ///< Snapshot under way.
-    std::optional<engine_report> m_report; ///< Last load report.
-    core::time_point m_next_load{};        ///< Next load call.
+    net::http_client& m_client;                    ///< Connections.
+    core::upstream_id m_engine;                    ///< Engine.
+    net::tcp::endpoint m_endpoint;                 ///< Its address.
+    engine_watcher_settings m_settings;            ///< Intervals.
+    report_handler m_on_report;                    ///< Told of reports.
+    routing::engine_index m_index;                 ///< Blocks held.
+    net::sse_reader m_reader;                      ///< Events of the stream.
+    std::shared_ptr<net::http_call> m_stream;      ///< Event stream under way.
+    std::shared_ptr<net::http_call> m_load;        ///< Load call under way.
+    std::shared_ptr<net::http_call> m_snapshot;    ///< Snapshot under way.
+    std::optional<engine_report> m_report;         ///< Last load report.
+    core::time_point m_next_load{};                ///< Next load call.
     std::optional<core::time_point> m_next_stream; ///< Next try to open the stream.
-    bool m_stopped = false;                ///< No further calls.
+    bool m_stopped = false;                        ///< No further calls.
 };
 
 /// Reads a load report; throws nlohmann::json::exception on anything else.
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -37,10 +37,10 @@
 
 routing::policy_kind policy_of(const std::string& name)
 {
-    for (const auto kind : {routing::policy_kind::random, routing::policy_kind::least_loaded,
-                            routing::policy_kind::rendezvous,
-                            routing::policy_kind::bounded_rendezvous,
-                            routing::policy_kind::least_cost})
+    for (const auto kind :
+         {routing::policy_kind::random, routing::policy_kind::least_loaded,
+          routing::policy_kind::rendezvous, routing::policy_kind::bounded_rendezvous,
+          routing::policy_kind::least_cost})
     {
         if (name == routing::to_string(kind))
         {
--- a/tarragontrail/entry/entry_process.hpp
+++ b/tarragontrail/entry/entry_process.hpp
@@ -25,25 +25,25 @@
     void check_drained();
     void finish(bool cut_nothing);
 
-    config::entry_settings m_settings;        ///< Settings.
-    net::duty m_callers;                      ///< Callers and upstreams.
-    net::duty m_control;                      ///< Decisions and other instances.
-    net::duty m_platform;                     ///< Platform's services.
-    net::duty m_admin;                        ///< Operators.
-    observe::metrics m_metrics;               ///< Counters.
-    prometheus::Exposer m_exposer;            ///< Metrics' listener, with threads of its own.
-    platform_client m_platform_client;        ///< Platform's services.
-    control_plane m_plane;                    ///< Decisions.
-    control_port m_port;                      ///< Way to the decisions.
-    caller_server m_caller_server;            ///< Callers' listener.
-    admin_server m_admin_server;              ///< Operators' listener.
-    boost::asio::io_context m_main;           ///< Signals and drain.
-    boost::asio::signal_set m_signals;        ///< SIGTERM and SIGINT.
-    net::timer m_timer;                       ///< Next look at the drain.
-    core::time_point m_linger_end{};          ///< End of serving new connections.
-    core::time_point m_drain_end{};           ///< Latest end of the drain.
-    bool m_accepting = true;                  ///< New connections are taken.
-    bool m_cut_nothing = true;                ///< The drain ended with no request left.
+    config::entry_settings m_settings; ///< Settings.
+    net::duty m_callers;               ///< Callers and upstreams.
+    net::duty m_control;               ///< Decisions and other instances.
+    net::duty m_platform;              ///< Platform's services.
+    net::duty m_admin;                 ///< Operators.
+    observe::metrics m_metrics;        ///< Counters.
+    prometheus::Exposer m_exposer;     ///< Metrics' listener, with threads of its own.
+    platform_client m_platform_client; ///< Platform's services.
+    control_plane m_plane;             ///< Decisions.
+    control_port m_port;               ///< Way to the decisions.
+    caller_server m_caller_server;     ///< Callers' listener.
+    admin_server m_admin_server;       ///< Operators' listener.
+    boost::asio::io_context m_main;    ///< Signals and drain.
+    boost::asio::signal_set m_signals; ///< SIGTERM and SIGINT.
+    net::timer m_timer;                ///< Next look at the drain.
+    core::time_point m_linger_end{};   ///< End of serving new connections.
+    core::time_point m_drain_end{};    ///< Latest end of the drain.
+    bool m_accepting = true;           ///< New connections are taken.
+    bool m_cut_nothing = true;         ///< The drain ended with no request left.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/limits_service.cpp
+++ b/tarragontrail/entry/limits_service.cpp
@@ -72,8 +72,7 @@
                                limits_listener& listener, std::uint64_t seed)
     : m_context(context), m_settings(settings), m_listener(listener),
       m_admission(settings.m_limits, context.m_self.m_id, seed)
-{
-}
+{}
 
 void limits_service::start(core::time_point /*now*/)
 {
@@ -240,26 +239,25 @@
         return;
     }
     m_genesis_pending = true;
-    m_context.m_platform.read(
-        genesis_table, genesis_key, false,
-        [this](const std::optional<idempotency::read_result>& row) {
-            m_genesis_pending = false;
-            if (!row)
-            {
-                retry_later(core::runtime_clock::now());
-            }
-            else if (row->m_found)
-            {
-                adopt_genesis(row->m_value);
-            }
-            else
-            {
-                m_genesis_absent = true;
-                write_genesis();
-                retry_later(core::runtime_clock::now());
-            }
-            m_context.m_pump();
-        });
+    m_context.m_platform.read(genesis_table, genesis_key, false,
+                              [this](const std::optional<idempotency::read_result>& row) {
+                                  m_genesis_pending = false;
+                                  if (!row)
+                                  {
+                                      retry_later(core::runtime_clock::now());
+                                  }
+                                  else if (row->m_found)
+                                  {
+                                      adopt_genesis(row->m_value);
+                                  }
+                                  else
+                                  {
+                                      m_genesis_absent = true;
+                                      write_genesis();
+                                      retry_later(core::runtime_clock::now());
+                                  }
+                                  m_context.m_pump();
+                              });
 }
 
 void limits_service::write_genesis()
@@ -338,8 +336,8 @@
             }
             else
             {
-                now_there = row_of(row.m_workspace, result->m_current.m_version,
-                                   result->m_current.m_value);
+                now_there =
+                    row_of(row.m_workspace, result->m_current.m_version, result->m_current.m_value);
             }
             m_admission.on_share_row(now_there, core::runtime_clock::now());
             m_context.m_pump();
--- a/tarragontrail/entry/limits_service.hpp
+++ b/tarragontrail/entry/limits_service.hpp
@@ -24,8 +24,8 @@
 /// Settings of limits_service.
 struct limits_service_settings
 {
-    limits::limit_settings m_limits;     ///< Fleet-wide rate and burst.
-    std::size_t m_genesis_members = 3;   ///< Members that the first division of limits waits for.
+    limits::limit_settings m_limits;   ///< Fleet-wide rate and burst.
+    std::size_t m_genesis_members = 3; ///< Members that the first division of limits waits for.
     std::chrono::milliseconds m_retry{1000}; ///< Pause after a failed call to the table.
 };
 
@@ -75,18 +75,18 @@
     void write_row(const limits::write_share_row& action);
     void retry_later(core::time_point now);
 
-    control_context& m_context;          ///< Shared means.
-    limits_service_settings m_settings;  ///< Settings.
-    limits_listener& m_listener;         ///< Told of decisions.
-    limits::admission_control m_admission; ///< Decisions.
-    std::vector<limits::member> m_members; ///< Members of the view.
+    control_context& m_context;                   ///< Shared means.
+    limits_service_settings m_settings;           ///< Settings.
+    limits_listener& m_listener;                  ///< Told of decisions.
+    limits::admission_control m_admission;        ///< Decisions.
+    std::vector<limits::member> m_members;        ///< Members of the view.
     std::vector<core::workspace_id> m_workspaces; ///< Workspaces of the bundle in force.
-    std::size_t m_listed = 0;            ///< Instances on the platform's list.
-    bool m_rows_known = false;           ///< Rows written before the start were read.
-    bool m_genesis_known = false;        ///< First division is known.
-    bool m_genesis_pending = false;      ///< A call for it is under way.
-    bool m_genesis_absent = false;       ///< The table has no first division.
-    std::optional<core::time_point> m_retry_at; ///< Next try after a failed call.
+    std::size_t m_listed = 0;                     ///< Instances on the platform's list.
+    bool m_rows_known = false;                    ///< Rows written before the start were read.
+    bool m_genesis_known = false;                 ///< First division is known.
+    bool m_genesis_pending = false;               ///< A call for it is under way.
+    bool m_genesis_absent = false;                ///< The table has no first division.
+    std::optional<core::time_point> m_retry_at;   ///< Next try after a failed call.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/membership_service.cpp
+++ b/tarragontrail/entry/membership_service.cpp
@@ -34,8 +34,7 @@
                  context.m_self.m_incarnation, seed),
       m_keeper(settings.m_keeper, context.m_self.m_id, seed + 1), m_planner(context.m_self),
       m_locator(settings.m_locator)
-{
-}
+{}
 
 void membership_service::start(core::time_point now)
 {
--- a/tarragontrail/entry/membership_service.hpp
+++ b/tarragontrail/entry/membership_service.hpp
@@ -46,11 +46,11 @@
 /// Settings of membership_service.
 struct membership_settings
 {
-    std::chrono::milliseconds m_list_interval{2000}; ///< Time between readings of the list.
-    membership::view_keeper_settings m_keeper;       ///< Agreed view.
+    std::chrono::milliseconds m_list_interval{2000};  ///< Time between readings of the list.
+    membership::view_keeper_settings m_keeper;        ///< Agreed view.
     membership::failure_detector_settings m_detector; ///< Heartbeats.
-    membership::gossip_buffer_settings m_gossip;     ///< Gossip.
-    membership::locator_settings m_locator;          ///< Answers to callers.
+    membership::gossip_buffer_settings m_gossip;      ///< Gossip.
+    membership::locator_settings m_locator;           ///< Answers to callers.
 };
 
 /// Keeps the agreed view, heartbeats and gossip of this instance.
@@ -97,16 +97,16 @@
     template <class Action>
     void carry_out(const Action& action, core::time_point now);
 
-    control_context& m_context;               ///< Shared means.
-    membership_settings m_settings;           ///< Settings.
-    membership_listener& m_listener;          ///< Told of what is learned.
-    membership::failure_detector m_detector;  ///< Heartbeats and gossip.
-    membership::view_keeper m_keeper;         ///< Agreed view.
-    membership::change_planner m_planner;     ///< Changes that the view needs.
-    membership::locator m_locator;            ///< Answers to callers.
+    control_context& m_context;                        ///< Shared means.
+    membership_settings m_settings;                    ///< Settings.
+    membership_listener& m_listener;                   ///< Told of what is learned.
+    membership::failure_detector m_detector;           ///< Heartbeats and gossip.
+    membership::view_keeper m_keeper;                  ///< Agreed view.
+    membership::change_planner m_planner;              ///< Changes that the view needs.
+    membership::locator m_locator;                     ///< Answers to callers.
     std::vector<membership::listed_instance> m_listed; ///< Platform's list as last read.
-    core::time_point m_next_list{};           ///< Next reading of the list.
-    bool m_leaving = false;                   ///< This instance is shutting down.
+    core::time_point m_next_list{};                    ///< Next reading of the list.
+    bool m_leaving = false;                            ///< This instance is shutting down.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/platform_client.cpp
+++ b/tarragontrail/entry/platform_client.cpp
@@ -183,8 +183,9 @@
                            platform_handler<idempotency::read_result> handler)
 {
     ++m_counts.m_reads;
-    const std::string target = fmt::format("/table/{}/{}{}", encode_segment(table),
-                                           encode_segment(key), version_only ? "?version_only=1" : "");
+    const std::string target =
+        fmt::format("/table/{}/{}{}", encode_segment(table), encode_segment(key),
+                    version_only ? "?version_only=1" : "");
     call<idempotency::read_result>(net::make_request(http::verb::get, target), parse_read,
                                    std::move(handler));
 }
@@ -223,9 +224,9 @@
     const auto parse = [](const net::http_response& response) {
         return response.result_int() == status_ok ? std::optional<bool>(true) : std::nullopt;
     };
-    call<bool>(net::make_request(http::verb::put, "/objects/" + encode_segment(name),
-                                 std::move(bytes)),
-               parse, std::move(handler));
+    call<bool>(
+        net::make_request(http::verb::put, "/objects/" + encode_segment(name), std::move(bytes)),
+        parse, std::move(handler));
 }
 
 void platform_client::get_object(const std::string& name, platform_handler<std::string> handler)
@@ -243,8 +244,8 @@
     platform_handler<std::vector<membership::listed_instance>> handler)
 {
     ++m_counts.m_reads;
-    call<std::vector<membership::listed_instance>>(
-        net::make_request(http::verb::get, "/instances"), parse_list, std::move(handler));
+    call<std::vector<membership::listed_instance>>(net::make_request(http::verb::get, "/instances"),
+                                                   parse_list, std::move(handler));
 }
 
 std::string text_of_bytes(const std::string& bytes)
--- a/tarragontrail/entry/platform_client.hpp
+++ b/tarragontrail/entry/platform_client.hpp
@@ -47,8 +47,7 @@
               platform_handler<idempotency::read_result> handler);
 
     /// Reads all rows of a table.
-    void list_rows(const std::string& table,
-                   platform_handler<std::vector<platform_row>> handler);
+    void list_rows(const std::string& table, platform_handler<std::vector<platform_row>> handler);
 
     /// Writes rows in one transaction.
     void write(std::vector<idempotency::conditional_write> writes,
@@ -61,8 +60,7 @@
     void get_object(const std::string& name, platform_handler<std::string> handler);
 
     /// Reads the list of live and leaving instances.
-    void list_instances(
-        platform_handler<std::vector<membership::listed_instance>> handler);
+    void list_instances(platform_handler<std::vector<membership::listed_instance>> handler);
 
     /// Counts since the start.
     const platform_counts& counts() const noexcept { return m_counts; }
@@ -72,12 +70,12 @@
     template <class Reply, class Parse>
     void call(net::http_request request, Parse parse, platform_handler<Reply> handler);
 
-    net::duty& m_platform;               ///< Thread of the calls.
-    net::duty& m_home;                   ///< Thread of the handlers.
-    net::tcp::endpoint m_endpoint;       ///< Platform's address.
-    net::call_settings m_call_settings;  ///< Deadlines.
-    net::http_client m_client;           ///< Connections; used on the platform's thread.
-    platform_counts m_counts;            ///< For metrics.
+    net::duty& m_platform;              ///< Thread of the calls.
+    net::duty& m_home;                  ///< Thread of the handlers.
+    net::tcp::endpoint m_endpoint;      ///< Platform's address.
+    net::call_settings m_call_settings; ///< Deadlines.
+    net::http_client m_client;          ///< Connections; used on the platform's thread.
+    platform_counts m_counts;           ///< For metrics.
 };
 
 /// Text of bytes for JSON: each byte becomes the code point of the same number.
--- a/tarragontrail/entry/problem.cpp
+++ b/tarragontrail/entry/problem.cpp
@@ -67,17 +67,19 @@
 
 std::string problem_json(const problem& told)
 {
-    const nlohmann::json document{{"type", "urn:tarragontrail:" + std::string(to_string(told.m_kind))},
-                                  {"title", to_string(told.m_kind)},
-                                  {"status", status_of(told.m_kind)},
-                                  {"detail", told.m_detail},
-                                  {"execution", core::to_string(told.m_execution)}};
+    const nlohmann::json document{
+        {"type", "urn:tarragontrail:" + std::string(to_string(told.m_kind))},
+        {"title", to_string(told.m_kind)},
+        {"status", status_of(told.m_kind)},
+        {"detail", told.m_detail},
+        {"execution", core::to_string(told.m_execution)}};
     return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 net::http_response problem_response(const problem& told)
 {
-    net::http_response response = net::make_json_response(status_of(told.m_kind), problem_json(told));
+    net::http_response response =
+        net::make_json_response(status_of(told.m_kind), problem_json(told));
     response.set(boost::beast::http::field::content_type, "application/problem+json");
     if (told.m_retry_after)
     {
--- a/tarragontrail/entry/recovery_service.cpp
+++ b/tarragontrail/entry/recovery_service.cpp
@@ -17,8 +17,7 @@
       m_blame(recovery::crash_blame_settings{}, context.m_self.m_id),
       m_budget(recovery::retry_budget_settings{}, seed, core::runtime_clock::now()),
       m_health(recovery::connection_health_settings{}, seed + 1)
-{
-}
+{}
 
 bool recovery_service::on_message(const wire::message& message, core::time_point now)
 {
@@ -75,15 +74,13 @@
     {
         if (const auto* crash = std::get_if<recovery::share_crash>(&action))
         {
-            observe::log("engine_crashed",
-                         {{"engine", core::value_of(crash->m_report.m_engine)},
-                          {"in_flight", crash->m_report.m_fingerprints.size()}});
+            observe::log("engine_crashed", {{"engine", core::value_of(crash->m_report.m_engine)},
+                                            {"in_flight", crash->m_report.m_fingerprints.size()}});
             m_membership.broadcast(crash->m_report);
         }
         else if (const auto* quarantine = std::get_if<recovery::share_quarantine>(&action))
         {
-            observe::log("quarantined",
-                         {{"fingerprint", quarantine->m_notice.m_fingerprint}});
+            observe::log("quarantined", {{"fingerprint", quarantine->m_notice.m_fingerprint}});
             m_membership.broadcast(quarantine->m_notice);
         }
         else
@@ -140,15 +137,13 @@
             socket->close(ignored);
         }
     });
-    socket->async_connect(found->second,
-                          [this, socket, limit, upstream](boost::system::error_code error) {
-                              limit->cancel();
-                              on_attempt(upstream,
-                                         error ? connection_outcome::not_made
-                                               : connection_outcome::worked,
-                                         core::runtime_clock::now());
-                              m_context.m_pump();
-                          });
+    socket->async_connect(
+        found->second, [this, socket, limit, upstream](boost::system::error_code error) {
+            limit->cancel();
+            on_attempt(upstream, error ? connection_outcome::not_made : connection_outcome::worked,
+                       core::runtime_clock::now());
+            m_context.m_pump();
+        });
 }
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/recovery_service.hpp
+++ b/tarragontrail/entry/recovery_service.hpp
@@ -13,10 +13,10 @@
 /// How an attempt at an upstream ended, as far as its connection tells.
 enum class connection_outcome
 {
-    worked,       ///< The upstream answered.
-    not_made,     ///< No connection could be made.
-    lost_reused,  ///< A connection that had worked before broke.
-    lost_fresh,   ///< A new connection broke before it answered.
+    worked,      ///< The upstream answered.
+    not_made,    ///< No connection could be made.
+    lost_reused, ///< A connection that had worked before broke.
+    lost_fresh,  ///< A new connection broke before it answered.
 };
 
 /// Told of upstreams that can be reached or not, on the control thread.
@@ -57,14 +57,14 @@
 private:
     void probe(core::upstream_id upstream);
 
-    control_context& m_context;               ///< Shared means.
-    membership_service& m_membership;         ///< Broadcasts.
-    recovery_listener& m_listener;            ///< Told of circuits.
-    recovery::crash_blame m_blame;            ///< Poison requests.
-    recovery::retry_budget m_budget;          ///< Retries.
-    recovery::connection_health m_health;     ///< Circuits.
+    control_context& m_context;                                  ///< Shared means.
+    membership_service& m_membership;                            ///< Broadcasts.
+    recovery_listener& m_listener;                               ///< Told of circuits.
+    recovery::crash_blame m_blame;                               ///< Poison requests.
+    recovery::retry_budget m_budget;                             ///< Retries.
+    recovery::connection_health m_health;                        ///< Circuits.
     std::map<core::upstream_id, net::tcp::endpoint> m_endpoints; ///< For probes.
-    std::uint64_t m_next_connection = 1;      ///< Next connection's number.
+    std::uint64_t m_next_connection = 1;                         ///< Next connection's number.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/routing_service.cpp
+++ b/tarragontrail/entry/routing_service.cpp
@@ -16,15 +16,13 @@
 
 } // namespace
 
-routing_service::routing_service(control_context& context,
-                                 const routing_service_settings& settings,
+routing_service::routing_service(control_context& context, const routing_service_settings& settings,
                                  membership_service& membership, routing_listener& listener,
                                  std::uint64_t seed)
     : m_context(context), m_settings(settings), m_membership(membership), m_listener(listener),
       m_client(context.m_control.context()),
       m_router({context.m_self.m_id, context.m_self.m_region_id, seed}, settings.m_router)
-{
-}
+{}
 
 void routing_service::on_bundle(const config::bundle& applied, core::time_point now)
 {
@@ -177,12 +175,12 @@
 {
     observe::log("engine_watched", {{"engine", engine.m_name}});
     const core::upstream_id id = engine.m_id;
-    auto watcher = std::make_shared<engine_watcher>(
-        m_client, id, engine.m_endpoint, m_settings.m_watcher,
-        [this, id](const std::optional<engine_report>& report) {
-            on_report(id, report);
-            m_context.m_pump();
-        });
+    auto watcher =
+        std::make_shared<engine_watcher>(m_client, id, engine.m_endpoint, m_settings.m_watcher,
+                                         [this, id](const std::optional<engine_report>& report) {
+                                             on_report(id, report);
+                                             m_context.m_pump();
+                                         });
     watcher->start(now);
     m_router.set_local_index(id, &watcher->index());
     m_watchers.emplace(id, std::move(watcher));
--- a/tarragontrail/entry/routing_service.hpp
+++ b/tarragontrail/entry/routing_service.hpp
@@ -27,10 +27,10 @@
 /// Settings of routing_service.
 struct routing_service_settings
 {
-    routing::routing_settings m_router; ///< Decisions.
-    engine_watcher_settings m_watcher;  ///< Watched engines.
+    routing::routing_settings m_router;              ///< Decisions.
+    engine_watcher_settings m_watcher;               ///< Watched engines.
     std::chrono::milliseconds m_hint_interval{5000}; ///< Time between rounds of anchor hints.
-    std::size_t m_hints = 4;            ///< Anchor hints of one round.
+    std::size_t m_hints = 4;                         ///< Anchor hints of one round.
 };
 
 /// Routes completions to engines and watches this instance's share of them.
@@ -38,8 +38,7 @@
 {
 public:
     routing_service(control_context& context, const routing_service_settings& settings,
-                    membership_service& membership, routing_listener& listener,
-                    std::uint64_t seed);
+                    membership_service& membership, routing_listener& listener, std::uint64_t seed);
 
     void on_bundle(const config::bundle& applied, core::time_point now);
     void on_view(core::time_point now);
@@ -84,15 +83,15 @@
     void send_hints(core::time_point now);
     void refresh_router(core::time_point now);
 
-    control_context& m_context;            ///< Shared means.
-    routing_service_settings m_settings;   ///< Settings.
-    membership_service& m_membership;      ///< Owners of engines, gossip.
-    routing_listener& m_listener;          ///< Told of decisions.
-    net::http_client m_client;             ///< Connections to watched engines.
-    engine_directory m_engines;            ///< Engines.
-    routing::router m_router;              ///< Decisions.
+    control_context& m_context;          ///< Shared means.
+    routing_service_settings m_settings; ///< Settings.
+    membership_service& m_membership;    ///< Owners of engines, gossip.
+    routing_listener& m_listener;        ///< Told of decisions.
+    net::http_client m_client;           ///< Connections to watched engines.
+    engine_directory m_engines;          ///< Engines.
+    routing::router m_router;            ///< Decisions.
     std::map<core::upstream_id, std::shared_ptr<engine_watcher>> m_watchers; ///< Watched here.
-    core::time_point m_next_hints{};       ///< Next round of anchor hints.
+    core::time_point m_next_hints{}; ///< Next round of anchor hints.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/status_report.cpp
+++ b/tarragontrail/entry/status_report.cpp
@@ -142,12 +142,10 @@
     json report = json::object();
     if (outcome.m_draft)
     {
-        report["draft"] = {{"name", outcome.m_draft->m_name},
-                           {"state", name_of(outcome.m_draft->m_state)},
-                           {"author", outcome.m_draft->m_author},
-                           {"reviewer", outcome.m_draft->m_reviewer},
-                           {"signer", outcome.m_draft->m_signer},
-                           {"version", outcome.m_draft->m_ref.m_version}};
+        report["draft"] = {
+            {"name", outcome.m_draft->m_name},     {"state", name_of(outcome.m_draft->m_state)},
+            {"author", outcome.m_draft->m_author}, {"reviewer", outcome.m_draft->m_reviewer},
+            {"signer", outcome.m_draft->m_signer}, {"version", outcome.m_draft->m_ref.m_version}};
     }
     if (outcome.m_head)
     {
--- a/tarragontrail/idempotency/call_guard.cpp
+++ b/tarragontrail/idempotency/call_guard.cpp
@@ -212,8 +212,8 @@
 
 core::time_point call_guard::limit_of(const guarded_entry& entry, const call_waiter& waiter)
 {
-    // Before the dispatch nothing is lost by an early refusal, so a table that is down is not waited
-    // for until the caller's deadline.
+    // Before the dispatch nothing is lost by an early refusal, so a table that is down is not
+    // waited for until the caller's deadline.
     const bool bounded = entry.m_phase == entry_phase::claiming ||
                          entry.m_phase == entry_phase::following ||
                          (entry.m_phase == entry_phase::dispatched && waiter.m_repeat);
--- a/tarragontrail/net/duty.hpp
+++ b/tarragontrail/net/duty.hpp
@@ -46,7 +46,7 @@
     void schedule_drain();
     void drain();
 
-    std::string m_name;                 ///< Name for logs.
+    std::string m_name;                   ///< Name for logs.
     std::size_t m_capacity;               ///< Name for logs.
     boost::asio::io_context m_context;    ///< Event loop, run by one thread.
     core::bounded_ring<task> m_ring;      ///< Tasks from other duties.
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/net/http_client.hpp"
 
+#include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
 
 #include <array>
@@ -154,10 +155,9 @@
                     self->fail(call_fault::refused);
                     return;
                 }
-                error_code ignored;
                 if (self->m_connection)
                 {
-                    self->m_connection->m_socket.set_option(tcp::no_delay(true), ignored);
+                    prepare_socket(self->m_connection->m_socket);
                     self->send();
                 }
             });
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/net/http_server.hpp"
 
+#include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
 
@@ -40,8 +41,7 @@
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_shared(std::move(shared))
     {
         ++m_shared->m_connections;
-        error_code ignored;
-        m_socket.set_option(tcp::no_delay(true), ignored);
+        prepare_socket(m_socket);
     }
 
     ~server_connection() override { --m_shared->m_connections; }
--- a/tarragontrail/net/peer_link.cpp
+++ b/tarragontrail/net/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/net/peer_link.hpp"
 
+#include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/observe/log.hpp"
 
 #include <boost/asio/write.hpp>
@@ -15,8 +16,7 @@
       m_settings(settings), m_listener(&listener), m_traffic(&traffic),
       m_timer(m_socket.get_executor()), m_opened(core::runtime_clock::now()),
       m_last_heard(m_opened), m_last_used(m_opened)
-{
-}
+{}
 
 void peer_link::connect(const tcp::endpoint& endpoint)
 {
@@ -33,8 +33,7 @@
 
 void peer_link::serve()
 {
-    error_code ignored;
-    m_socket.set_option(tcp::no_delay(true), ignored);
+    prepare_socket(m_socket);
     schedule_check();
     flush();
     read();
@@ -183,7 +182,8 @@
 void peer_link::check()
 {
     const core::time_point now = core::runtime_clock::now();
-    const bool late_handshake = !m_codec.is_open() && now - m_opened >= m_settings.m_connect_timeout;
+    const bool late_handshake =
+        !m_codec.is_open() && now - m_opened >= m_settings.m_connect_timeout;
     const bool silent = now - m_last_heard >= m_settings.m_silence_timeout;
     const bool idle = now - m_last_used >= m_settings.m_idle_timeout;
     if (late_handshake || silent || idle)
--- a/tarragontrail/net/peer_link.hpp
+++ b/tarragontrail/net/peer_link.hpp
@@ -16,12 +16,14 @@
 /// Bounds and deadlines of one link.
 struct peer_link_settings
 {
-    std::chrono::milliseconds m_connect_timeout{1'000}; ///< Longest wait for connection and handshake.
+    std::chrono::milliseconds m_connect_timeout{
+        1'000}; ///< Longest wait for connection and handshake.
     std::chrono::milliseconds m_heartbeat_interval{2'000}; ///< Time between link heartbeats.
-    std::chrono::milliseconds m_silence_timeout{5'000}; ///< A link that hears nothing this long closes.
-    std::chrono::milliseconds m_idle_timeout{60'000};   ///< A link without messages this long closes.
-    std::size_t m_queue_limit = 1'024;                  ///< Most messages waiting for a handshake.
-    std::size_t m_backlog_limit_bytes = 1'048'576;      ///< Most bytes waiting for the socket.
+    std::chrono::milliseconds m_silence_timeout{
+        5'000}; ///< A link that hears nothing this long closes.
+    std::chrono::milliseconds m_idle_timeout{60'000}; ///< A link without messages this long closes.
+    std::size_t m_queue_limit = 1'024;                ///< Most messages waiting for a handshake.
+    std::size_t m_backlog_limit_bytes = 1'048'576;    ///< Most bytes waiting for the socket.
 };
 
 class peer_link;
--- a/tarragontrail/net/sse_reader.hpp
+++ b/tarragontrail/net/sse_reader.hpp
@@ -15,8 +15,7 @@
     /// `limit_bytes` bounds one event; a longer one is dropped whole.
     explicit sse_reader(std::size_t limit_bytes = std::size_t{16} * 1024 * 1024)
         : m_limit_bytes(limit_bytes)
-    {
-    }
+    {}
 
     /// Takes a piece of the stream and calls the handler for each event completed by it.
     void feed(std::string_view piece, const data_handler& on_data);
--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -39,8 +39,7 @@
                     .Help("State and traffic of the control duties")
                     .Register(*m_registry)),
       m_first_token(first_token_histogram(*m_registry))
-{
-}
+{}
 
 void metrics::count_request(const std::string& outcome)
 {
--- a/tarragontrail/observe/metrics.hpp
+++ b/tarragontrail/observe/metrics.hpp
@@ -42,14 +42,14 @@
     void set_control(const std::string& name, double value);
 
 private:
-    std::shared_ptr<prometheus::Registry> m_registry;             ///< All families.
-    prometheus::Family<prometheus::Counter>& m_requests;          ///< By outcome.
-    prometheus::Family<prometheus::Counter>& m_decisions;         ///< By reason.
-    prometheus::Family<prometheus::Counter>& m_limit_refusals;    ///< By reason.
-    prometheus::Family<prometheus::Counter>& m_retries;           ///< By kind.
-    prometheus::Family<prometheus::Counter>& m_prompt_tokens;     ///< Cached or recomputed.
-    prometheus::Family<prometheus::Gauge>& m_control;             ///< By name.
-    prometheus::Histogram& m_first_token;                         ///< Seconds.
+    std::shared_ptr<prometheus::Registry> m_registry;          ///< All families.
+    prometheus::Family<prometheus::Counter>& m_requests;       ///< By outcome.
+    prometheus::Family<prometheus::Counter>& m_decisions;      ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_limit_refusals; ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_retries;        ///< By kind.
+    prometheus::Family<prometheus::Counter>& m_prompt_tokens;  ///< Cached or recomputed.
+    prometheus::Family<prometheus::Gauge>& m_control;          ///< By name.
+    prometheus::Histogram& m_first_token;                      ///< Seconds.
 };
 
 } // namespace tarragontrail::observe
--- a/unit_tests/processes/failure_test.cpp
+++ b/unit_tests/processes/failure_test.cpp
@@ -101,11 +101,10 @@
 
         // Every engine that runs it crashes once mid-stream; the caller sees one unbroken answer.
         bool crashed = false;
-        const auto answer =
-            m_fleet->start("POST", m_fleet->entry(0), completions, body, court,
-                           [&](const std::string& so_far) {
-                               crashed = crashed || test::read_stream(so_far).m_next_offset > 20;
-                           });
+        const auto answer = m_fleet->start(
+            "POST", m_fleet->entry(0), completions, body, court, [&](const std::string& so_far) {
+                crashed = crashed || test::read_stream(so_far).m_next_offset > 20;
+            });
         m_fleet->run_until([&] { return crashed; });
         for (std::size_t i = 0; i < m_fleet->engines(); ++i)
         {
@@ -118,11 +117,10 @@
 
         // The entry is killed mid-stream; the caller resumes at another one from its last event.
         bool far_enough = false;
-        const auto cut = m_fleet->start("POST", m_fleet->entry(0), completions, body, court,
-                                        [&](const std::string& so_far) {
-                                            far_enough =
-                                                test::read_stream(so_far).m_next_offset > 20;
-                                        });
+        const auto cut = m_fleet->start(
+            "POST", m_fleet->entry(0), completions, body, court, [&](const std::string& so_far) {
+                far_enough = test::read_stream(so_far).m_next_offset > 20;
+            });
         m_fleet->run_until([&] { return far_enough; });
         m_fleet->signal("entry-1", SIGKILL);
         m_fleet->run_for(300ms);
--- a/unit_tests/processes/process_fleet.cpp
+++ b/unit_tests/processes/process_fleet.cpp
@@ -49,9 +49,9 @@
     void on_failed(const net::call_failure& /*failure*/) override { *m_done = true; }
 
 private:
-    std::shared_ptr<process_answer> m_answer;             ///< Filled.
-    std::function<void(const std::string&)> m_on_piece;   ///< Told of pieces.
-    std::shared_ptr<bool> m_done;                         ///< Set at the end.
+    std::shared_ptr<process_answer> m_answer;           ///< Filled.
+    std::function<void(const std::string&)> m_on_piece; ///< Told of pieces.
+    std::shared_ptr<bool> m_done;                       ///< Set at the end.
 };
 
 net::http_request request_of(const std::string& method, const std::string& path,
@@ -92,9 +92,8 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_adddup2(&files, input[0], STDIN_FILENO);
     posix_spawn_file_actions_adddup2(&files, output[1], STDOUT_FILENO);
-    CPPUNIT_ASSERT_EQUAL(
-        0, posix_spawn(&m_launcher, words.front().c_str(), &files, nullptr, arguments.data(),
-                       environ));
+    CPPUNIT_ASSERT_EQUAL(0, posix_spawn(&m_launcher, words.front().c_str(), &files, nullptr,
+                                        arguments.data(), environ));
     posix_spawn_file_actions_destroy(&files);
     close(input[0]);
     close(output[1]);
@@ -163,9 +162,9 @@
     const auto answer = std::make_shared<process_answer>();
     net::call_settings settings;
     settings.m_fresh_connection = true;
-    m_client.start(net::parse_endpoint(address), request_of(method, path, body, headers), settings,
-                   std::make_shared<gathering>(answer, std::move(on_piece),
-                                               std::make_shared<bool>(false)));
+    m_client.start(
+        net::parse_endpoint(address), request_of(method, path, body, headers), settings,
+        std::make_shared<gathering>(answer, std::move(on_piece), std::make_shared<bool>(false)));
     return answer;
 }
 
@@ -262,8 +261,8 @@
         const auto& delta = chunk["choices"][0]["delta"];
         if (delta.contains("content"))
         {
-            stream.m_in_order = stream.m_in_order && (stream.m_next_offset == 0 ||
-                                                      next == stream.m_next_offset + 1);
+            stream.m_in_order = stream.m_in_order &&
+                                (stream.m_next_offset == 0 || next == stream.m_next_offset + 1);
             stream.m_text += delta["content"].get<std::string>();
             stream.m_next_offset = next;
         }
--- a/unit_tests/processes/process_fleet.hpp
+++ b/unit_tests/processes/process_fleet.hpp
@@ -63,10 +63,10 @@
                         std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
     /// Starts a call; `on_piece` sees the body so far after each piece.
-    std::shared_ptr<process_answer>
-    start(const std::string& method, const std::string& address, const std::string& path,
-          const std::string& body, const std::map<std::string, std::string>& headers,
-          std::function<void(const std::string&)> on_piece = {});
+    std::shared_ptr<process_answer> start(const std::string& method, const std::string& address,
+                                          const std::string& path, const std::string& body,
+                                          const std::map<std::string, std::string>& headers,
+                                          std::function<void(const std::string&)> on_piece = {});
 
     /// Runs calls until a condition holds; fails the test when it does not in time.
     void run_until(const std::function<bool()>& condition,
