--- a/tarragontrail/routing/actions.hpp
+++ b/tarragontrail/routing/actions.hpp
@@ -79,10 +79,12 @@
 /// Action of the router.
 using router_action = std::variant<send_lookup, routed, unroutable>;
 
-/// Asks an engine for a whole snapshot of its cache.
+/// Asks an engine for a snapshot of its cache, or for the missing batches if it can repeat them.
 struct request_snapshot
 {
-    core::upstream_id m_engine{}; ///< Engine to ask.
+    core::upstream_id m_engine{};      ///< Engine to ask.
+    core::incarnation m_incarnation{}; ///< Incarnation as far as known.
+    std::uint64_t m_first_missing = 0; ///< First batch not seen.
 };
 
 } // namespace tarragontrail::routing
--- a/tarragontrail/routing/engine_index.cpp
+++ b/tarragontrail/routing/engine_index.cpp
@@ -66,6 +66,7 @@
     m_highest = std::max(m_highest, m_applied);
     m_has_base = true;
     m_retry_at.reset();
+    m_earliest_request = now + m_settings.m_snapshot_interval;
     settle(now);
 }
 
@@ -96,8 +97,8 @@
     {
         return;
     }
-    m_retry_at.reset();
-    await_snapshot(now);
+    m_actions.push_back({m_engine, m_incarnation, m_applied + 1});
+    m_retry_at = now + m_settings.m_snapshot_retry;
 }
 
 std::vector<request_snapshot> engine_index::take_actions()
@@ -130,6 +131,7 @@
     m_has_base = true;
     m_known = true;
     m_retry_at.reset();
+    m_earliest_request = {};
 }
 
 void engine_index::await_snapshot(core::time_point now)
@@ -139,8 +141,11 @@
     {
         return;
     }
-    m_retry_at = now + m_settings.m_snapshot_retry;
-    m_actions.push_back({m_engine});
+
+    // Late batches often close a gap, and a snapshot is large.
+    const core::duration grace = m_has_base ? m_settings.m_gap_grace : core::duration{};
+    m_retry_at = std::max(now + grace, m_earliest_request);
+    on_timer(now);
 }
 
 void engine_index::apply(const cache_event& event, core::time_point now)
--- a/tarragontrail/routing/engine_index.hpp
+++ b/tarragontrail/routing/engine_index.hpp
@@ -36,7 +36,7 @@
     /// Notes a lost connection to the event stream; entries are not believed until a snapshot.
     void on_stream_lost(core::time_point now);
 
-    /// Asks again for a snapshot that did not come.
+    /// Asks for a snapshot that is due, or again for one that did not come.
     void on_timer(core::time_point now);
 
     /// Moment at which on_timer has work to do.
@@ -89,6 +89,7 @@
     std::vector<cache_event> m_buffered; ///< Batches after a gap, by sequence number.
     lifetime_estimator m_lifetime;       ///< Learned time from store to eviction.
     std::optional<core::time_point> m_retry_at; ///< When to ask for the snapshot again.
+    core::time_point m_earliest_request{};      ///< No request before.
     std::vector<request_snapshot> m_actions;    ///< Actions not yet taken.
     std::uint64_t m_refused = 0;                ///< Blocks left out.
 };
--- a/tarragontrail/routing/settings.hpp
+++ b/tarragontrail/routing/settings.hpp
@@ -21,8 +21,10 @@
     std::uint64_t m_expected_blocks = 92'000;         ///< Blocks that fit without growth.
     std::uint64_t m_max_bytes = 8'000'000;            ///< Most memory for the blocks.
     std::uint64_t m_max_buffered_events = 256;        ///< Batches kept while a snapshot is awaited.
+    std::chrono::milliseconds m_gap_grace{200};       ///< Wait for late batches before a request.
     std::chrono::milliseconds m_snapshot_retry{1000}; ///< Time until a repeated request.
-    std::chrono::milliseconds m_lifetime_floor{1000}; ///< Shortest believed lifetime.
+    std::chrono::milliseconds m_snapshot_interval{5000};  ///< Shortest time after a snapshot.
+    std::chrono::milliseconds m_lifetime_floor{1000};     ///< Shortest believed lifetime.
     std::chrono::milliseconds m_lifetime_ceiling{60'000}; ///< Longest believed lifetime.
     double m_lifetime_gain = 0.05;                        ///< Weight of one observed eviction.
 };
