--- a/tarragontrail/limits/admission_control.cpp
+++ b/tarragontrail/limits/admission_control.cpp
@@ -112,7 +112,7 @@
     }
 
     // The share held here pays what it can; the rest is borrowed.
-    request_state& state = place->second;
+    admission_request& state = place->second;
     state.m_workspace = workspace;
     state.m_charge = charge_tokens * micro_tokens_per_token;
     state.m_deadline = deadline;
@@ -132,7 +132,7 @@
     {
         return;
     }
-    request_state& state = place->second;
+    admission_request& state = place->second;
     const std::uint64_t charged = state.m_charge / micro_tokens_per_token;
     const std::uint64_t used = std::min(used_tokens, charged) * micro_tokens_per_token;
     refund(state, state.m_charge - used, now);
@@ -141,25 +141,19 @@
 
 void admission_control::cancel(core::request_id request, core::time_point now)
 {
+    settle(request, 0, now);
     const auto place = m_requests.find(request);
-    if (place == m_requests.end())
+    if (place != m_requests.end())
     {
-        return;
-    }
-    if (place->second.m_is_admitted)
-    {
-        settle(request, 0, now);
-        return;
+        release(place->second);
+        m_requests.erase(place);
     }
-    release(place->second);
-    m_requests.erase(place);
 }
 
 void admission_control::on_loan_request(core::instance_id from, const loan_request& message,
                                         core::time_point now)
 {
-    workspace_limit* limit = find_limit(message.m_workspace);
-    home_share* share = limit == nullptr ? nullptr : limit->share();
+    home_share* share = find_share(message.m_workspace);
     if (share == nullptr)
     {
         m_actions.emplace_back(
@@ -172,8 +166,7 @@
 void admission_control::on_loan_settle(core::instance_id from, const loan_settle& message,
                                        core::time_point now)
 {
-    workspace_limit* limit = find_limit(message.m_workspace);
-    home_share* share = limit == nullptr ? nullptr : limit->share();
+    home_share* share = find_share(message.m_workspace);
     if (share != nullptr)
     {
         share->settle(from, message, m_settings, now);
@@ -257,10 +250,17 @@
     return found == m_limits.end() ? nullptr : &found->second;
 }
 
+home_share* admission_control::find_share(core::workspace_id workspace)
+{
+    workspace_limit* limit = find_limit(workspace);
+    return limit == nullptr ? nullptr : limit->share();
+}
+
 void admission_control::follow_ownership(core::time_point now)
 {
     for (const core::workspace_id workspace : m_ownership.take_changed())
     {
+        m_homes.erase(workspace);
         workspace_limit* limit = find_limit(workspace);
         const share_row* row = m_ownership.find_row(workspace);
         if (limit == nullptr || row == nullptr)
@@ -271,9 +271,7 @@
         if (limit->share() != nullptr)
         {
             m_homes.insert(workspace);
-            continue;
         }
-        m_homes.erase(workspace);
     }
 }
 
@@ -293,14 +291,11 @@
         {
             continue;
         }
+        const share_row& row = *m_ownership.find_row(workspace);
         const share_hint hint = limit.make_hint(workspace, m_view, now);
-        for (const share_slot& slot : m_ownership.find_row(workspace)->m_slots)
+        for (const lender& other : limit.lenders(context_of(row, now)).homes())
         {
-            if (slot.m_holder == m_self)
-            {
-                continue;
-            }
-            m_actions.emplace_back(send_to<share_hint>{slot.m_holder, hint});
+            m_actions.emplace_back(send_to<share_hint>{other.m_instance, hint});
         }
     }
 }
--- a/tarragontrail/limits/admission_control.hpp
+++ b/tarragontrail/limits/admission_control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragontrail/limits/actions.hpp"
+#include "tarragontrail/limits/admission_request.hpp"
 #include "tarragontrail/limits/limit_settings.hpp"
 #include "tarragontrail/limits/sent_loans.hpp"
 #include "tarragontrail/limits/share_ownership.hpp"
@@ -75,66 +76,31 @@
     const workspace_limit* find(core::workspace_id workspace) const;
 
 private:
-    /// Tokens received from one lender for one request.
-    struct loan_part
-    {
-        core::instance_id m_lender{};
-        std::uint64_t m_loan_id = 0;
-        std::uint64_t m_amount = 0;
-        core::time_point m_usable_until;
-    };
-
-    /// Lender asked for one request.
-    struct asked_lender
-    {
-        core::instance_id m_lender{};
-        std::uint64_t m_loan_id = 0; ///< Its last loan request.
-        bool m_is_repeated = false;  ///< Asked a second time already.
-        bool m_has_more = false;     ///< It answered that it has tokens left.
-    };
-
-    /// Request that is gathering tokens or has been admitted.
-    struct request_state
-    {
-        core::workspace_id m_workspace{};
-        std::uint64_t m_charge = 0;         ///< Micro-tokens to gather.
-        std::uint64_t m_own = 0;            ///< Micro-tokens from the share held here.
-        std::uint64_t m_own_mark = 0;       ///< Mark of the own part at admission.
-        std::uint32_t m_own_generation = 0; ///< Share that the own part came from.
-        bool m_is_admitted = false;         ///< Admitted, not yet settled.
-        bool m_met_timeout = false;         ///< Some lender did not answer in time.
-        core::time_point m_deadline;        ///< Latest time of admission.
-        std::vector<loan_part> m_loans;     ///< Loans received.
-        std::vector<asked_lender> m_asked;  ///< Lenders asked so far.
-        std::uint64_t m_open_amount = 0;    ///< Micro-tokens asked for and not yet answered.
-        std::uint32_t m_open_asks = 0;      ///< Loan requests not yet answered.
-    };
-
-    using request_map = std::unordered_map<core::request_id, request_state>;
+    using request_map = std::unordered_map<core::request_id, admission_request>;
 
     limit_context context_of(const share_row& row, core::time_point now) const;
     workspace_limit* find_limit(core::workspace_id workspace);
+    home_share* find_share(core::workspace_id workspace);
     void follow_ownership(core::time_point now);
     void refuse(core::request_id request, refusal_reason reason,
                 std::chrono::milliseconds retry_after);
 
     void gather(request_map::iterator place, core::time_point now);
-    void ask_more(core::request_id request, request_state& state, core::time_point now);
-    void ask_one(core::request_id request, request_state& state, core::instance_id lender,
+    void ask_more(core::request_id request, admission_request& state, core::time_point now);
+    void ask_one(core::request_id request, admission_request& state, core::instance_id lender,
                  std::uint64_t amount, core::time_point now);
     void give_up_all(core::workspace_id workspace, core::time_point now);
-    void drop_stale_parts(request_state& state, core::time_point now);
-    void finish_admission(core::request_id request, request_state& state);
+    void drop_stale_parts(admission_request& state, core::time_point now);
+    void finish_admission(core::request_id request, admission_request& state);
     void give_up(request_map::iterator place, core::time_point now);
-    void release(request_state& state);
-    void abandon_asks(request_state& state);
-    void refund(request_state& state, std::uint64_t unused, core::time_point now);
-    home_share* own_share(const request_state& state);
+    void release(admission_request& state);
+    void abandon_asks(admission_request& state);
+    void refund(admission_request& state, std::uint64_t unused, core::time_point now);
+    home_share* own_share(const admission_request& state);
     void time_out_asks(core::time_point now);
     void send_hints(core::time_point now);
     void send_settle(core::instance_id lender, core::workspace_id workspace, std::uint64_t loan_id,
                      std::uint64_t used);
-    static std::uint64_t missing(const request_state& state);
 
     limit_settings m_settings;                                        ///< Settings.
     core::instance_id m_self;                                         ///< This instance.
--- a/tarragontrail/limits/loan_gathering.cpp
+++ b/tarragontrail/limits/loan_gathering.cpp
@@ -21,14 +21,6 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(wait) + 1);
 }
 
-/// Entry of a lender in a list of lenders asked, or its end.
-template <class List>
-auto find_asked(List& asked, core::instance_id lender)
-{
-    return std::find_if(asked.begin(), asked.end(),
-                        [&](const auto& each) { return each.m_lender == lender; });
-}
-
 } // namespace
 
 void admission_control::on_loan_reply(core::instance_id from, const loan_reply& message,
@@ -60,14 +52,10 @@
     }
     const auto place = m_requests.find(asked.m_request);
     TARRAGONTRAIL_INVARIANT(place != m_requests.end(), "limits.open_ask_has_request");
-    request_state& state = place->second;
-    --state.m_open_asks;
-    state.m_open_amount -= asked.m_amount;
+    admission_request& state = place->second;
+    state.close_ask(asked.m_amount);
     asked.m_state = sent_loan::state::abandoned;
-    for (asked_lender& each : state.m_asked)
-    {
-        each.m_has_more = each.m_lender == from ? message.m_left > 0 : each.m_has_more;
-    }
+    state.find_asked(from)->m_has_more = message.m_left > 0;
     if (message.m_granted && now < usable_until)
     {
         ++m_counts.m_loans_granted;
@@ -80,14 +68,14 @@
 
 void admission_control::gather(request_map::iterator place, core::time_point now)
 {
-    request_state& state = place->second;
+    admission_request& state = place->second;
     if (now >= state.m_deadline)
     {
         give_up(place, now);
         return;
     }
     drop_stale_parts(state, now);
-    if (missing(state) == 0)
+    if (state.missing() == 0)
     {
         finish_admission(place->first, state);
         return;
@@ -99,11 +87,11 @@
     }
 }
 
-void admission_control::ask_more(core::request_id request, request_state& state,
+void admission_control::ask_more(core::request_id request, admission_request& state,
                                  core::time_point now)
 {
     workspace_limit* limit = find_limit(state.m_workspace);
-    const std::uint64_t lacking = missing(state);
+    const std::uint64_t lacking = state.missing();
     if (limit == nullptr || state.m_open_amount >= lacking)
     {
         return;
@@ -118,8 +106,8 @@
     // The fullest first; those that did not answer lately last.
     book.rank(m_paused, now, m_candidates);
     std::erase_if(m_candidates, [&](ranked_lender& each) {
-        const auto asked = find_asked(state.m_asked, each.m_instance);
-        each.m_is_repeat = asked != state.m_asked.end();
+        const asked_lender* asked = state.find_asked(each.m_instance);
+        each.m_is_repeat = asked != nullptr;
         return each.m_is_repeat && (asked->m_is_repeated || !asked->m_has_more);
     });
 
@@ -140,29 +128,19 @@
     }
 }
 
-void admission_control::ask_one(core::request_id request, request_state& state,
+void admission_control::ask_one(core::request_id request, admission_request& state,
                                 core::instance_id lender, std::uint64_t amount,
                                 core::time_point now)
 {
     const std::uint64_t loan_id = m_sent.add(
         {request, state.m_workspace, lender, amount, now, sent_loan::state::open}, m_settings);
-    const auto before = find_asked(state.m_asked, lender);
-    if (before == state.m_asked.end())
-    {
-        state.m_asked.push_back({lender, loan_id, false, false});
-    }
-    else
-    {
-        *before = {lender, loan_id, true, false};
-    }
-    state.m_open_amount += amount;
-    ++state.m_open_asks;
+    state.note_ask(lender, loan_id, amount);
     ++m_counts.m_loans_asked;
     m_actions.emplace_back(
         send_to<loan_request>{lender, {loan_id, state.m_workspace, amount, m_view}});
 }
 
-void admission_control::drop_stale_parts(request_state& state, core::time_point now)
+void admission_control::drop_stale_parts(admission_request& state, core::time_point now)
 {
     if (state.m_own > 0 && own_share(state) == nullptr)
     {
@@ -181,9 +159,9 @@
     }
 }
 
-void admission_control::finish_admission(core::request_id request, request_state& state)
+void admission_control::finish_admission(core::request_id request, admission_request& state)
 {
-    TARRAGONTRAIL_INVARIANT(missing(state) == 0, "limits.admitted_with_whole_charge");
+    TARRAGONTRAIL_INVARIANT(state.missing() == 0, "limits.admitted_with_whole_charge");
     abandon_asks(state);
     if (state.m_own > 0)
     {
@@ -199,9 +177,9 @@
 
 void admission_control::give_up(request_map::iterator place, core::time_point now)
 {
-    request_state& state = place->second;
+    admission_request& state = place->second;
     const core::request_id request = place->first;
-    const std::uint64_t lacking = missing(state);
+    const std::uint64_t lacking = state.missing();
     release(state);
 
     if (now >= state.m_deadline)
@@ -220,7 +198,7 @@
     m_requests.erase(place);
 }
 
-void admission_control::release(request_state& state)
+void admission_control::release(admission_request& state)
 {
     abandon_asks(state);
     home_share* share = own_share(state);
@@ -253,7 +231,7 @@
     }
 }
 
-void admission_control::abandon_asks(request_state& state)
+void admission_control::abandon_asks(admission_request& state)
 {
     if (state.m_open_asks == 0)
     {
@@ -271,7 +249,7 @@
     state.m_open_amount = 0;
 }
 
-void admission_control::refund(request_state& state, std::uint64_t unused, core::time_point now)
+void admission_control::refund(admission_request& state, std::uint64_t unused, core::time_point now)
 {
     // Loans are refunded first: their lenders wait for the settlement in any case.
     for (const loan_part& part : state.m_loans)
@@ -288,14 +266,11 @@
     }
 }
 
-home_share* admission_control::own_share(const request_state& state)
+home_share* admission_control::own_share(const admission_request& state)
 {
-    workspace_limit* limit = find_limit(state.m_workspace);
-    if (limit == nullptr || limit->share_generation() != state.m_own_generation)
-    {
-        return nullptr;
-    }
-    return limit->share();
+    const workspace_limit* limit = find_limit(state.m_workspace);
+    const bool is_same = limit != nullptr && limit->share_generation() == state.m_own_generation;
+    return is_same ? find_share(state.m_workspace) : nullptr;
 }
 
 void admission_control::time_out_asks(core::time_point now)
@@ -309,8 +284,7 @@
 
         const auto place = m_requests.find(late.m_request);
         TARRAGONTRAIL_INVARIANT(place != m_requests.end(), "limits.open_ask_has_request");
-        --place->second.m_open_asks;
-        place->second.m_open_amount -= late.m_amount;
+        place->second.close_ask(late.m_amount);
         place->second.m_met_timeout = true;
         gather(place, now);
     }
@@ -322,14 +296,4 @@
     m_actions.emplace_back(send_to<loan_settle>{lender, {loan_id, workspace, used}});
 }
 
-std::uint64_t admission_control::missing(const request_state& state)
-{
-    std::uint64_t held = state.m_own;
-    for (const loan_part& part : state.m_loans)
-    {
-        held += part.m_amount;
-    }
-    return state.m_charge - std::min(state.m_charge, held);
-}
-
 } // namespace tarragontrail::limits
--- a/tarragontrail/limits/share_ownership.cpp
+++ b/tarragontrail/limits/share_ownership.cpp
@@ -40,10 +40,7 @@
     const std::unordered_set<core::instance_id> before =
         std::exchange(m_listed, {listed.begin(), listed.end()});
     m_listed_at = asked_at;
-    for (const core::instance_id present : listed)
-    {
-        m_absent.erase(present);
-    }
+    std::erase_if(m_absent, [&](const auto& each) { return m_listed.contains(each.first); });
     if (before != m_listed)
     {
         act_on_all(now);
@@ -84,36 +81,17 @@
 
 void share_ownership::on_row(const share_row& row, core::time_point now)
 {
-    const auto found = m_tracked.find(row.m_workspace);
-    if (found == m_tracked.end())
-    {
-        return;
-    }
-    found->second.m_awaiting = false;
-    adopt(found->second, row, now);
-    act(found->second, now);
+    take_row(row, true, now);
 }
 
 void share_ownership::on_row_missing(core::workspace_id workspace, core::time_point now)
 {
-    const auto found = m_tracked.find(workspace);
-    if (found == m_tracked.end())
-    {
-        return;
-    }
-    found->second.m_awaiting = false;
-    act(found->second, now);
+    take_row({workspace, 0, {}}, true, now);
 }
 
 void share_ownership::learn_row(const share_row& row, core::time_point now)
 {
-    const auto found = m_tracked.find(row.m_workspace);
-    if (found == m_tracked.end())
-    {
-        return;
-    }
-    adopt(found->second, row, now);
-    act(found->second, now);
+    take_row(row, false, now);
 }
 
 void share_ownership::refresh(core::workspace_id workspace, core::time_point now)
@@ -187,6 +165,19 @@
     return 2 * m_settings.m_list_lag + m_settings.m_loan_lifetime;
 }
 
+void share_ownership::take_row(const share_row& row, bool is_answer, core::time_point now)
+{
+    const auto found = m_tracked.find(row.m_workspace);
+    if (found == m_tracked.end())
+    {
+        return;
+    }
+    tracked& state = found->second;
+    state.m_awaiting = state.m_awaiting && !is_answer;
+    adopt(state, row, now);
+    act(state, now);
+}
+
 void share_ownership::adopt(tracked& state, const share_row& row, core::time_point now)
 {
     if (row.m_version <= state.m_row.m_version)
--- a/tarragontrail/limits/share_ownership.hpp
+++ b/tarragontrail/limits/share_ownership.hpp
@@ -87,6 +87,7 @@
     };
 
     bool is_listed(core::instance_id instance) const { return m_listed.contains(instance); }
+    void take_row(const share_row& row, bool is_answer, core::time_point now);
     void adopt(tracked& state, const share_row& row, core::time_point now);
     void act_on_all(core::time_point now);
     void act(tracked& state, core::time_point now);
