--- a/tarragontrail/limits/admission_control.cpp
+++ b/tarragontrail/limits/admission_control.cpp
@@ -154,13 +154,9 @@
                                         core::time_point now)
 {
     home_share* share = find_share(message.m_workspace);
-    if (share == nullptr)
-    {
-        m_actions.emplace_back(
-            send_to<loan_reply>{from, {message.m_loan_id, message.m_workspace, false, 0, 0, {}}});
-        return;
-    }
-    m_actions.emplace_back(send_to<loan_reply>{from, share->lend(from, message, m_settings, now)});
+    const loan_reply nothing{message.m_loan_id, message.m_workspace, false, 0, 0, {}};
+    m_actions.emplace_back(send_to<loan_reply>{
+        from, share == nullptr ? nothing : share->lend(from, message, m_settings, now)});
 }
 
 void admission_control::on_loan_settle(core::instance_id from, const loan_settle& message,
--- /dev/null
+++ b/unit_tests/limits/fake_fleet.hpp
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "tarragontrail/core/random.hpp"
+#include "tarragontrail/limits/admission_control.hpp"
+#include "unit_tests/limits/fake_timeline.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace tarragontrail::limits {
+
+/// Several admission_control objects that are started, stopped, paused and replaced.
+class fake_fleet : public fake_timeline
+{
+public:
+    using call = std::function<void(admission_control&, core::time_point)>;
+
+    /// Makes `count` instances, every second one in region 1; none is started.
+    fake_fleet(const limit_settings& settings, std::size_t count, bool ids_are_unique,
+               std::uint64_t seed)
+        : m_settings(settings), m_random(seed), m_ids_are_unique(ids_are_unique), m_nodes(count)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            m_members.push_back({core::instance_id{100 + index}, core::region_id{index % 2}});
+            m_nodes[index].m_offset = std::chrono::seconds(m_random.below(1000));
+        }
+        m_genesis = m_members;
+    }
+
+    virtual ~fake_fleet() = default;
+
+    void pause(std::size_t index, core::duration span)
+    {
+        m_nodes[index].m_paused_until = m_now + span;
+    }
+    void stop(std::size_t index)
+    {
+        m_nodes[index].m_control.reset();
+        m_nodes[index].m_changes.push_back(m_now);
+    }
+    void start(std::size_t index)
+    {
+        node& started = m_nodes[index];
+        if (started.m_control)
+        {
+            stop(index);
+        }
+        started.m_changes.push_back(m_now);
+        started.m_timer.reset();
+        started.m_control = std::make_unique<admission_control>(
+            m_settings, m_members[index].m_instance, m_random());
+        ++started.m_incarnation;
+        const core::time_point now = m_now + started.m_offset;
+        started.m_control->set_genesis(m_genesis, now);
+        if (m_ids_are_unique)
+        {
+            started.m_control->confirm_rows(now);
+        }
+        equip(index);
+    }
+
+    /// Restarts every instance that is up.
+    void restart_all()
+    {
+        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+        {
+            if (is_up(index))
+            {
+                start(index);
+            }
+        }
+    }
+
+    /// Stops an instance for good and starts another one, with an id of its own.
+    void replace(std::size_t index)
+    {
+        stop(index);
+        m_members[index].m_instance = core::instance_id{0};
+        const std::size_t added = m_nodes.size();
+        m_members.push_back({core::instance_id{100 + added}, core::region_id{added % 2}});
+        m_nodes.emplace_back();
+        ++m_view;
+        start(added);
+    }
+
+    bool is_up(std::size_t index) const { return m_nodes[index].m_control != nullptr; }
+    std::size_t size() const { return m_nodes.size(); }
+    const std::vector<member>& members() const { return m_members; }
+    const admission_control* control(std::size_t index) const
+    {
+        return m_nodes[index].m_control.get();
+    }
+
+protected:
+    /// Gives a started instance what it learns at its start.
+    virtual void equip(std::size_t index) = 0;
+
+    /// Carries out an instance's actions.
+    virtual void perform_all(std::size_t index, std::vector<action> actions) = 0;
+
+    bool chance(double probability) { return m_random.unit() < probability; }
+
+    bool is_listed(std::size_t index, core::time_point when) const
+    {
+        const std::vector<core::time_point>& changes = m_nodes[index].m_changes;
+        return std::count_if(changes.begin(), changes.end(),
+                             [&](core::time_point change) { return change <= when; }) %
+                   2 ==
+               1;
+    }
+
+    /// Runs a call at an instance, after its pause if it is paused, not at all if it is down.
+    void deliver(std::size_t index, const call& run)
+    {
+        node& receiver = m_nodes[index];
+        if (!receiver.m_control)
+        {
+            return;
+        }
+        if (receiver.m_paused_until > m_now)
+        {
+            at(receiver.m_paused_until, [this, index, run, process = receiver.m_incarnation] {
+                deliver_to(index, process, run);
+            });
+            return;
+        }
+        run(*receiver.m_control, m_now + receiver.m_offset);
+        carry_out(index);
+    }
+
+    /// Runs a call at an instance unless it has been restarted since.
+    void deliver_to(std::size_t index, std::uint64_t process, const call& run)
+    {
+        if (m_nodes[index].m_incarnation == process)
+        {
+            deliver(index, run);
+        }
+    }
+
+    void carry_out(std::size_t index)
+    {
+        perform_all(index, m_nodes[index].m_control->take_actions());
+        const std::optional<core::time_point> due = m_nodes[index].m_control->next_deadline();
+        if (!due)
+        {
+            return;
+        }
+        const core::time_point when = std::max(m_now, *due - m_nodes[index].m_offset);
+        if (m_nodes[index].m_timer && *m_nodes[index].m_timer <= when)
+        {
+            return;
+        }
+        m_nodes[index].m_timer = when;
+        at(when, [this, index, when, process = m_nodes[index].m_incarnation] {
+            if (m_nodes[index].m_timer != when)
+            {
+                return;
+            }
+            m_nodes[index].m_timer.reset();
+            deliver_to(index, process, [](admission_control& control, core::time_point now) {
+                control.on_timer(now);
+            });
+        });
+    }
+
+    std::uint64_t process_of(std::size_t index) const { return m_nodes[index].m_incarnation; }
+    core::time_point local_time(std::size_t index) const { return m_now + m_nodes[index].m_offset; }
+
+    limit_settings m_settings;     ///< Settings of all instances.
+    core::seeded_random m_random;  ///< Source of all chances.
+    std::vector<member> m_members; ///< Id zero in place of a replaced instance.
+    std::uint64_t m_view = 1;      ///< Number of the members' view.
+
+private:
+    struct node
+    {
+        std::unique_ptr<admission_control> m_control;
+        core::duration m_offset{}; ///< Its clock's lead over the network's.
+        core::time_point m_paused_until{};
+        std::uint64_t m_incarnation = 0;
+        std::optional<core::time_point> m_timer; ///< Earliest timer event in the queue.
+        std::vector<core::time_point> m_changes; ///< Starts and stops by turns.
+    };
+
+    bool m_ids_are_unique;         ///< An id that was replaced never comes back.
+    std::vector<member> m_genesis; ///< First members.
+    std::vector<node> m_nodes;     ///< All instances ever started.
+};
+
+} // namespace tarragontrail::limits
--- a/unit_tests/limits/limit_network.hpp
+++ b/unit_tests/limits/limit_network.hpp
@@ -1,16 +1,10 @@
 #pragma once
 
-#include "tarragontrail/core/random.hpp"
-#include "tarragontrail/limits/admission_control.hpp"
+#include "unit_tests/limits/fake_fleet.hpp"
 #include "unit_tests/limits/limit_checker.hpp"
+#include "unit_tests/limits/limit_history.hpp"
 
-#include <deque>
-#include <functional>
 #include <map>
-#include <memory>
-#include <optional>
-#include <queue>
-#include <set>
 #include <vector>
 
 namespace tarragontrail::limits {
@@ -31,7 +25,7 @@
 };
 
 /// Runs several admission_control objects over a fake network, table and list of instances.
-class limit_network
+class limit_network : public fake_fleet
 {
 public:
     struct request_outcome
@@ -45,17 +39,11 @@
 
     limit_network(const limit_settings& settings, const network_settings& network,
                   std::uint64_t seed)
-        : m_settings(settings), m_network(network), m_random(seed)
+        : fake_fleet(settings, network.m_instances, network.m_ids_are_unique, seed),
+          m_network(network)
     {
-        for (std::size_t index = 0; index < network.m_instances; ++index)
+        for (std::size_t index = 0; index < size(); ++index)
         {
-            m_members.push_back({core::instance_id{100 + index}, core::region_id{index % 2}});
-        }
-        m_genesis = m_members;
-        m_nodes.resize(network.m_instances);
-        for (std::size_t index = 0; index < network.m_instances; ++index)
-        {
-            m_nodes[index].m_offset = std::chrono::seconds(m_random.below(1000));
             start(index);
         }
         at(m_now, [this] { tick(); });
@@ -65,11 +53,8 @@
     /// off.
     void set_limit(core::workspace_id workspace, std::uint64_t rate, std::uint64_t burst)
     {
-        config& changed = m_configs[workspace];
-        changed.m_history.push_back(
-            {{rate * micro_tokens_per_token, burst * micro_tokens_per_token},
-             changed.m_history.size() + 1});
-        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+        m_limits[workspace].add(rate, burst);
+        for (std::size_t index = 0; index < size(); ++index)
         {
             at(m_now + std::chrono::milliseconds(m_random.below(2000)),
                [this, index, workspace] { configure(index, workspace); });
@@ -89,83 +74,15 @@
         });
     }
 
-    void run_until(core::time_point end)
-    {
-        while (!m_events.empty() && m_events.top().m_at <= end)
-        {
-            const event next = m_events.top();
-            m_events.pop();
-            m_now = next.m_at;
-            next.m_run();
-        }
-        m_now = end;
-    }
-
-    void run_for(core::duration span) { run_until(m_now + span); }
-
     /// Faults.
     void set_table_up(bool up) { m_table_is_up = up; }
     void set_lossless() { m_network.m_loss = m_network.m_late = m_network.m_table_loss = 0; }
     void set_cut(bool cut) { m_is_cut = cut; }
-    void pause(std::size_t index, core::duration span)
-    {
-        m_nodes[index].m_paused_until = m_now + span;
-    }
-    void stop(std::size_t index)
-    {
-        m_nodes[index].m_control.reset();
-        m_nodes[index].m_changes.push_back(m_now);
-    }
-    void start(std::size_t index)
-    {
-        node& started = m_nodes[index];
-        if (started.m_control)
-        {
-            stop(index);
-        }
-        started.m_changes.push_back(m_now);
-        started.m_timer.reset();
-        started.m_control = std::make_unique<admission_control>(
-            m_settings, m_members[index].m_instance, m_random());
-        ++started.m_incarnation;
-        const core::time_point now = m_now + started.m_offset;
-        started.m_control->set_genesis(m_genesis, now);
-        if (m_network.m_ids_are_unique)
-        {
-            started.m_control->confirm_rows(now);
-        }
-        for (const auto& [workspace, config] : m_configs)
-        {
-            configure(index, workspace);
-        }
-        learn(index);
-    }
-
-    /// Stops an instance for good and starts another one, with an id of its own.
-    void replace(std::size_t index)
-    {
-        stop(index);
-        m_members[index].m_instance = core::instance_id{0};
-        const std::size_t added = m_nodes.size();
-        m_members.push_back({core::instance_id{100 + added}, core::region_id{added % 2}});
-        m_nodes.emplace_back();
-        ++m_view;
-        start(added);
-    }
-
-    bool is_up(std::size_t index) const { return m_nodes[index].m_control != nullptr; }
     bool reaches_table(std::size_t index) const
     {
         return m_table_is_up && !(m_is_cut && index % 2 == 1);
     }
-    core::time_point now() const { return m_now; }
-    std::size_t size() const { return m_nodes.size(); }
-    const std::vector<member>& members() const { return m_members; }
     const request_outcome& outcome(std::uint64_t request) { return m_outcomes[request]; }
-    const admission_control* control(std::size_t index) const
-    {
-        return m_nodes[index].m_control.get();
-    }
     limit_checker& checker(core::workspace_id workspace) { return m_checkers[workspace]; }
     std::uint64_t table_writes() const { return m_table_writes; }
     std::uint64_t messages() const { return m_messages; }
@@ -174,15 +91,15 @@
     std::size_t most_holders() const
     {
         std::size_t most = 0;
-        for (const auto& [workspace, config] : m_configs)
+        for (const auto& [workspace, history] : m_limits)
         {
             std::map<std::size_t, std::size_t> holders;
-            for (const node& each : m_nodes)
+            for (std::size_t index = 0; index < size(); ++index)
             {
                 const workspace_limit* limit =
-                    each.m_control ? each.m_control->find(workspace) : nullptr;
+                    is_up(index) ? control(index)->find(workspace) : nullptr;
                 if (limit == nullptr || limit->share() == nullptr ||
-                    !limit->share()->is_usable(m_now + each.m_offset))
+                    !limit->share()->is_usable(local_time(index)))
                 {
                     continue;
                 }
@@ -193,36 +110,6 @@
     }
 
 private:
-    using call = std::function<void(admission_control&, core::time_point)>;
-
-    struct event
-    {
-        core::time_point m_at;
-        std::uint64_t m_serial = 0;
-        std::function<void()> m_run;
-
-        bool operator<(const event& other) const
-        {
-            return std::pair(m_at, m_serial) > std::pair(other.m_at, other.m_serial);
-        }
-    };
-
-    struct node
-    {
-        std::unique_ptr<admission_control> m_control;
-        core::duration m_offset{}; ///< Its clock's lead over the network's.
-        core::time_point m_paused_until{};
-        std::uint64_t m_incarnation = 0;
-        std::optional<core::time_point> m_timer; ///< Earliest timer event in the queue.
-        std::vector<core::time_point> m_changes; ///< Starts and stops by turns.
-    };
-
-    struct config
-    {
-        std::vector<workspace_quota> m_history;
-        std::deque<std::pair<core::time_point, bucket_limit>> m_recent; ///< Largest limits in use.
-    };
-
     struct offered
     {
         std::size_t m_index = 0;
@@ -233,68 +120,21 @@
         std::size_t m_number = 0;
     };
 
-    bool chance(double probability) { return m_random.unit() < probability; }
-
-    void at(core::time_point when, std::function<void()> run)
-    {
-        m_events.push({when, m_serial++, std::move(run)});
-    }
-
-    /// Runs a call at an instance, after its pause if it is paused, not at all if it is down.
-    void deliver(std::size_t index, const call& run)
-    {
-        node& receiver = m_nodes[index];
-        if (!receiver.m_control)
-        {
-            return;
-        }
-        if (receiver.m_paused_until > m_now)
-        {
-            at(receiver.m_paused_until, [this, index, run, process = receiver.m_incarnation] {
-                deliver_to(index, process, run);
-            });
-            return;
-        }
-        run(*receiver.m_control, m_now + receiver.m_offset);
-        carry_out(index);
-    }
-
-    /// Runs a call at an instance unless it has been restarted since.
-    void deliver_to(std::size_t index, std::uint64_t process, const call& run)
+    void equip(std::size_t index) override
     {
-        if (m_nodes[index].m_incarnation == process)
+        for (const auto& [workspace, history] : m_limits)
         {
-            deliver(index, run);
+            configure(index, workspace);
         }
+        learn(index);
     }
 
-    void carry_out(std::size_t index)
+    void perform_all(std::size_t index, std::vector<action> actions) override
     {
-        for (const action& each : m_nodes[index].m_control->take_actions())
+        for (const action& each : actions)
         {
             std::visit([&](const auto& item) { perform(index, item); }, each);
         }
-        const std::optional<core::time_point> due = m_nodes[index].m_control->next_deadline();
-        if (!due)
-        {
-            return;
-        }
-        const core::time_point when = std::max(m_now, *due - m_nodes[index].m_offset);
-        if (m_nodes[index].m_timer && *m_nodes[index].m_timer <= when)
-        {
-            return;
-        }
-        m_nodes[index].m_timer = when;
-        at(when, [this, index, when, process = m_nodes[index].m_incarnation] {
-            if (m_nodes[index].m_timer != when)
-            {
-                return;
-            }
-            m_nodes[index].m_timer.reset();
-            deliver_to(index, process, [](admission_control& control, core::time_point now) {
-                control.on_timer(now);
-            });
-        });
     }
 
     void perform(std::size_t, const admitted& item)
@@ -388,7 +228,7 @@
         {
             return;
         }
-        const std::uint64_t process = m_nodes[from].m_incarnation;
+        const std::uint64_t process = process_of(from);
         const core::duration way = chance(m_network.m_late) ? 10 * delay(from, 0) : delay(from, 0);
         at(m_now + way, [=, this] {
             if (!reaches_table(from))
@@ -429,11 +269,11 @@
     /// Every second each instance polls the list, the rows and the configuration.
     void tick()
     {
-        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+        for (std::size_t index = 0; index < size(); ++index)
         {
             learn(index);
         }
-        for (const auto& [workspace, config] : m_configs)
+        for (const auto& [workspace, history] : m_limits)
         {
             note_limit(workspace);
         }
@@ -443,12 +283,12 @@
     void learn(std::size_t index)
     {
         const bool reaches = reaches_table(index);
-        if (!m_nodes[index].m_control || (m_is_cut && index % 2 == 1))
+        if (!is_up(index) || (m_is_cut && index % 2 == 1))
         {
             return;
         }
         std::vector<core::instance_id> listed;
-        for (std::size_t other = 0; other < m_nodes.size(); ++other)
+        for (std::size_t other = 0; other < size(); ++other)
         {
             if (is_listed(other, m_now - list_lag()))
             {
@@ -458,7 +298,7 @@
         std::vector<member> view = m_members;
         std::erase_if(view,
                       [](const member& each) { return each.m_instance == core::instance_id{0}; });
-        const core::time_point asked_at = m_now + m_nodes[index].m_offset;
+        const core::time_point asked_at = local_time(index);
         deliver(index, [=, this, rows = m_table](admission_control& control, core::time_point now) {
             control.set_view(view, core::view_number{m_view}, now);
             control.set_listed(listed, asked_at, now);
@@ -474,7 +314,7 @@
                 control.confirm_rows(now);
             }
         });
-        for (const auto& [workspace, config] : m_configs)
+        for (const auto& [workspace, history] : m_limits)
         {
             configure(index, workspace);
         }
@@ -482,7 +322,7 @@
 
     void configure(std::size_t index, core::workspace_id workspace)
     {
-        const workspace_quota newest = m_configs[workspace].m_history.back();
+        const workspace_quota newest = m_limits.at(workspace).newest();
         if (m_is_cut && index % 2 == 1)
         {
             return;
@@ -496,44 +336,16 @@
     /// Tells the checker the largest limit that some instance may still apply.
     void note_limit(core::workspace_id workspace)
     {
-        const std::vector<workspace_quota>& history = m_configs[workspace].m_history;
-        std::uint64_t oldest = history.size();
-        for (const node& each : m_nodes)
+        limit_history& history = m_limits.at(workspace);
+        std::uint64_t oldest = history.newest().m_epoch;
+        for (std::size_t index = 0; index < size(); ++index)
         {
-            const workspace_limit* limit =
-                each.m_control ? each.m_control->find(workspace) : nullptr;
+            const admission_control* known = control(index);
+            const workspace_limit* limit = known == nullptr ? nullptr : known->find(workspace);
             oldest = limit == nullptr ? oldest : std::min(oldest, limit->quota().m_epoch);
         }
-        bucket_limit largest;
-        for (std::size_t epoch = oldest; epoch <= history.size(); ++epoch)
-        {
-            largest.m_rate = std::max(largest.m_rate, history[epoch - 1].m_limit.m_rate);
-            largest.m_burst = std::max(largest.m_burst, history[epoch - 1].m_limit.m_burst);
-        }
-
-        // Loans made under a larger limit may still be used until they lapse.
-        std::deque<std::pair<core::time_point, bucket_limit>>& recent =
-            m_configs[workspace].m_recent;
-        recent.emplace_back(m_now, largest);
-        while (recent.front().first + 2 * m_settings.m_loan_lifetime < m_now)
-        {
-            recent.pop_front();
-        }
-        for (const auto& [since, limit] : recent)
-        {
-            largest.m_rate = std::max(largest.m_rate, limit.m_rate);
-            largest.m_burst = std::max(largest.m_burst, limit.m_burst);
-        }
-        m_checkers[workspace].set_limit(largest, m_now);
-    }
-
-    bool is_listed(std::size_t index, core::time_point when) const
-    {
-        const std::vector<core::time_point>& changes = m_nodes[index].m_changes;
-        return std::count_if(changes.begin(), changes.end(),
-                             [&](core::time_point change) { return change <= when; }) %
-                   2 ==
-               1;
+        m_checkers[workspace].set_limit(
+            history.largest_in_use(oldest, m_settings.m_loan_lifetime, m_now), m_now);
     }
 
     std::size_t index_of(core::instance_id instance) const
@@ -541,18 +353,9 @@
         return core::value_of(instance) - 100;
     }
 
-    limit_settings m_settings;
     network_settings m_network;
-    core::seeded_random m_random;
-    core::time_point m_now{std::chrono::hours(1)};
-    std::vector<member> m_genesis;
-    std::vector<member> m_members; ///< Id zero in place of a replaced instance.
-    std::uint64_t m_view = 1;
-    std::vector<node> m_nodes;
-    std::priority_queue<event> m_events;
-    std::uint64_t m_serial = 0;
     std::map<core::workspace_id, share_row> m_table;
-    std::map<core::workspace_id, config> m_configs;
+    std::map<core::workspace_id, limit_history> m_limits;
     std::map<core::workspace_id, limit_checker> m_checkers;
     std::map<std::uint64_t, offered> m_offers;
     std::map<std::uint64_t, request_outcome> m_outcomes;
