--- a/unit_tests/limits/limit_faults_test.cpp
+++ b/unit_tests/limits/limit_faults_test.cpp
@@ -152,6 +152,7 @@
 {
     CPPUNIT_TEST_SUITE(limit_faults_test);
     CPPUNIT_TEST(no_fault_lets_a_window_exceed_the_limit);
+    CPPUNIT_TEST(without_faults_requests_within_rate_pass);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +194,41 @@
             RC_ASSERT(network.checker(large).largest_excess() == 0.0);
         }));
     }
+
+    /// At 80% load fewer than 0.5% are refused that one central bucket would admit.
+    void without_faults_requests_within_rate_pass()
+    {
+        limit_network network(test_settings(), {}, 9);
+        network.set_lossless();
+        network.set_limit(large, 20'000, 60'000);
+        network.run_for(std::chrono::seconds(20));
+        const bucket_limit limit{20'000 * micro_tokens_per_token, 60'000 * micro_tokens_per_token};
+        token_bucket central(limit, network.now() - std::chrono::seconds(20));
+
+        // Charges of 1,500 tokens on average, each 93.75 ms on average.
+        constexpr std::uint64_t requests = 6000;
+        core::seeded_random random(10);
+        std::vector<bool> admitted_centrally;
+        for (std::uint64_t request = 0; request < requests; ++request)
+        {
+            network.run_for(std::chrono::microseconds(random.below(187'500)));
+            const std::uint64_t charge = 500 + random.below(2000);
+            central.refill(network.now());
+            const bool fits = central.balance() >= charge * micro_tokens_per_token;
+            central.take(fits ? charge * micro_tokens_per_token : 0);
+            admitted_centrally.push_back(fits);
+            network.offer(random.below(network.size()), request, large, charge, charge,
+                          std::chrono::seconds(1));
+        }
+        network.run_for(std::chrono::seconds(5));
+        std::uint64_t refused_within_rate = 0;
+        for (std::uint64_t request = 0; request < requests; ++request)
+        {
+            const bool is_admitted = network.outcome(request).m_is_admitted;
+            refused_within_rate += admitted_centrally[request] && !is_admitted ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(refused_within_rate * 1000 < requests * 5);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(limit_faults_test, "limits");
