Order engines under leases with fencing numbers and two load slots

Ruled out: keeping a load slot while the engine's lease is lost. Conclusion: the slot is given up whenever the engine's lease is not held and no order is out.

--- a/tarragontrail/placement/load_slot.hpp
+++ b/tarragontrail/placement/load_slot.hpp
@@ -47,13 +47,14 @@
     bool holds(core::time_point now) const;
 
     /// A load may be sent until this time.
-    core::time_point latest_send(core::time_point now) const;
+    core::time_point latest_send() const;
 
 private:
     void settle(core::time_point now);
 
     std::array<row_lease, max_weight_loads> m_slots; ///< Leases of the slots.
     bool m_wanted = false;                           ///< A slot is wanted.
+    std::optional<std::size_t> m_chosen;             ///< Slot that was acquired.
 };
 
 } // namespace tarragontrail::placement
--- /dev/null
+++ b/tarragontrail/placement/order_holder.cpp
@@ -0,0 +1,347 @@
+#include "tarragontrail/placement/order_holder.hpp"
+
+#include "tarragontrail/core/invariant.hpp"
+
+#include <algorithm>
+#include <fmt/core.h>
+#include <utility>
+
+namespace tarragontrail::placement {
+
+namespace {
+
+/// Number of the engine's own lease; the load slots follow.
+constexpr std::size_t engine_lease = 0;
+
+row_lease_settings lease_settings(const order_holder_settings& settings, bool checks_fence)
+{
+    // An engine that refuses old fencing numbers needs no time between two holders.
+    using std::chrono::milliseconds;
+    return {settings.m_length, checks_fence ? milliseconds::zero() : settings.m_margin,
+            checks_fence ? milliseconds::zero() : settings.m_longest_order, settings.m_poll,
+            settings.m_retry};
+}
+
+std::optional<core::time_point> earlier(std::optional<core::time_point> first,
+                                        std::optional<core::time_point> second)
+{
+    if (!first || !second)
+    {
+        return first ? first : second;
+    }
+    return std::min(*first, *second);
+}
+
+} // namespace
+
+order_holder::order_holder(order_holder_settings settings, core::upstream_id upstream,
+                           bool checks_fence, core::instance_id self, core::incarnation started,
+                           std::uint64_t seed)
+    : m_settings(std::move(settings)), m_upstream(upstream),
+      m_lease(lease_settings(m_settings, checks_fence), m_settings.m_table,
+              fmt::format("engine-{:016x}", core::value_of(upstream)), self, started, seed),
+      m_slot(lease_settings(m_settings, false), m_settings.m_table, self, started, seed)
+{}
+
+void order_holder::submit(const engine_order& order, core::time_point now)
+{
+    m_queue.push_back(order);
+    advance(now);
+}
+
+void order_holder::cancel(core::time_point now)
+{
+    const bool keeps_front = m_step == step::ordered || m_front_lost;
+    const std::size_t kept = keeps_front ? 1 : 0;
+    m_queue.resize(std::min(m_queue.size(), kept));
+    advance(now);
+}
+
+void order_holder::on_store_read(std::uint64_t operation, const idempotency::read_result& result,
+                                 core::time_point now)
+{
+    const std::optional<std::size_t> lease = take_lease_of(operation);
+    if (!lease)
+    {
+        return;
+    }
+    if (*lease == engine_lease)
+    {
+        m_lease.on_read(result, now);
+    }
+    else
+    {
+        m_slot.on_read(*lease - 1, result, now);
+    }
+    advance(now);
+}
+
+void order_holder::on_store_written(std::uint64_t operation,
+                                    const idempotency::write_result& result, core::time_point now)
+{
+    const std::optional<std::size_t> lease = take_lease_of(operation);
+    if (!lease)
+    {
+        return;
+    }
+    if (*lease == engine_lease)
+    {
+        m_lease.on_written(result, now);
+    }
+    else
+    {
+        m_slot.on_written(*lease - 1, result, now);
+    }
+    advance(now);
+}
+
+void order_holder::on_store_failed(std::uint64_t operation, core::time_point now)
+{
+    const std::optional<std::size_t> lease = take_lease_of(operation);
+    if (!lease)
+    {
+        return;
+    }
+    if (*lease == engine_lease)
+    {
+        m_lease.on_failed(now);
+    }
+    else
+    {
+        m_slot.on_failed(*lease - 1, now);
+    }
+    advance(now);
+}
+
+void order_holder::on_order_answered(std::uint64_t number, bool accepted, core::time_point now)
+{
+    if (!is_front(number))
+    {
+        return;
+    }
+    m_step = step::unsynced;
+    end_front(accepted ? order_result::done : order_result::rejected, now);
+    advance(now);
+}
+
+void order_holder::on_fence_refused(std::uint64_t number, core::time_point now)
+{
+    if (!is_front(number))
+    {
+        return;
+    }
+    m_step = step::unsynced;
+    m_lease.revoke(now);
+    advance(now);
+}
+
+void order_holder::on_order_not_sent(std::uint64_t number, core::time_point now)
+{
+    if (!is_front(number))
+    {
+        return;
+    }
+    m_step = step::unsynced;
+    advance(now);
+}
+
+void order_holder::on_order_lost(std::uint64_t number, core::time_point now)
+{
+    if (!is_front(number))
+    {
+        return;
+    }
+    m_step = step::unsynced;
+    m_front_lost = true;
+    m_quiet_at = now + m_settings.m_longest_order;
+    advance(now);
+}
+
+void order_holder::on_engine_state(std::uint64_t number, const engine_state& state,
+                                   core::time_point now)
+{
+    if (m_step != step::reading || number != m_read_number)
+    {
+        return;
+    }
+
+    // A state read under an earlier holding says nothing about the present one.
+    m_step = m_lease.holds(now) && m_lease.fence() == m_synced_fence ? step::ready : step::unsynced;
+    if (m_step == step::ready)
+    {
+        m_state = state;
+        m_actions.emplace_back(engine_observed{m_upstream, state});
+        if (std::exchange(m_front_lost, false))
+        {
+            end_front(is_satisfied(m_queue.front(), state) ? order_result::done
+                                                           : order_result::undone,
+                      now);
+        }
+    }
+    advance(now);
+}
+
+void order_holder::on_engine_state_failed(std::uint64_t number, core::time_point now)
+{
+    if (m_step != step::reading || number != m_read_number)
+    {
+        return;
+    }
+    m_step = step::unsynced;
+    m_quiet_at = std::max<core::time_point>(m_quiet_at, now + m_settings.m_retry);
+    advance(now);
+}
+
+void order_holder::on_timer(core::time_point now)
+{
+    m_lease.on_timer(now);
+    m_slot.on_timer(now);
+    advance(now);
+}
+
+std::optional<core::time_point> order_holder::next_deadline() const
+{
+    std::optional<core::time_point> next = earlier(m_lease.next_deadline(), m_slot.next_deadline());
+    if (!m_queue.empty() && m_step == step::unsynced && m_waits_quiet)
+    {
+        next = earlier(next, m_quiet_at);
+    }
+    return next;
+}
+
+std::vector<order_action> order_holder::take_actions()
+{
+    return std::exchange(m_actions, {});
+}
+
+bool order_holder::idle() const noexcept
+{
+    return m_queue.empty();
+}
+
+void order_holder::advance(core::time_point now)
+{
+    step_forward(now);
+    collect_operations();
+}
+
+void order_holder::step_forward(core::time_point now)
+{
+    m_waits_quiet = now < m_quiet_at;
+
+    // A slot is kept only while its order is out or can go: whoever waits for the engine holds
+    // none.
+    const bool order_out = m_step == step::ordered || (m_front_lost && m_waits_quiet);
+    if (!order_out && !m_lease.holds(now))
+    {
+        m_slot.drop(now);
+    }
+    if (m_queue.empty())
+    {
+        m_lease.drop(now);
+        m_slot.drop(now);
+        return;
+    }
+    m_lease.want(now);
+    if (m_step == step::ordered || !m_lease.holds(now))
+    {
+        return;
+    }
+
+    // The engine's state is read before each order, under the present holding.
+    if (m_step == step::ready && m_synced_fence != m_lease.fence())
+    {
+        m_step = step::unsynced;
+    }
+    if (m_step == step::unsynced && !m_waits_quiet)
+    {
+        read_state();
+    }
+    if (m_step != step::ready)
+    {
+        return;
+    }
+    if (is_satisfied(m_queue.front(), m_state))
+    {
+        end_front(order_result::done, now);
+        step_forward(now);
+        return;
+    }
+    if (takes_load_slot(m_queue.front()))
+    {
+        m_slot.want(now);
+        if (!m_slot.holds(now))
+        {
+            return;
+        }
+    }
+    send_front(now);
+}
+
+bool order_holder::is_front(std::uint64_t number) const
+{
+    return m_step == step::ordered && m_queue.front().m_number == number;
+}
+
+void order_holder::read_state()
+{
+    m_step = step::reading;
+    m_read_number = m_next_number++;
+    m_synced_fence = m_lease.fence();
+    m_actions.emplace_back(read_engine{m_upstream, m_read_number, m_synced_fence});
+}
+
+void order_holder::send_front(core::time_point now)
+{
+    const engine_order& order = m_queue.front();
+    core::time_point latest = m_lease.latest_send();
+    if (takes_load_slot(order))
+    {
+        latest = std::min(latest, m_slot.latest_send());
+    }
+    TARRAGONTRAIL_INVARIANT(now < latest, "order_sent_within_lease_and_slot");
+    TARRAGONTRAIL_INVARIANT(m_synced_fence == m_lease.fence(), "state_read_before_order");
+    m_step = step::ordered;
+    m_actions.emplace_back(send_order{m_upstream, order, m_lease.fence(), latest});
+}
+
+void order_holder::end_front(order_result result, core::time_point now)
+{
+    m_actions.emplace_back(order_ended{m_upstream, m_queue.front().m_number, result});
+    m_queue.pop_front();
+    m_slot.drop(now);
+}
+
+void order_holder::collect_operations()
+{
+    for (std::size_t lease = 0; lease <= max_weight_loads; ++lease)
+    {
+        std::optional<lease_operation> operation =
+            lease == engine_lease ? m_lease.take_operation() : m_slot.take_operation(lease - 1);
+        if (!operation)
+        {
+            continue;
+        }
+        m_operations[m_next_number] = lease;
+        std::visit(
+            [&](auto& what) {
+                what.m_operation = m_next_number++;
+                m_actions.emplace_back(std::move(what));
+            },
+            *operation);
+    }
+}
+
+std::optional<std::size_t> order_holder::take_lease_of(std::uint64_t operation)
+{
+    const auto found = m_operations.find(operation);
+    if (found == m_operations.end())
+    {
+        return std::nullopt;
+    }
+    const std::size_t lease = found->second;
+    m_operations.erase(found);
+    return lease;
+}
+
+} // namespace tarragontrail::placement
--- a/tarragontrail/placement/order_holder.hpp
+++ b/tarragontrail/placement/order_holder.hpp
@@ -87,12 +87,13 @@
     };
 
     void advance(core::time_point now);
-    void read_state(core::time_point now);
-    void send_next(core::time_point now);
-    void end_front(order_result result);
+    bool is_front(std::uint64_t number) const;
+    void step_forward(core::time_point now);
+    void read_state();
+    void send_front(core::time_point now);
+    void end_front(order_result result, core::time_point now);
     void collect_operations();
-    void lose_sync(core::time_point not_before);
-    void release_idle(core::time_point now);
+    std::optional<std::size_t> take_lease_of(std::uint64_t operation);
 
     order_holder_settings m_settings; ///< Settings.
     core::upstream_id m_upstream;     ///< Engine.
@@ -100,10 +101,12 @@
     load_slot m_slot;                 ///< Slot for weight loads.
     step m_step = step::unsynced;     ///< Step.
     bool m_front_lost = false;        ///< The first order's effect is unknown.
+    bool m_waits_quiet = false;       ///< The engine must not be read before m_quiet_at.
     std::uint64_t m_synced_fence = 0; ///< Holding under which the state was read.
     core::time_point m_quiet_at{};    ///< No earlier order can still take effect after this.
     std::deque<engine_order> m_queue; ///< Orders; the first may be outstanding.
     std::uint64_t m_next_number = 1;  ///< Number of the next operation.
+    engine_state m_state;             ///< State read last.
     std::uint64_t m_read_number = 0;  ///< Outstanding read of the engine's state.
     std::unordered_map<std::uint64_t, std::size_t> m_operations; ///< Lease by table operation.
     std::vector<order_action> m_actions;                         ///< Actions not yet taken.
--- a/tarragontrail/placement/row_lease.hpp
+++ b/tarragontrail/placement/row_lease.hpp
@@ -42,6 +42,9 @@
     /// Gives up: frees the row when it is held; nothing sent under it may still be under way.
     void drop(core::time_point now);
 
+    /// The upstream has seen a higher fencing number: nothing is sent until the row was read again.
+    void revoke(core::time_point now);
+
     /// Results of the operation asked for last.
     void on_read(const idempotency::read_result& result, core::time_point now);
     void on_written(const idempotency::write_result& result, core::time_point now);
@@ -78,15 +81,18 @@
         resting,   ///< Nothing to do until m_due.
         reading,   ///< A read is outstanding.
         writing,   ///< A write is outstanding.
-        unsettled, ///< The last write's effect is unknown; a read follows at m_due.
+        unsettled, ///< The row must be read again at m_due.
     };
 
     void start_read();
     void start_write(bool free, core::time_point now);
+    void proceed(core::time_point now);
     void consider(const idempotency::read_result& result, core::time_point now);
-    void consider_foreign(const lease_row& row, core::time_point now);
-    void on_own_write(idempotency::row_version version, core::time_point now);
+    void consider_own(const lease_row& row, idempotency::row_version version);
+    void consider_foreign(const lease_row& row, idempotency::row_version version,
+                          core::time_point now);
     void rest(core::time_point due);
+    std::chrono::milliseconds successor_wait() const;
 
     row_lease_settings m_settings; ///< Settings.
     std::string m_table;           ///< Table's name.
@@ -104,6 +110,7 @@
     core::time_point m_asked{};                       ///< When that write was first asked for.
     core::time_point m_send_until = core::time_point::min(); ///< End of the right to send.
     std::uint64_t m_held_fence = 0;             ///< Fencing number of the present holding.
+    bool m_raise_fence = false;                 ///< The next write takes a new fencing number.
     std::uint64_t m_sequence = 0;               ///< Writes of this object.
     bool m_observed_foreign = false;            ///< Another holder's row is being watched.
     core::time_point m_observed_since{};        ///< First sight of that row at that version.
