--- /dev/null
+++ b/tarragontrail/idempotency/call_guard_callers.cpp
@@ -0,0 +1,78 @@
+// What call_guard's callers are told.
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/idempotency/call_guard.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::idempotency {
+
+using core::execution;
+
+void call_guard::answer_all(guarded_entry& entry, const service_answer& result, bool replayed)
+{
+    for (const call_waiter& waiter : entry.m_waiters)
+    {
+        m_actions.emplace_back(answer{waiter.m_request, result, replayed || waiter.m_repeat});
+    }
+    m_waiting -= entry.m_waiters.size();
+    entry.m_waiters.clear();
+}
+
+void call_guard::refuse_all(guarded_entry& entry, const refusal_state& state)
+{
+    TARRAGONTRAIL_INVARIANT(
+        state.m_execution != execution::not_run ||
+            (entry.m_phase != entry_phase::dispatched && entry.m_phase != entry_phase::storing),
+        "refused_not_run_was_not_dispatched");
+    for (const call_waiter& waiter : entry.m_waiters)
+    {
+        refuse_call(waiter.m_request, state);
+    }
+    m_waiting -= entry.m_waiters.size();
+    entry.m_waiters.clear();
+}
+
+void call_guard::refuse_call(core::request_id request, const refusal_state& state)
+{
+    m_actions.emplace_back(refuse{request, state.m_reason, state.m_execution, state.m_earlier});
+}
+
+core::time_point call_guard::limit_of(const guarded_entry& entry, const call_waiter& waiter)
+{
+    const bool bounded = entry.m_phase == entry_phase::following ||
+                         (entry.m_phase == entry_phase::dispatched && waiter.m_repeat);
+    return bounded ? std::min(waiter.m_deadline, waiter.m_wait_limit) : waiter.m_deadline;
+}
+
+void call_guard::expire_waiters(guarded_entry& entry, core::time_point now)
+{
+    // What an expired caller is told follows from the entry's step.
+    refusal_state state{refusal::store_unavailable, execution::not_run, execution::unknown};
+    switch (entry.m_phase)
+    {
+    case entry_phase::pausing:
+        state = {refusal::upstream_refused, execution::not_run, execution::not_run};
+        break;
+    case entry_phase::dispatched:
+    case entry_phase::following:
+        state = {refusal::in_progress, execution::unknown, execution::unknown};
+        break;
+    case entry_phase::fetching:
+        state = {refusal::answer_lost, execution::run, execution::run};
+        break;
+    default:
+        break;
+    }
+
+    const auto expired = [&](const call_waiter& waiter) {
+        if (limit_of(entry, waiter) > now)
+        {
+            return false;
+        }
+        refuse_call(waiter.m_request, state);
+        return true;
+    };
+    m_waiting -= std::erase_if(entry.m_waiters, expired);
+}
+
+} // namespace tarragontrail::idempotency
--- /dev/null
+++ b/tarragontrail/recovery/crash_blame_judge.cpp
@@ -0,0 +1,115 @@
+// How crash_blame weighs the crashes that a request was in.
+#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/recovery/crash_blame.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::recovery {
+
+std::uint64_t crash_blame::needed_crashes(std::uint64_t fingerprint, const suspect& who) const
+{
+    std::uint64_t needed = m_settings.m_min_crashes;
+    std::vector<core::time_point> times;
+    bool one_engine = true;
+    bool others_open = false;
+    for (const std::uint64_t number : who.m_crashes)
+    {
+        const crash& own = crash_at(number);
+        times.push_back(own.m_seen);
+        others_open = others_open || own.m_members.size() > 1;
+        one_engine = one_engine && own.m_engine == crash_at(who.m_crashes.front()).m_engine;
+    }
+
+    // An engine that fails again by itself blames whoever runs there.
+    needed += one_engine ? 1 : 0;
+
+    // While others of these crashes are not cleared, two of them may be the causes.
+    needed += others_open ? 1 : 0;
+
+    // Crashes without this request, near in time, show another cause at work.
+    for (const crash& other : m_crashes)
+    {
+        const bool near = std::any_of(times.begin(), times.end(), [&](core::time_point own) {
+            const core::duration apart = other.m_seen - own;
+            return std::chrono::abs(apart) <= m_settings.m_unrelated_window;
+        });
+        needed += near && !other.m_explained && !other.m_members.contains(fingerprint) ? 1 : 0;
+    }
+    return std::min(needed, m_settings.m_max_needed);
+}
+
+bool crash_blame::has_rival(std::uint64_t fingerprint, const suspect& who) const
+{
+    // Another request that was in all the same crashes is as likely the cause.
+    const crash& last = crash_at(who.m_crashes.back());
+    return std::any_of(last.m_members.begin(), last.m_members.end(), [&](std::uint64_t other) {
+        const auto in_crash = [&](std::uint64_t number) {
+            return crash_at(number).m_members.contains(other);
+        };
+        return other != fingerprint &&
+               std::all_of(who.m_crashes.begin(), who.m_crashes.end(), in_crash);
+    });
+}
+
+bool crash_blame::is_evidence(std::uint64_t fingerprint, std::uint64_t number) const
+{
+    // The other requests ran well elsewhere, or there were none.
+    const crash& own = crash_at(number);
+    if (own.m_reported > 1 && own.m_cleared == 0)
+    {
+        return false;
+    }
+
+    // Several engines lost at once, without this request, have a cause in common.
+    const auto at_once = [&](const crash& other) {
+        return std::chrono::abs(other.m_seen - own.m_seen) <= m_settings.m_burst_window &&
+               !other.m_explained && !other.m_members.contains(fingerprint);
+    };
+    const auto others =
+        static_cast<std::uint64_t>(std::count_if(m_crashes.begin(), m_crashes.end(), at_once));
+    return others < m_settings.m_burst_others;
+}
+
+bool crash_blame::is_blamed(std::uint64_t fingerprint, const suspect& who) const
+{
+    const auto supports = [&](std::uint64_t number) { return is_evidence(fingerprint, number); };
+    const auto supporting = static_cast<std::uint64_t>(
+        std::count_if(who.m_crashes.begin(), who.m_crashes.end(), supports));
+    return supporting >= m_settings.m_min_crashes &&
+           supporting >= needed_crashes(fingerprint, who) && !has_rival(fingerprint, who);
+}
+
+void crash_blame::judge(core::time_point now)
+{
+    std::vector<std::uint64_t> blamed;
+    for (const auto& [fingerprint, who] : m_suspects)
+    {
+        if (is_blamed(fingerprint, who))
+        {
+            blamed.push_back(fingerprint);
+        }
+    }
+    std::sort(blamed.begin(), blamed.end());
+    for (const std::uint64_t fingerprint : blamed)
+    {
+        // One cause found may have explained another's crashes.
+        const auto found = m_suspects.find(fingerprint);
+        if (found == m_suspects.end() || !is_blamed(fingerprint, found->second))
+        {
+            continue;
+        }
+        const std::vector<std::uint64_t> crashes = found->second.m_crashes;
+        TARRAGONTRAIL_INVARIANT(crashes.size() >= 2, "quarantine_needs_two_crashes");
+        start_quarantine(fingerprint, now + m_settings.m_quarantine, crashes.size());
+        quarantine_notice notice{fingerprint, m_settings.m_quarantine, {}};
+        for (const std::uint64_t number : crashes)
+        {
+            crash& where = crash_at(number);
+            notice.m_crashes.push_back({where.m_engine, where.m_started});
+            explain(where);
+        }
+        m_actions.emplace_back(share_quarantine{std::move(notice)});
+    }
+}
+
+} // namespace tarragontrail::recovery
--- /dev/null
+++ b/unit_tests/idempotency/guard_world.hpp
@@ -0,0 +1,290 @@
+#pragma once
+
+#include "fake_table.hpp"
+#include "key_history.hpp"
+#include "tarragontrail/idempotency/call_guard.hpp"
+
+#include <fmt/core.h>
+#include <map>
+#include <memory>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace tarragontrail::testing {
+
+using namespace idempotency;
+using namespace std::chrono_literals;
+using core::execution;
+
+/// Three guards, their callers, the service and the table.
+class guard_world
+{
+public:
+    guard_world(std::uint64_t seed, run_faults faults)
+        : m_random(seed), m_faults(faults), m_table(m_events, m_random), m_guards(3), m_keys(6)
+    {
+        m_table.m_faults = {0.1 * m_random.unit(), 0.3 * m_random.unit(), 0.2, false};
+        m_settings.m_max_batch = 1 + m_random.below(4);
+        m_settings.m_repeat_wait = 1500ms;
+        m_settings.m_max_row_body_bytes = 8;
+        for (std::size_t i = 0; i < m_guards.size(); ++i)
+        {
+            replace(i);
+        }
+        for (std::size_t key = 0; key < m_keys.size(); ++key)
+        {
+            const std::uint64_t callers = 1 + m_random.below(2);
+            for (std::uint64_t i = 0; i < callers; ++i)
+            {
+                send(key, m_table.delay(3000));
+            }
+        }
+    }
+
+    /// Runs through the faults and the quiet time after them.
+    void run()
+    {
+        for (int second = 0; second < 12; ++second)
+        {
+            m_events.post(core::time_point{} + second * 1s, [this] { change_faults(); });
+        }
+        m_events.post(core::time_point{} + 12s, [this] {
+            m_quiet = true;
+            m_table.m_faults = {};
+        });
+        while (m_events.step(core::time_point{} + 60s))
+        {}
+        for (const key_history& key : m_keys)
+        {
+            RC_ASSERT(key.m_settled);
+            RC_ASSERT(m_faults.m_crashes || m_faults.m_lost_calls || key.m_answer.has_value());
+        }
+        for (const auto& guard : m_guards)
+        {
+            RC_ASSERT(guard->idle());
+        }
+    }
+
+    std::uint64_t steps() const { return m_events.steps(); }
+
+private:
+    using guard_ptr = std::shared_ptr<call_guard>;
+
+    void change_faults()
+    {
+        m_table.m_faults.m_down = m_random.unit() < 0.25;
+        if (m_faults.m_crashes && m_random.unit() < 0.5)
+        {
+            replace(m_random.below(m_guards.size()));
+        }
+    }
+
+    void replace(std::size_t index)
+    {
+        m_guards[index] = std::make_shared<call_guard>(m_settings, core::instance_id{index + 1},
+                                                       core::incarnation{++m_started}, m_random());
+    }
+
+    /// A caller sends its request to some instance, now or later, until its key is settled.
+    void send(std::size_t key, core::duration pause)
+    {
+        m_events.post(m_events.now() + pause, [this, key] {
+            if (m_keys[key].m_settled)
+            {
+                return;
+            }
+            const core::request_id request{++m_requests};
+            const std::size_t at = m_random.below(m_guards.size());
+            m_open.emplace(request, key);
+            m_keys_of.emplace(request, key);
+            m_guards[at]->begin({request, core::workspace_id{1 + key % 2},
+                                 fmt::format("k{}", key / 2), key,
+                                 m_events.now() + 200ms + m_table.delay(4000)},
+                                m_events.now());
+            drain(at);
+            // A caller whose instance vanished sends again.
+            m_events.post(m_events.now() + 6s, [this, key, request] {
+                if (m_open.erase(request) > 0)
+                {
+                    RC_ASSERT(m_faults.m_crashes);
+                    send(key, 0ms);
+                }
+            });
+        });
+    }
+
+    void drain(std::size_t at)
+    {
+        const guard_ptr guard = m_guards[at];
+        for (call_action& action : guard->take_actions())
+        {
+            std::visit([&](auto& what) { carry_out(at, guard, what); }, action);
+        }
+        if (const auto due = guard->next_deadline())
+        {
+            m_events.post(*due,
+                          [=, this] { feed(at, guard, [&] { guard->on_timer(m_events.now()); }); });
+        }
+    }
+
+    /// Feeds a guard unless it was replaced meanwhile.
+    template <class Event>
+    void feed(std::size_t at, const guard_ptr& guard, const Event& event)
+    {
+        if (m_guards[at] != guard)
+        {
+            return;
+        }
+        event();
+        drain(at);
+    }
+
+    void carry_out(std::size_t at, const guard_ptr& guard, const store_read& what)
+    {
+        m_table.run<read_result>(
+            [=, this] { return m_table.read(what.m_table, what.m_key); },
+            [=, this](const read_result& result) {
+                feed(at, guard,
+                     [&] { guard->on_store_read(what.m_operation, result, m_events.now()); });
+            },
+            [=, this] { fail(at, guard, what.m_operation); });
+    }
+
+    void carry_out(std::size_t at, const guard_ptr& guard, const store_write& what)
+    {
+        m_table.run<write_result>(
+            [=, this] { return m_table.write(what.m_writes); },
+            [=, this](const write_result& result) {
+                feed(at, guard,
+                     [&] { guard->on_store_written(what.m_operation, result, m_events.now()); });
+            },
+            [=, this] { fail(at, guard, what.m_operation); });
+    }
+
+    void carry_out(std::size_t at, const guard_ptr& guard, const object_write& what)
+    {
+        const bool kept = m_quiet || m_random.unit() < 0.7;
+        if (kept)
+        {
+            m_objects[what.m_name] = what.m_content;
+        }
+        finish_object(at, guard, what.m_operation, kept, {});
+    }
+
+    void carry_out(std::size_t at, const guard_ptr& guard, const object_read& what)
+    {
+        const bool found = m_quiet || m_random.unit() < 0.7;
+        finish_object(at, guard, what.m_operation, found, found ? m_objects.at(what.m_name) : "");
+    }
+
+    void fail(std::size_t at, const guard_ptr& guard, std::uint64_t operation)
+    {
+        feed(at, guard, [&] { guard->on_store_failed(operation, m_events.now()); });
+    }
+
+    void finish_object(std::size_t at, const guard_ptr& guard, std::uint64_t operation, bool found,
+                       const std::string& content)
+    {
+        m_events.post(m_events.now() + 5ms, [=, this] {
+            feed(at, guard,
+                 [&] { guard->on_object_done(operation, found, content, m_events.now()); });
+        });
+    }
+
+    /// The service may run the call although the dispatching instance is gone by then.
+    void carry_out(std::size_t at, const guard_ptr& guard, const dispatch& what)
+    {
+        const std::size_t key = m_keys_of.at(what.m_request);
+        const double chance = m_random.unit();
+        const auto post = [&](auto event) {
+            m_events.post(m_events.now() + m_table.delay(800),
+                          [=, this] { feed(at, guard, [&] { event(*guard, m_events.now()); }); });
+        };
+        if (chance < 0.3)
+        {
+            post([=](call_guard& to, core::time_point now) {
+                to.on_dispatch_not_run(what.m_request, what.m_attempt, now);
+            });
+            return;
+        }
+        if (!m_faults.m_lost_calls || chance < 0.9)
+        {
+            execute(key, what.m_request);
+        }
+        if (m_faults.m_lost_calls && chance > 0.7)
+        {
+            post([=](call_guard& to, core::time_point now) {
+                to.on_dispatch_lost(what.m_request, what.m_attempt, now);
+            });
+            return;
+        }
+        const service_answer result{200, "x: y",
+                                    fmt::format("{:x}", m_random() >> m_random.below(60))};
+        // A contradicting report that comes later changes nothing.
+        post([=, this](call_guard& to, core::time_point now) {
+            to.on_dispatch_finished(what.m_request, what.m_attempt, result, now);
+            m_events.post(now + 900ms, [=, this] {
+                feed(at, guard, [&] {
+                    guard->on_dispatch_not_run(what.m_request, what.m_attempt, m_events.now());
+                });
+            });
+        });
+    }
+
+    void execute(std::size_t key, core::request_id request)
+    {
+        key_history& history = m_keys[key];
+        RC_ASSERT(++history.m_executions <= 1);
+        RC_ASSERT(!history.m_not_run.contains(request));
+        history.m_ran.insert(request);
+    }
+
+    void carry_out(std::size_t, const guard_ptr&, const answer& what)
+    {
+        key_history& history = close(what.m_request);
+        RC_ASSERT(history.m_executions == 1);
+        RC_ASSERT(!history.m_answer || *history.m_answer == what.m_answer);
+        history.m_answer = what.m_answer;
+        history.m_settled = true;
+    }
+
+    void carry_out(std::size_t, const guard_ptr&, const refuse& what)
+    {
+        const std::size_t key = m_keys_of.at(what.m_request);
+        key_history& history = close(what.m_request);
+        RC_ASSERT(what.m_reason != refusal::key_reused);
+        RC_ASSERT(what.m_earlier != execution::not_run || history.m_executions == 0);
+        if (what.m_execution == execution::not_run)
+        {
+            RC_ASSERT(!history.m_ran.contains(what.m_request));
+            history.m_not_run.insert(what.m_request);
+        }
+        history.m_settled |= m_quiet && what.m_reason == refusal::outcome_unknown;
+        // A crashed writer's intent stays in doubt: its repeats learn only that.
+        history.m_settled |= m_quiet && m_faults.m_crashes && what.m_reason == refusal::in_progress;
+        send(key, m_table.delay(500));
+    }
+
+    key_history& close(core::request_id request)
+    {
+        RC_ASSERT(m_open.erase(request) == 1 || m_faults.m_crashes);
+        return m_keys[m_keys_of.at(request)];
+    }
+
+    core::seeded_random m_random;                      ///< Source of every choice.
+    run_faults m_faults;                               ///< Faults of the run.
+    event_queue m_events;                              ///< Events.
+    fake_table m_table;                                ///< Table.
+    call_guard_settings m_settings;                    ///< Settings of the guards.
+    std::vector<guard_ptr> m_guards;                   ///< Guards by instance.
+    std::vector<key_history> m_keys;                   ///< Histories.
+    std::map<core::request_id, std::size_t> m_open;    ///< Requests without an answer.
+    std::map<core::request_id, std::size_t> m_keys_of; ///< Key of each request.
+    std::map<std::string, std::string> m_objects;      ///< Object store.
+    std::uint64_t m_requests = 0;                      ///< Requests sent.
+    std::uint64_t m_started = 0;                       ///< Incarnations.
+    bool m_quiet = false;                              ///< Faults have ended.
+};
+
+} // namespace tarragontrail::testing
--- /dev/null
+++ b/unit_tests/placement/order_world.hpp
@@ -0,0 +1,283 @@
+#pragma once
+
+#include "tarragontrail/placement/order_holder.hpp"
+#include "unit_tests/idempotency/fake_table.hpp"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <rapidcheck.h>
+
+namespace tarragontrail::testing {
+
+using namespace placement;
+using namespace std::chrono_literals;
+
+inline constexpr std::uint64_t instance_count = 3;
+inline constexpr std::uint64_t engine_count = 4;
+inline constexpr auto longest_order = order_holder_settings{}.m_longest_order;
+
+/// Engine that carries orders out some time after they were sent.
+struct fake_engine
+{
+    engine_state m_state;             ///< State.
+    std::uint64_t m_seen_fence = 0;   ///< Highest fencing number seen.
+    std::uint64_t m_synced_fence = 0; ///< Highest fencing number that the state was read under.
+};
+
+/// Instance with its own clock, which stops now and then; a holder for each engine.
+struct fake_instance
+{
+    std::array<std::shared_ptr<order_holder>, engine_count> m_holders; ///< By engine.
+    core::duration m_offset{};                                         ///< Of its clock.
+    core::time_point m_paused_until{};                                 ///< It runs on from then.
+};
+
+/// Instances that order the same engines about, over a faulty table and lost replies.
+class order_world
+{
+public:
+    order_world(std::uint64_t seed, bool checks_fence)
+        : m_random(seed), m_checks_fence(checks_fence), m_table(m_events, m_random)
+    {
+        m_table.m_faults = {0.05, 0.1, 0.1, false};
+        for (std::uint64_t at = 0; at < instance_count; ++at)
+        {
+            m_instances[at].m_offset = m_table.delay(3600'000);
+            for (std::uint64_t engine = 0; engine < engine_count; ++engine)
+            {
+                replace(at, engine);
+            }
+        }
+    }
+
+    void run()
+    {
+        for (int i = 0; i < 60; ++i)
+        {
+            m_events.post(core::time_point{} + i * 2s, [this] { disturb(); });
+        }
+        m_events.post(core::time_point{} + 120s, [this] { m_table.m_faults = {}; });
+        while (m_events.step(core::time_point{} + 400s))
+        {}
+        for (const fake_instance& instance : m_instances)
+        {
+            for (const auto& holder : instance.m_holders)
+            {
+                RC_ASSERT(holder->idle());
+            }
+        }
+        RC_ASSERT(m_effects > 0);
+    }
+
+    std::uint64_t m_effects = 0; ///< Orders that took effect.
+
+private:
+    using holder_ptr = std::shared_ptr<order_holder>;
+    using holder_event = std::function<void(order_holder&, core::time_point)>;
+
+    core::time_point local(std::uint64_t at) const
+    {
+        return m_events.now() + m_instances[at].m_offset;
+    }
+
+    void replace(std::uint64_t at, std::uint64_t engine)
+    {
+        m_instances[at].m_holders[engine] = std::make_shared<order_holder>(
+            order_holder_settings{}, core::upstream_id{engine}, m_checks_fence,
+            core::instance_id{at}, core::incarnation{++m_numbers}, m_random());
+    }
+
+    void disturb()
+    {
+        m_table.m_faults.m_down = m_random.unit() < 0.15;
+        const std::uint64_t at = m_random.below(instance_count);
+        const std::uint64_t engine = m_random.below(engine_count);
+        const double chance = m_random.unit();
+        if (chance < 0.2)
+        {
+            m_instances[at].m_paused_until = m_events.now() + m_table.delay(30'000);
+        }
+        else if (chance < 0.3)
+        {
+            replace(at, engine);
+        }
+        const auto kind = m_random.below(3) == 0 ? order_kind::change_role : order_kind::load_model;
+        const engine_order order{++m_numbers,
+                                 kind,
+                                 core::model_id{1 + m_random.below(3)},
+                                 weights_version{m_random.below(3)},
+                                 core::adapter_id{},
+                                 engine_role(m_random.below(3))};
+        feed(at, engine, m_instances[at].m_holders[engine],
+             [order](order_holder& to, core::time_point now) { to.submit(order, now); });
+    }
+
+    /// Runs an event at an instance, when it runs again; a replaced holder gets none.
+    void feed(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+              const holder_event& event)
+    {
+        const core::time_point ready = m_instances[at].m_paused_until;
+        if (ready > m_events.now())
+        {
+            m_events.post(ready, [=, this] { feed(at, engine, holder, event); });
+            return;
+        }
+        if (m_instances[at].m_holders[engine] != holder)
+        {
+            return;
+        }
+        event(*holder, local(at));
+        for (const order_action& action : holder->take_actions())
+        {
+            std::visit([&](const auto& what) { carry_out(at, engine, holder, what); }, action);
+        }
+        if (const auto due = holder->next_deadline())
+        {
+            m_events.post(*due - m_instances[at].m_offset, [=, this] {
+                feed(at, engine, holder,
+                     [](order_holder& to, core::time_point now) { to.on_timer(now); });
+            });
+        }
+    }
+
+    void carry_out(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+                   const idempotency::store_read& what)
+    {
+        const std::uint64_t number = what.m_operation;
+        m_table.run<idempotency::read_result>(
+            [=, this] { return m_table.read(what.m_table, what.m_key); },
+            [=, this](const idempotency::read_result& result) {
+                feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                    to.on_store_read(number, result, now);
+                });
+            },
+            [=, this] { fail(at, engine, holder, number); });
+    }
+
+    void carry_out(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+                   const idempotency::store_write& what)
+    {
+        const std::uint64_t number = what.m_operation;
+        m_table.run<idempotency::write_result>(
+            [=, this] { return m_table.write(what.m_writes); },
+            [=, this](const idempotency::write_result& result) {
+                feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                    to.on_store_written(number, result, now);
+                });
+            },
+            [=, this] { fail(at, engine, holder, number); });
+    }
+
+    void fail(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+              std::uint64_t number)
+    {
+        feed(at, engine, holder,
+             [=](order_holder& to, core::time_point now) { to.on_store_failed(number, now); });
+    }
+
+    /// The shell sends when the instance runs, unless the latest time is over.
+    void carry_out(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+                   const send_order& what)
+    {
+        const core::time_point when =
+            m_random.below(10) == 0 ? m_events.now() + m_table.delay(15'000) : m_events.now();
+        m_events.post(when, [=, this] {
+            const std::uint64_t number = what.m_order.m_number;
+            if (local(at) > what.m_latest_send || m_instances[at].m_holders[engine] != holder)
+            {
+                feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                    to.on_order_not_sent(number, now);
+                });
+                return;
+            }
+            execute(at, engine, holder, what);
+        });
+    }
+
+    void execute(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+                 const send_order& what)
+    {
+        const bool load = takes_load_slot(what.m_order);
+        const bool lost = m_random.below(4) == 0;
+        const std::uint64_t number = what.m_order.m_number;
+        const core::duration time = m_random.below(3) == 0 ? longest_order : m_table.delay(2000);
+        m_loads += load ? 1 : 0;
+        RC_ASSERT(m_loads <= max_weight_loads);
+        m_events.post(m_events.now() + time, [=, this] {
+            m_loads -= load ? 1 : 0;
+            const bool refused = !take_effect(m_engines[engine], what);
+            if (lost)
+            {
+                return;
+            }
+            feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                refused ? to.on_fence_refused(number, now)
+                        : to.on_order_answered(number, true, now);
+            });
+        });
+        if (lost)
+        {
+            m_events.post(m_events.now() + m_table.delay(2500), [=, this] {
+                feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                    to.on_order_lost(number, now);
+                });
+            });
+        }
+    }
+
+    /// An engine's order takes effect; returns false when its fencing number is refused.
+    bool take_effect(fake_engine& engine, const send_order& what)
+    {
+        if (m_checks_fence && what.m_fence < engine.m_seen_fence)
+        {
+            return false;
+        }
+        // No order takes effect behind a later holder's back.
+        RC_ASSERT(what.m_fence >= engine.m_seen_fence);
+        RC_ASSERT(what.m_fence >= engine.m_synced_fence);
+        engine.m_seen_fence = what.m_fence;
+        ++m_effects;
+        if (what.m_order.m_kind == order_kind::change_role)
+        {
+            engine.m_state.m_role = what.m_order.m_role;
+            return true;
+        }
+        engine.m_state.m_model = what.m_order.m_model;
+        engine.m_state.m_version = what.m_order.m_version;
+        return true;
+    }
+
+    void carry_out(std::uint64_t at, std::uint64_t engine, const holder_ptr& holder,
+                   const read_engine& what)
+    {
+        const bool lost = m_random.below(5) == 0;
+        m_events.post(m_events.now() + m_table.delay(50), [=, this] {
+            fake_engine& read = m_engines[engine];
+            read.m_synced_fence = std::max(read.m_synced_fence, what.m_fence);
+            if (m_checks_fence)
+            {
+                read.m_seen_fence = std::max(read.m_seen_fence, what.m_fence);
+            }
+            const engine_state state = read.m_state;
+            feed(at, engine, holder, [=](order_holder& to, core::time_point now) {
+                lost ? to.on_engine_state_failed(what.m_number, now)
+                     : to.on_engine_state(what.m_number, state, now);
+            });
+        });
+    }
+
+    void carry_out(std::uint64_t, std::uint64_t, const holder_ptr&, const order_ended&) {}
+    void carry_out(std::uint64_t, std::uint64_t, const holder_ptr&, const engine_observed&) {}
+
+    core::seeded_random m_random;                          ///< Source of every choice.
+    bool m_checks_fence;                                   ///< Engines refuse old numbers.
+    event_queue m_events;                                  ///< Events, in true time.
+    fake_table m_table;                                    ///< Table.
+    std::array<fake_instance, instance_count> m_instances; ///< Instances.
+    std::array<fake_engine, engine_count> m_engines;       ///< Engines.
+    std::uint64_t m_numbers = 0;                           ///< Orders and incarnations.
+    std::uint64_t m_loads = 0;                             ///< Weight loads under way.
+};
+
+} // namespace tarragontrail::testing
