Bound the guard's table reads in flight

Cause: after a table outage every held entry would read its row on its own: 2,000 to 4,000 reads a second at one instance (on paper), against about 2,000 for the whole table service. Conclusion: four reads in flight at an instance; the others back off.

--- a/tarragontrail/idempotency/call_guard_rows.cpp
+++ b/tarragontrail/idempotency/call_guard_rows.cpp
@@ -156,6 +156,12 @@
         write_object(entry);
         return;
     }
+    // When the table returns after an outage, the entries' reads must not crush it.
+    if (m_operations.size() >= m_settings.m_max_reads)
+    {
+        back_off(entry, m_settings.m_retry_limit, now);
+        return;
+    }
     read_row(entry);
 }
 
--- a/tarragontrail/idempotency/call_guard_settings.hpp
+++ b/tarragontrail/idempotency/call_guard_settings.hpp
@@ -17,6 +17,7 @@
     std::size_t m_max_row_body_bytes = 4096;       ///< Larger bodies go to the object store.
     std::size_t m_max_batch = 32;                  ///< Rows in one transaction.
     std::size_t m_max_transactions = 4;            ///< Transactions in flight.
+    std::size_t m_max_reads = 4;                   ///< Reads in flight.
     std::chrono::milliseconds m_intent_window{2};  ///< An intent waits this long for company.
     std::chrono::milliseconds m_answer_window{20}; ///< An answer waits this long for company.
     std::chrono::milliseconds m_retry_first{50};   ///< First pause after a failed table operation.
