--- /dev/null
+++ b/unit_tests/placement/order_holder_test.cpp
@@ -0,0 +1,36 @@
+#include "order_world.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
+#include <rapidcheck.h>
+
+using namespace tarragontrail;
+
+/// Orders of several holders reach an engine in the order of their holdings.
+class order_holder_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(order_holder_test);
+    CPPUNIT_TEST(engines_that_ignore_fences_see_holders_in_order);
+    CPPUNIT_TEST(engines_that_check_fences_see_holders_in_order);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void engines_that_ignore_fences_see_holders_in_order() { run_worlds(false); }
+    void engines_that_check_fences_see_holders_in_order() { run_worlds(true); }
+
+private:
+    static void run_worlds(bool checks_fence)
+    {
+        std::uint64_t effects = 0;
+        CPPUNIT_ASSERT(rc::check("orders follow holders", [&] {
+            testing::order_world world(*rc::gen::arbitrary<std::uint64_t>(), checks_fence);
+            world.run();
+            effects += world.m_effects;
+        }));
+        fmt::print("order_holder_test: {} orders took effect\n", effects);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(order_holder_test, "placement");
