--- a/tarragontrail/config/bundle_agent.hpp
+++ b/tarragontrail/config/bundle_agent.hpp
@@ -74,6 +74,14 @@
     ready,       ///< The bundle in force is applied.
 };
 
+/// How far the withdrawals made on an instance have come.
+enum class withdrawal_reach
+{
+    pending,  ///< Known to this instance; no other is known to have them.
+    peers,    ///< An instance of every listed failure domain has them.
+    in_table, ///< The head row or the bundle has them.
+};
+
 /// Keeps one instance's bundle and withdrawals up to date.
 ///
 /// Polls the head row by version, learns it also from peers, fetches documents and applies only
@@ -119,6 +127,10 @@
     /// An operator withdrew a key here; effective at once, then spread and written to the table.
     void withdraw(key_prefix key, core::time_point now);
 
+    /// How far the withdrawals made here have come; an operator is told of a withdrawal as done
+    /// only when it is no longer pending.
+    withdrawal_reach reach() const;
+
     /// Members of the current view; peers outside it are not asked any more.
     void set_members(const std::vector<core::instance_id>& members);
 
@@ -172,36 +184,39 @@
     // Withdrawals and peers.
     void merge_withdrawal(const withdrawal& learned, bool spread, core::time_point now);
     bool is_persisted(const withdrawal& held) const;
+    void note_informed(core::failure_domain_id domain);
     void plan_persist(core::duration longest, core::time_point now);
     void persist_withdrawals(core::time_point now);
     void request_state(core::instance_id peer, core::time_point now);
     core::duration up_to(core::duration longest);
 
-    bundle_agent_settings m_settings;             ///< Intervals.
-    core::instance_id m_self;                     ///< This instance.
-    std::string m_failure_domain;                 ///< Its failure domain.
-    key_table& m_keys;                            ///< Keys, withdrawals and bundle in force.
-    core::seeded_random m_random;                 ///< Jitter.
-    bundle_fetch m_fetch;                         ///< Fetch of the target bundle.
-    std::optional<head_row> m_head;               ///< Head row as last learned.
-    std::string m_head_text;                      ///< Its text.
-    std::uint64_t m_head_revision = 0;            ///< Its table version.
-    std::optional<head_row> m_hint;               ///< Copy of unknown age from the object store.
-    std::optional<pending_call> m_read;           ///< Read under way.
-    std::optional<pending_call> m_write;          ///< Write under way.
-    std::optional<pending_call> m_object;         ///< Object call under way.
-    core::time_point m_next_poll{};               ///< Moment of the next poll.
-    std::optional<core::time_point> m_persist_at; ///< Moment to write unwritten withdrawals.
-    core::time_point m_next_request{};            ///< Earliest moment of a state request.
-    core::time_point m_requested_at{};            ///< Moment of the last state request.
-    std::uint64_t m_request_sequence = 0;         ///< Sequence of the last state request.
-    std::string m_applied_object;                 ///< Object name of the document in force.
-    std::string m_change_object;                  ///< Object name of the change that led to it.
-    std::string m_change_text;                    ///< That change, for peers.
-    bool m_was_ready = false;                     ///< Whether the bundle in force was ever held.
-    std::size_t m_failed_reads = 0;               ///< Reads that failed in a row.
-    std::uint64_t m_last_operation = 0;           ///< Last operation id given.
-    std::vector<action> m_actions;                ///< Actions not yet taken.
+    bundle_agent_settings m_settings;                ///< Intervals.
+    core::instance_id m_self;                        ///< This instance.
+    std::string m_failure_domain;                    ///< Its failure domain.
+    key_table& m_keys;                               ///< Keys, withdrawals and bundle in force.
+    core::seeded_random m_random;                    ///< Jitter.
+    bundle_fetch m_fetch;                            ///< Fetch of the target bundle.
+    std::optional<head_row> m_head;                  ///< Head row as last learned.
+    std::string m_head_text;                         ///< Its text.
+    std::uint64_t m_head_revision = 0;               ///< Its table version.
+    std::optional<head_row> m_hint;                  ///< Copy of unknown age from the object store.
+    std::optional<pending_call> m_read;              ///< Read under way.
+    std::optional<pending_call> m_write;             ///< Write under way.
+    std::optional<pending_call> m_object;            ///< Object call under way.
+    core::time_point m_next_poll{};                  ///< Moment of the next poll.
+    std::optional<core::time_point> m_persist_at;    ///< Moment to write unwritten withdrawals.
+    core::time_point m_withdrawn_at{};               ///< Moment of the last withdrawal made here.
+    std::vector<core::failure_domain_id> m_informed; ///< Domains that answered with all of them.
+    core::time_point m_next_request{};               ///< Earliest moment of a state request.
+    core::time_point m_requested_at{};               ///< Moment of the last state request.
+    std::uint64_t m_request_sequence = 0;            ///< Sequence of the last state request.
+    std::string m_applied_object;                    ///< Object name of the document in force.
+    std::string m_change_object;                     ///< Object name of the change that led to it.
+    std::string m_change_text;                       ///< That change, for peers.
+    bool m_was_ready = false;                        ///< Whether the bundle in force was ever held.
+    std::size_t m_failed_reads = 0;                  ///< Reads that failed in a row.
+    std::uint64_t m_last_operation = 0;              ///< Last operation id given.
+    std::vector<action> m_actions;                   ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::config
--- a/tarragontrail/config/bundle_agent_peers.cpp
+++ b/tarragontrail/config/bundle_agent_peers.cpp
@@ -16,6 +16,10 @@
         request_state(word.m_sender, now);
         return;
     }
+    if (asked_at && *asked_at >= m_withdrawn_at)
+    {
+        note_informed(word.m_domain);
+    }
     if (asked_at && is_current())
     {
         m_keys.ages().on_peer_word(word, *asked_at);
@@ -53,12 +57,35 @@
 void bundle_agent::withdraw(key_prefix key, core::time_point now)
 {
     merge_withdrawal(m_keys.make_withdrawal(key), true, now);
+    m_withdrawn_at = now;
+    m_informed.clear();
     if (m_persist_at)
     {
         m_persist_at = now;
     }
 }
 
+void bundle_agent::note_informed(core::failure_domain_id domain)
+{
+    if (std::find(m_informed.begin(), m_informed.end(), domain) == m_informed.end())
+    {
+        m_informed.push_back(domain);
+    }
+}
+
+withdrawal_reach bundle_agent::reach() const
+{
+    if (withdrawals_persisted())
+    {
+        return withdrawal_reach::in_table;
+    }
+    const std::vector<core::failure_domain_id> listed = m_keys.ages().listed_domains();
+    const bool all = std::all_of(listed.begin(), listed.end(), [this](auto domain) {
+        return std::find(m_informed.begin(), m_informed.end(), domain) != m_informed.end();
+    });
+    return all && !listed.empty() ? withdrawal_reach::peers : withdrawal_reach::pending;
+}
+
 void bundle_agent::set_members(const std::vector<core::instance_id>& members)
 {
     m_fetch.keep_peers(members);
--- a/tarragontrail/config/key_freshness.cpp
+++ b/tarragontrail/config/key_freshness.cpp
@@ -4,19 +4,35 @@
 
 namespace tarragontrail::config {
 
-void key_freshness::set_domains(const std::vector<core::failure_domain_id>& listed)
+void key_freshness::set_domains(const std::vector<core::failure_domain_id>& listed,
+                                core::failure_domain_id own)
 {
     m_list_known = true;
     for (domain_mark& mark : m_domains)
     {
         mark.m_listed = false;
     }
+    const bool has_other =
+        std::any_of(listed.begin(), listed.end(), [own](auto domain) { return domain != own; });
     for (const core::failure_domain_id domain : listed)
     {
-        mark_of(domain).m_listed = true;
+        mark_of(domain).m_listed = domain != own || !has_other;
     }
 }
 
+std::vector<core::failure_domain_id> key_freshness::listed_domains() const
+{
+    std::vector<core::failure_domain_id> listed;
+    for (const domain_mark& mark : m_domains)
+    {
+        if (mark.m_listed)
+        {
+            listed.push_back(mark.m_domain);
+        }
+    }
+    return listed;
+}
+
 void key_freshness::on_store_confirmed(core::time_point asked_at)
 {
     if (!m_store_heard_at || *m_store_heard_at < asked_at)
--- a/tarragontrail/config/key_freshness.hpp
+++ b/tarragontrail/config/key_freshness.hpp
@@ -34,7 +34,12 @@
     explicit key_freshness(const key_freshness_settings& settings) : m_settings(settings) {}
 
     /// Sets the failure domains in which the platform lists live instances other than this one.
-    void set_domains(const std::vector<core::failure_domain_id>& listed);
+    /// The own domain counts only when there is no other: one who hears all others is not alone.
+    void set_domains(const std::vector<core::failure_domain_id>& listed,
+                     core::failure_domain_id own);
+
+    /// Failure domains that count.
+    std::vector<core::failure_domain_id> listed_domains() const;
 
     /// The store itself confirmed at `asked_at` that this instance holds all it has.
     void on_store_confirmed(core::time_point asked_at);
--- /dev/null
+++ b/unit_tests/config/approval_test.cpp
@@ -0,0 +1,204 @@
+#include "tarragontrail/config/bundle_error.hpp"
+#include "unit_tests/config/fake_admin.hpp"
+#include "unit_tests/config/sample_bundle.hpp"
+
+#include <algorithm>
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace tarragontrail;
+using namespace std::chrono_literals;
+using config::approval_refusal;
+
+namespace {
+
+/// Platform with operators and version 1 rolled.
+struct office
+{
+    explicit office(std::uint64_t seed, std::size_t admins = 1)
+        : m_events(seed), m_platform(m_events)
+    {
+        for (std::size_t i = 0; i < admins; ++i)
+        {
+            m_admins.push_back(std::make_unique<test::fake_admin>(m_events, m_platform));
+        }
+        m_current = std::make_shared<const config::bundle>(test::sample_bundle(2, 1));
+        const std::string draft = m_admins[0]->prepare(config::serialise(*m_current), nullptr);
+        m_admins[0]->wait(m_admins[0]->core().roll(draft, nullptr, m_events.now()));
+    }
+
+    config::head_row head() const
+    {
+        return config::read_head(m_platform.m_rows.at("bundle/head").m_value);
+    }
+
+    /// Text of a version 2 that differs from every other author's.
+    std::string next_text(std::uint32_t mark) const
+    {
+        config::bundle next = *m_current;
+        next.m_version = 2;
+        next.m_limits.m_queued_requests = mark + 1;
+        next.m_rollout = {{{"domain-0"}}, {{"domain-1"}}};
+        return config::serialise(next);
+    }
+
+    test::event_queue m_events;                              ///< Time.
+    test::fake_platform m_platform;                          ///< Platform.
+    std::vector<std::unique_ptr<test::fake_admin>> m_admins; ///< Operators' cores.
+    std::shared_ptr<const config::bundle> m_current;         ///< Version 1.
+};
+
+/// Whether the answer is true, given whether the command took effect.
+bool is_true(const test::fake_admin::answer& answer, bool took_effect)
+{
+    if (!answer.m_refusal)
+    {
+        return took_effect;
+    }
+    return *answer.m_refusal == approval_refusal::outcome_unknown || !took_effect;
+}
+
+/// Makes the table fail now and then while commands run.
+void trouble(office& at)
+{
+    at.m_platform.m_lost_reply = *rc::gen::element(0.0, 0.3, 0.7);
+    const auto outage = std::chrono::seconds(*rc::gen::inRange(0, 25));
+    at.m_events.run_for(at.m_events.up_to(100ms));
+    at.m_platform.m_table_up = *rc::gen::arbitrary<bool>();
+    at.m_events.run_for(outage);
+    at.m_platform.m_table_up = true;
+    at.m_events.run_for(60s);
+}
+
+} // namespace
+
+/// Operators' workflow, alone and racing, with lost replies and outages.
+class approval_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(approval_test);
+    CPPUNIT_TEST(different_operators_must_act);
+    CPPUNIT_TEST(rollout_moves_step_by_step);
+    CPPUNIT_TEST(one_of_racing_rolls_wins_and_answers_are_true);
+    CPPUNIT_TEST(one_of_racing_signers_wins_and_answers_are_true);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void different_operators_must_act()
+    {
+        office at(1);
+        test::fake_admin& admin = *at.m_admins[0];
+        config::approval& core = admin.core();
+        const auto refusal = [&](config::command_id command) {
+            return admin.wait(command).m_refusal;
+        };
+        const std::string draft =
+            admin.wait(core.submit("ann", at.next_text(1), at.m_current, at.m_events.now()))
+                .m_draft->m_name;
+        CPPUNIT_ASSERT(refusal(core.sign_off(draft, "ben", at.m_events.now())) ==
+                       approval_refusal::wrong_state);
+        CPPUNIT_ASSERT(refusal(core.review(draft, "ann", at.m_events.now())) ==
+                       approval_refusal::same_operator);
+        CPPUNIT_ASSERT(!refusal(core.review(draft, "ben", at.m_events.now())));
+        CPPUNIT_ASSERT(refusal(core.sign_off(draft, "ann", at.m_events.now())) ==
+                       approval_refusal::same_operator);
+        CPPUNIT_ASSERT(refusal(core.sign_off(draft, "ben", at.m_events.now())) ==
+                       approval_refusal::same_operator);
+        CPPUNIT_ASSERT(refusal(core.roll(draft, at.m_current, at.m_events.now())) ==
+                       approval_refusal::wrong_state);
+        CPPUNIT_ASSERT(!refusal(core.sign_off(draft, "cas", at.m_events.now())));
+        CPPUNIT_ASSERT(!refusal(core.roll(draft, at.m_current, at.m_events.now())));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, at.head().m_current.m_version);
+        CPPUNIT_ASSERT(refusal(core.status("missing", at.m_events.now())) ==
+                       approval_refusal::no_such_draft);
+        CPPUNIT_ASSERT_THROW(core.submit("ann", "{}", at.m_current, at.m_events.now()),
+                             config::bundle_error);
+    }
+
+    void rollout_moves_step_by_step()
+    {
+        office at(2);
+        test::fake_admin& admin = *at.m_admins[0];
+        const std::string draft = admin.prepare(at.next_text(1), at.m_current);
+        admin.wait(admin.core().roll(draft, at.m_current, at.m_events.now()));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, at.head().target_of("domain-0").m_version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, at.head().target_of("domain-1").m_version);
+        CPPUNIT_ASSERT(admin.wait(admin.core().advance(2, 1, at.m_events.now())).m_refusal ==
+                       approval_refusal::stale_step);
+        CPPUNIT_ASSERT(!admin.wait(admin.core().advance(2, 0, at.m_events.now())).m_refusal);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, at.head().target_of("domain-1").m_version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, at.head().target_of("domain-2").m_version);
+        CPPUNIT_ASSERT(!admin.wait(admin.core().advance(2, 1, at.m_events.now())).m_refusal);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, at.head().target_of("domain-2").m_version);
+        CPPUNIT_ASSERT(admin.wait(admin.core().advance(2, 2, at.m_events.now())).m_refusal ==
+                       approval_refusal::stale_step);
+    }
+
+    void one_of_racing_rolls_wins_and_answers_are_true()
+    {
+        CPPUNIT_ASSERT(rc::check("racing rolls", [] {
+            const auto count = *rc::gen::inRange<std::size_t>(2, 6);
+            office at(*rc::gen::arbitrary<std::uint64_t>(), count);
+            std::vector<std::string> drafts;
+            std::vector<config::command_id> rolls;
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                drafts.push_back(at.m_admins[i]->prepare(
+                    at.next_text(static_cast<std::uint32_t>(i)), at.m_current));
+            }
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                rolls.push_back(
+                    at.m_admins[i]->core().roll(drafts[i], at.m_current, at.m_events.now()));
+            }
+            trouble(at);
+            RC_ASSERT(at.head().m_current.m_version <= 2U);
+            std::size_t won = 0;
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                const auto answer = at.m_admins[i]->find(rolls[i]);
+                RC_ASSERT(answer.has_value());
+                const std::string own =
+                    config::object_name("bundle", at.next_text(static_cast<std::uint32_t>(i)));
+                RC_ASSERT(is_true(*answer, at.head().m_current.m_object == own));
+                won += answer->m_refusal ? 0 : 1;
+            }
+            RC_ASSERT(won <= 1U);
+        }));
+    }
+
+    void one_of_racing_signers_wins_and_answers_are_true()
+    {
+        CPPUNIT_ASSERT(rc::check("racing signers", [] {
+            const auto count = *rc::gen::inRange<std::size_t>(2, 6);
+            office at(*rc::gen::arbitrary<std::uint64_t>(), count);
+            test::fake_admin& first = *at.m_admins[0];
+            const std::string draft =
+                first
+                    .wait(first.core().submit("ann", at.next_text(1), at.m_current,
+                                              at.m_events.now()))
+                    .m_draft->m_name;
+            first.wait(first.core().review(draft, "ben", at.m_events.now()));
+            std::vector<config::command_id> signs;
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                signs.push_back(at.m_admins[i]->core().sign_off(draft, fmt::format("signer-{}", i),
+                                                                at.m_events.now()));
+            }
+            trouble(at);
+            const config::draft_row row =
+                config::read_draft(at.m_platform.m_rows.at("bundle/draft/" + draft).m_value);
+            for (std::size_t i = 0; i < count; ++i)
+            {
+                const auto answer = at.m_admins[i]->find(signs[i]);
+                RC_ASSERT(answer.has_value());
+                RC_ASSERT(is_true(*answer, row.m_signer == fmt::format("signer-{}", i)));
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(approval_test, "config");
--- /dev/null
+++ b/unit_tests/config/fake_admin.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "tarragontrail/config/approval.hpp"
+#include "unit_tests/config/fake_platform.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tarragontrail::test {
+
+/// One operator's approval core on a fake platform.
+class fake_admin
+{
+public:
+    /// Answer to a command: no refusal when it succeeded.
+    struct answer
+    {
+        std::optional<config::approval_refusal> m_refusal; ///< Reason of a refusal.
+        std::optional<config::draft_row> m_draft;          ///< Draft after the command.
+    };
+
+    fake_admin(event_queue& events, fake_platform& platform)
+        : m_events(events), m_platform(platform),
+          m_approval(config::approval_settings{}, events.m_random())
+    {
+        tick();
+    }
+
+    config::approval& core() { return m_approval; }
+
+    /// Answer to a command; none while it runs.
+    std::optional<answer> find(config::command_id command) const
+    {
+        const auto found = m_answers.find(command);
+        return found != m_answers.end() ? std::optional(found->second) : std::nullopt;
+    }
+
+    /// Runs until the command is answered.
+    answer wait(config::command_id command)
+    {
+        drain();
+        while (!find(command))
+        {
+            m_events.run_for(std::chrono::milliseconds(50));
+        }
+        return *find(command);
+    }
+
+    /// Submits, reviews and signs a draft off; returns its name.
+    std::string prepare(const std::string& text, const std::shared_ptr<const config::bundle>& base)
+    {
+        const core::time_point now = m_events.now();
+        const answer submitted = wait(m_approval.submit("ann", text, base, now));
+        const std::string draft = submitted.m_draft->m_name;
+        wait(m_approval.review(draft, "ben", m_events.now()));
+        wait(m_approval.sign_off(draft, "cas", m_events.now()));
+        return draft;
+    }
+
+    void drain()
+    {
+        for (config::approval::action& action : m_approval.take_actions())
+        {
+            std::visit([this](auto& one) { carry_out(one); }, action);
+        }
+    }
+
+private:
+    void tick()
+    {
+        m_approval.on_timer(m_events.now());
+        drain();
+        m_events.after(std::chrono::milliseconds(50), [this] { tick(); });
+    }
+
+    template <class Event>
+    void feed(Event event)
+    {
+        event();
+        drain();
+    }
+
+    std::function<void()> lost(config::operation_id operation)
+    {
+        return [=, this] { feed([&] { m_approval.on_store_failed(operation, m_events.now()); }); };
+    }
+
+    void carry_out(const config::store_read& call)
+    {
+        const auto done = [this](const config::read_reply& reply) {
+            feed([&] { m_approval.on_store_read(reply, m_events.now()); });
+        };
+        m_platform.read(call, done, lost(call.m_operation));
+    }
+
+    void carry_out(const config::store_write& call)
+    {
+        const auto done = [this](const config::write_reply& reply) {
+            feed([&] { m_approval.on_store_written(reply, m_events.now()); });
+        };
+        m_platform.write(call, done, lost(call.m_operation));
+    }
+
+    void carry_out(const config::object_put& call)
+    {
+        const config::operation_id operation = call.m_operation;
+        m_platform.put(
+            call,
+            [=, this] { feed([&] { m_approval.on_object_stored(operation, m_events.now()); }); },
+            [=, this] { feed([&] { m_approval.on_object_failed(operation, m_events.now()); }); });
+    }
+
+    void carry_out(const config::command_done& done)
+    {
+        m_answers[done.m_command] = {std::nullopt, done.m_draft};
+    }
+
+    void carry_out(const config::command_failed& failed)
+    {
+        m_answers[failed.m_command] = {failed.m_error.refusal(), std::nullopt};
+    }
+
+    event_queue& m_events;                          ///< Time.
+    fake_platform& m_platform;                      ///< Platform.
+    config::approval m_approval;                    ///< Core under test.
+    std::map<config::command_id, answer> m_answers; ///< Answers so far.
+};
+
+} // namespace tarragontrail::test
