--- a/tarragontrail/config/key_digest.hpp
+++ b/tarragontrail/config/key_digest.hpp
@@ -16,7 +16,13 @@
     std::uint64_t m_high = 0; ///< Digest bytes 0..7, big-endian.
     std::uint64_t m_low = 0;  ///< Digest bytes 8..15, big-endian.
 
-    auto operator<=>(const key_prefix&) const = default;
+    bool operator==(const key_prefix&) const = default;
+
+    /// Order of the digests.
+    constexpr bool operator<(const key_prefix& other) const noexcept
+    {
+        return m_high != other.m_high ? m_high < other.m_high : m_low < other.m_low;
+    }
 };
 
 /// SHA-256 of bytes.
--- a/tarragontrail/membership/failure_detector.cpp
+++ b/tarragontrail/membership/failure_detector.cpp
@@ -27,7 +27,7 @@
     }
     m_peers = std::move(kept);
     std::erase_if(m_order, [this](core::instance_id id) { return !m_peers.contains(id); });
-    std::erase_if(m_news, [this](core::instance_id id) { return !m_peers.contains(id); });
+    std::erase_if(m_news, [this](const news& each) { return !m_peers.contains(each.m_member); });
     std::erase_if(m_probes, [this](const probe& each) { return !m_peers.contains(each.m_target); });
     m_position = std::min(m_position, m_order.size());
 }
--- a/tarragontrail/membership/failure_detector.hpp
+++ b/tarragontrail/membership/failure_detector.hpp
@@ -137,7 +137,18 @@
         liveness m_liveness = liveness::alive;          ///< State.
         bool m_heard = false;                           ///< Whether a message of it arrived.
         std::optional<core::time_point> m_silent_since; ///< Set while the own probes fail.
-        std::size_t m_sent = 0;                         ///< Transmissions of the word on it.
+    };
+
+    /// A word that is being spread.
+    struct news
+    {
+        std::size_t m_sent = 0;       ///< Transmissions so far.
+        core::instance_id m_member{}; ///< Member that it is about.
+
+        bool operator<(const news& other) const noexcept
+        {
+            return m_sent != other.m_sent ? m_sent < other.m_sent : m_member < other.m_member;
+        }
     };
 
     /// A probe under way.
@@ -209,12 +220,12 @@
     std::unordered_map<core::instance_id, peer> m_peers; ///< Members watched.
     std::vector<core::instance_id> m_order;              ///< Members in the order of the round.
     std::size_t m_position = 0;                          ///< Next member of the round.
-    std::vector<core::instance_id> m_news;               ///< Members whose words are spread.
-    std::vector<probe> m_probes;                         ///< Probes under way.
-    std::vector<relay> m_relays;                         ///< Pings made for others.
-    core::time_point m_next_period{};                    ///< Start of the next period.
-    std::uint64_t m_last_sequence = 0;                   ///< Last sequence given.
-    std::vector<action> m_actions;                       ///< Actions not yet taken.
+    std::vector<news> m_news;          ///< Words being spread, one for each member at most.
+    std::vector<probe> m_probes;       ///< Probes under way.
+    std::vector<relay> m_relays;       ///< Pings made for others.
+    core::time_point m_next_period{};  ///< Start of the next period.
+    std::uint64_t m_last_sequence = 0; ///< Last sequence given.
+    std::vector<action> m_actions;     ///< Actions not yet taken.
 };
 
 } // namespace tarragontrail::membership
--- a/tarragontrail/membership/failure_detector_words.cpp
+++ b/tarragontrail/membership/failure_detector_words.cpp
@@ -83,16 +83,15 @@
         words.push_back(word_on(receiver));
     }
     const std::size_t limit = transmit_limit(transmit_factor, m_peers.size() + 1);
-    std::sort(m_news.begin(), m_news.end(), [this](core::instance_id a, core::instance_id b) {
-        return std::pair(m_peers[a].m_sent, a) < std::pair(m_peers[b].m_sent, b);
-    });
     const std::size_t count = std::min(m_settings.m_max_words, m_news.size());
+    const auto end = m_news.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(m_news.begin(), end, m_news.end());
     for (std::size_t i = 0; i < count; ++i)
     {
-        words.push_back(word_on(m_news[i]));
-        ++m_peers[m_news[i]].m_sent;
+        words.push_back(word_on(m_news[i].m_member));
+        ++m_news[i].m_sent;
     }
-    std::erase_if(m_news, [&](core::instance_id id) { return m_peers[id].m_sent >= limit; });
+    std::erase_if(m_news, [limit](const news& each) { return each.m_sent >= limit; });
     return words;
 }
 
@@ -141,15 +140,12 @@
     held.m_incarnation = word.m_incarnation;
     held.m_refutation = word.m_refutation;
     held.m_liveness = state;
-    held.m_sent = 0;
     if (state == liveness::alive)
     {
         held.m_silent_since.reset();
     }
-    if (std::find(m_news.begin(), m_news.end(), member) == m_news.end())
-    {
-        m_news.push_back(member);
-    }
+    std::erase_if(m_news, [member](const news& each) { return each.m_member == member; });
+    m_news.push_back({0, member});
     if (is_news)
     {
         m_actions.emplace_back(member_changed{member, word.m_incarnation, state});
--- a/tarragontrail/membership/locator.cpp
+++ b/tarragontrail/membership/locator.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace tarragontrail::membership {
 
@@ -22,7 +24,11 @@
     bool m_no_home;      ///< Members that are no home come after homes.
     double m_preference; ///< Weighted rendezvous of the caller.
 
-    auto operator<=>(const rank&) const = default;
+    bool operator<(const rank& other) const
+    {
+        return std::tie(m_suspected, m_elsewhere, m_no_home, m_preference) <
+               std::tie(other.m_suspected, other.m_elsewhere, other.m_no_home, other.m_preference);
+    }
 };
 
 /// Weighted rendezvous: a member of twice the weight comes first twice as often.
--- a/tarragontrail/membership/restart_plan.cpp
+++ b/tarragontrail/membership/restart_plan.cpp
@@ -7,7 +7,7 @@
 
 namespace tarragontrail::membership {
 
-restart_plan::restart_plan(const restart_plan_settings& settings, std::vector<need_id> needs,
+restart_plan::restart_plan(const restart_plan_settings& settings, const std::vector<need_id>& needs,
                            std::uint64_t seed)
     : m_settings(settings), m_random(seed)
 {
--- a/tarragontrail/membership/restart_plan.hpp
+++ b/tarragontrail/membership/restart_plan.hpp
@@ -56,7 +56,7 @@
 public:
     using action = std::variant<fetch_from_peer, fetch_from_store>;
 
-    restart_plan(const restart_plan_settings& settings, std::vector<need_id> needs,
+    restart_plan(const restart_plan_settings& settings, const std::vector<need_id>& needs,
                  std::uint64_t seed);
 
     void start(core::time_point now);
--- a/unit_tests/config/approval_test.cpp
+++ b/unit_tests/config/approval_test.cpp
@@ -1,4 +1,5 @@
 #include "tarragontrail/config/bundle_error.hpp"
+#include "tarragontrail/config/rollout_report.hpp"
 #include "unit_tests/config/fake_admin.hpp"
 #include "unit_tests/config/sample_bundle.hpp"
 
@@ -128,6 +129,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, at.head().target_of("domain-1").m_version);
         CPPUNIT_ASSERT(admin.wait(admin.core().advance(2, 1, at.m_events.now())).m_refusal ==
                        approval_refusal::stale_step);
+
+        // Only the instance whose step has come and that still has the old version lags.
+        config::rollout_report report;
+        report.note(core::instance_id{1}, 1);
+        report.note(core::instance_id{2}, 1);
+        const std::vector<config::instance_version> members{{core::instance_id{1}, "domain-0", 0},
+                                                            {core::instance_id{2}, "domain-1", 0}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.lagging(at.head(), members).size());
+        CPPUNIT_ASSERT(report.lagging(at.head(), members)[0].m_instance == core::instance_id{1});
+        report.note(core::instance_id{1}, 2);
+        CPPUNIT_ASSERT(report.lagging(at.head(), members).empty());
         CPPUNIT_ASSERT(!admin.wait(admin.core().advance(2, 0, at.m_events.now())).m_refusal);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, at.head().target_of("domain-1").m_version);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, at.head().target_of("domain-2").m_version);
--- a/unit_tests/config/fake_admin.hpp
+++ b/unit_tests/config/fake_admin.hpp
@@ -53,7 +53,7 @@
     {
         const core::time_point now = m_events.now();
         const answer submitted = wait(m_approval.submit("ann", text, base, now));
-        const std::string draft = submitted.m_draft->m_name;
+        std::string draft = submitted.m_draft->m_name;
         wait(m_approval.review(draft, "ben", m_events.now()));
         wait(m_approval.sign_off(draft, "cas", m_events.now()));
         return draft;
--- a/unit_tests/config/fake_platform.hpp
+++ b/unit_tests/config/fake_platform.hpp
@@ -68,8 +68,8 @@
 
     using failed = std::function<void()>;
 
-    void read(const config::store_read& call, std::function<void(config::read_reply)> done,
-              failed lost)
+    void read(const config::store_read& call, const std::function<void(config::read_reply)>& done,
+              const failed& lost)
     {
         travel(
             m_table_up,
@@ -87,8 +87,8 @@
             lost);
     }
 
-    void write(const config::store_write& call, std::function<void(config::write_reply)> done,
-               failed lost)
+    void write(const config::store_write& call,
+               const std::function<void(config::write_reply)>& done, const failed& lost)
     {
         travel(
             m_table_up,
@@ -108,7 +108,7 @@
             lost);
     }
 
-    void put(const config::object_put& call, std::function<void()> done, failed lost)
+    void put(const config::object_put& call, const std::function<void()>& done, const failed& lost)
     {
         travel(
             m_objects_up,
@@ -119,7 +119,8 @@
             lost);
     }
 
-    void get(const std::string& name, std::function<void(std::string)> done, failed lost)
+    void get(const std::string& name, const std::function<void(std::string)>& done,
+             const failed& lost)
     {
         travel(
             m_objects_up,
@@ -144,11 +145,11 @@
         });
     }
 
-    void travel_back(std::function<void()> done, failed lost)
+    void travel_back(const std::function<void()>& done, const failed& lost)
     {
         const bool is_lost = m_events.chance(m_lost_reply);
         m_events.after(is_lost ? core::duration(patience) : m_events.up_to(delay),
-                       is_lost ? std::move(lost) : std::move(done));
+                       is_lost ? lost : done);
     }
 
     event_queue& m_events; ///< Time.
