Keep an isolated instance from emptying or churning the view

Cause: an instance that reached the table but no peer held all others as failed and took them out of the view; they came back and took it out in turn. Now the detector's word changes the view only on an instance that hears more members than are silent to it, and one that was taken out returns only then.

--- a/tarragontrail/membership/view_change.cpp
+++ b/tarragontrail/membership/view_change.cpp
@@ -49,6 +49,7 @@
 std::vector<view_change> change_planner::needed(const view& current,
                                                 const failure_detector& detector) const
 {
+    const bool trusted = hears_most(current, detector);
     std::vector<view_change> changes;
     for (const member& each : current.members())
     {
@@ -56,7 +57,7 @@
         {
             continue;
         }
-        if (is_gone(each, detector))
+        if (is_gone(each, detector, trusted))
         {
             changes.push_back({change_kind::remove, each});
         }
@@ -77,14 +78,32 @@
         }
     }
     add_newcomers(current, detector, changes);
-    add_own(current, changes);
+    add_own(current, trusted, changes);
     return changes;
 }
 
-bool change_planner::is_gone(const member& each, const failure_detector& detector) const
+bool change_planner::hears_most(const view& current, const failure_detector& detector) const
+{
+    std::size_t heard = 1; // Itself.
+    std::size_t silent = 0;
+    for (const member& each : current.members())
+    {
+        const std::optional<liveness> state = detector.state_of(each.m_id);
+        if (each.m_id == m_self.m_id || !state)
+        {
+            continue;
+        }
+        const bool is_silent = *state == liveness::suspected || *state == liveness::failed;
+        ++(is_silent ? silent : heard);
+    }
+    return heard > silent;
+}
+
+bool change_planner::is_gone(const member& each, const failure_detector& detector,
+                             bool trusted) const
 {
     const liveness state = detector.state_of(each.m_id).value_or(liveness::alive);
-    if (state == liveness::failed)
+    if (state == liveness::failed && trusted)
     {
         return true;
     }
@@ -121,7 +140,8 @@
     }
 }
 
-void change_planner::add_own(const view& current, std::vector<view_change>& changes) const
+void change_planner::add_own(const view& current, bool trusted,
+                             std::vector<view_change>& changes) const
 {
     const member* own = current.find(m_self.m_id);
     const listed_instance* listed = find_listed(m_self.m_id);
@@ -133,7 +153,8 @@
     }
     const bool stands = own != nullptr && own->m_incarnation >= m_self.m_incarnation &&
                         (own->m_state == member_state::live || stopping);
-    if (!stopping && !stands)
+    const bool may_return = trusted || !was_member(m_self.m_id);
+    if (!stopping && !stands && may_return)
     {
         changes.push_back({change_kind::put, m_self});
     }
--- a/tarragontrail/membership/view_change.hpp
+++ b/tarragontrail/membership/view_change.hpp
@@ -56,8 +56,12 @@
     std::vector<view_change> needed(const view& current, const failure_detector& detector) const;
 
 private:
-    /// Whether the member must be taken out.
-    bool is_gone(const member& each, const failure_detector& detector) const;
+    /// Whether this instance hears more members than are silent to it. One that
+    /// does not is more likely cut off itself than the last one alive.
+    bool hears_most(const view& current, const failure_detector& detector) const;
+
+    /// Whether the member must be taken out; `trusted` says whether the detector's word is enough.
+    bool is_gone(const member& each, const failure_detector& detector, bool trusted) const;
 
     /// Whether the member must be marked as draining.
     bool is_stopping(const member& each, const failure_detector& detector) const;
@@ -67,7 +71,7 @@
                        std::vector<view_change>& changes) const;
 
     /// Adds what the own entry needs.
-    void add_own(const view& current, std::vector<view_change>& changes) const;
+    void add_own(const view& current, bool trusted, std::vector<view_change>& changes) const;
 
     const listed_instance* find_listed(core::instance_id id) const noexcept;
 
--- a/unit_tests/membership/fake_fleet.cpp
+++ b/unit_tests/membership/fake_fleet.cpp
@@ -194,7 +194,8 @@
                      [to](const instance& each) { return each.m_member.m_id == to; });
     const auto index = static_cast<std::size_t>(target - m_instances.begin());
     const bool crosses = m_instances[from].m_member.m_region_id != target->m_member.m_region_id;
-    if (m_events.chance(m_loss) || (crosses && m_regions_cut))
+    const bool isolated = m_isolated.contains(from) || m_isolated.contains(index);
+    if (m_events.chance(m_loss) || (crosses && m_regions_cut) || isolated)
     {
         return;
     }
--- a/unit_tests/membership/fake_fleet.hpp
+++ b/unit_tests/membership/fake_fleet.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,8 +50,9 @@
     std::vector<instance> m_instances; ///< All instances.
     double m_loss = 0.0;               ///< Share of messages lost.
     double m_duplicated = 0.0;         ///< Share of messages delivered twice.
-    bool m_regions_cut = false;   ///< Whether the regions, and region 1 and the table, are cut.
-    std::uint64_t m_messages = 0; ///< Messages sent.
+    bool m_regions_cut = false;       ///< Whether the regions, and region 1 and the table, are cut.
+    std::set<std::size_t> m_isolated; ///< Instances that reach the platform but no other.
+    std::uint64_t m_messages = 0;     ///< Messages sent.
     std::vector<membership::listed_instance> m_list; ///< The platform's list as it is shown.
 
 private:
--- a/unit_tests/membership/view_test.cpp
+++ b/unit_tests/membership/view_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(text_round_trip_keeps_owners_and_homes);
     CPPUNIT_TEST(removal_moves_only_the_removed_members_shards);
     CPPUNIT_TEST(faults_never_fork_or_lower_the_view);
+    CPPUNIT_TEST(isolated_instance_neither_empties_nor_churns_the_view);
     CPPUNIT_TEST(leaving_instance_stops_being_located);
     CPPUNIT_TEST(herd_of_starts_costs_few_writes);
     CPPUNIT_TEST(locate_spreads_callers_over_near_homes);
@@ -205,6 +206,31 @@
         }));
     }
 
+    void isolated_instance_neither_empties_nor_churns_the_view()
+    {
+        CPPUNIT_ASSERT(rc::check("one that reaches the table but no peer", [] {
+            test::fake_fleet fleet(*rc::gen::arbitrary<std::uint64_t>(), 8);
+            for (std::size_t i = 0; i < 8; ++i)
+            {
+                fleet.start(i);
+            }
+            fleet.run_for(30s);
+            fleet.m_isolated = {3};
+            for (int step = 0; step < 25; ++step)
+            {
+                fleet.run_for(1s);
+                RC_ASSERT(fleet.m_instances[0].m_keeper->current()->members().size() >= 5U);
+            }
+            const auto settled = fleet.m_instances[0].m_keeper->current();
+            RC_ASSERT(settled->members().size() == 7U);
+            fleet.run_for(60s);
+            RC_ASSERT(fleet.m_instances[0].m_keeper->current()->number() == settled->number());
+            fleet.m_isolated.clear();
+            fleet.run_for(60s);
+            RC_ASSERT(fleet.m_instances[0].m_keeper->current()->members().size() == 8U);
+        }));
+    }
+
     void leaving_instance_stops_being_located()
     {
         CPPUNIT_ASSERT(rc::check("nobody is sent to a leaving instance", [] {
