--- a/unit_tests/config/bundle_agent_test.cpp
+++ b/unit_tests/config/bundle_agent_test.cpp
@@ -52,12 +52,8 @@
 
     key_verdict check(std::size_t index, std::size_t key) const
     {
-        const test::instance& each = m_fleet.m_instances[index];
-        if (each.m_agent->state() != config::agent_state::ready)
-        {
-            return key_verdict::view_too_old;
-        }
-        return each.m_keys->check(config::sha256(test::key_text(key)), m_fleet.now()).m_verdict;
+        const config::sha256_digest digest = config::sha256(test::key_text(key));
+        return m_fleet.m_instances[index].m_agent->check_key(digest, m_fleet.now()).m_verdict;
     }
 
     /// Running instances whose verdict on the key is this one.
@@ -167,6 +163,7 @@
     CPPUNIT_TEST(fresh_instance_learns_all_from_peers);
     CPPUNIT_TEST(herd_restart_comes_up_from_the_store);
     CPPUNIT_TEST(herd_restart_without_table_serves_open_routes_only);
+    CPPUNIT_TEST(lone_instance_without_table_trusts_no_copy);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +365,21 @@
         at.m_fleet.run_for(10s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, at.count(0, key_verdict::accepted));
     }
+
+    void lone_instance_without_table_trusts_no_copy()
+    {
+        configured_fleet at(42, 1);
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::accepted);
+        at.m_fleet.m_platform.m_table_up = false;
+        at.m_fleet.run_for(60s);
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::accepted);
+        at.m_fleet.crash(0);
+        at.m_fleet.start(0);
+        at.m_fleet.run_for(60s);
+        CPPUNIT_ASSERT(at.m_fleet.m_instances[0].m_agent->state() ==
+                       config::agent_state::provisional);
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::view_too_old);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(bundle_agent_test, "config");
