Test that the detector alone finds a crash, that a wrong change gives way and that an unfetched bundle stops keyed routes

The crash test passed with the detector's verdict broken, as the platform's list dropped the victim first; the list now keeps it. Two defences had no test that failed without them.

--- a/unit_tests/config/bundle_agent_test.cpp
+++ b/unit_tests/config/bundle_agent_test.cpp
@@ -1,3 +1,4 @@
+#include "tarragontrail/config/bundle_change.hpp"
 #include "unit_tests/config/fake_admin.hpp"
 #include "unit_tests/config/sample_bundle.hpp"
 #include "unit_tests/membership/fake_fleet.hpp"
@@ -163,6 +164,8 @@
     CPPUNIT_TEST(fresh_instance_learns_all_from_peers);
     CPPUNIT_TEST(herd_restart_comes_up_from_the_store);
     CPPUNIT_TEST(herd_restart_without_table_serves_open_routes_only);
+    CPPUNIT_TEST(bundle_that_cannot_be_fetched_stops_keyed_routes);
+    CPPUNIT_TEST(wrong_change_gives_way_to_the_whole_document);
     CPPUNIT_TEST(lone_instance_without_table_trusts_no_copy);
     CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +369,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, at.count(0, key_verdict::accepted));
     }
 
+    void bundle_that_cannot_be_fetched_stops_keyed_routes()
+    {
+        // The head is known, but not what it withdraws.
+        configured_fleet at(42, 4);
+        config::bundle next = *at.m_current;
+        next.m_version = 2;
+        next.m_keys[3].m_state = config::key_state::withdrawn;
+        const std::string draft = at.m_admin.prepare(config::serialise(next), at.m_current);
+        at.m_fleet.m_platform.m_objects_up = false;
+        at.m_admin.wait(at.m_admin.core().roll(draft, at.m_current, at.m_fleet.now()));
+        at.m_fleet.run_for(15s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, at.count(3, key_verdict::accepted));
+        at.m_fleet.m_platform.m_objects_up = true;
+        at.m_fleet.run_for(15s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, at.count(3, key_verdict::withdrawn));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, at.count(0, key_verdict::accepted));
+    }
+
+    void wrong_change_gives_way_to_the_whole_document()
+    {
+        configured_fleet at(42, 2);
+        config::bundle next = *at.m_current;
+        next.m_version = 2;
+        next.m_limits.m_output_tokens = 9;
+        config::bundle other = next;
+        other.m_limits.m_output_tokens = 8;
+        const std::string text = config::serialise(next);
+        const std::string change = config::make_change(*at.m_current, other);
+        config::write_reply& row = at.m_fleet.m_platform.m_rows.at("bundle/head");
+        config::head_row head = config::read_head(row.m_value);
+        head.m_current = {2, config::object_name("bundle", text), 1,
+                          config::object_name("change", change)};
+        at.m_fleet.m_platform.m_objects[head.m_current.m_object] = text;
+        at.m_fleet.m_platform.m_objects[head.m_current.m_change_object] = change;
+        row.m_value = config::write_head(head);
+        ++row.m_version;
+        at.m_fleet.run_for(15s);
+        for (const test::instance& each : at.m_fleet.m_instances)
+        {
+            CPPUNIT_ASSERT_EQUAL(9U, each.m_keys->applied()->m_limits.m_output_tokens);
+        }
+    }
+
     void lone_instance_without_table_trusts_no_copy()
     {
         configured_fleet at(42, 1);
--- a/unit_tests/membership/failure_detector_test.cpp
+++ b/unit_tests/membership/failure_detector_test.cpp
@@ -17,8 +17,7 @@
 {
     const core::instance_id id = fleet.m_instances[subject].m_member.m_id;
     return std::all_of(fleet.m_instances.begin(), fleet.m_instances.end(), [&](const auto& each) {
-        return !each.m_up || each.m_member.m_id == id ||
-               each.m_detector->state_of(id).value_or(liveness::failed) == state;
+        return !each.m_up || each.m_member.m_id == id || each.m_detector->state_of(id) == state;
     });
 }
 
@@ -84,6 +83,8 @@
             fleet.m_loss = *rc::gen::element(0.0, 0.2);
             start_all(fleet);
             const auto victim = *rc::gen::inRange<std::size_t>(0, count);
+            // The list is of no help: it keeps naming the victim.
+            fleet.m_list_lag = 60s;
             fleet.crash(victim);
             fleet.run_for(15s);
             RC_ASSERT(all_hold(fleet, victim, liveness::failed));
--- a/unit_tests/membership/fake_fleet.cpp
+++ b/unit_tests/membership/fake_fleet.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr core::duration tick_length = 50ms;
-constexpr core::duration list_lag = 5s;
 constexpr core::duration message_delay = 30ms;
 constexpr std::uint64_t withdrawal_kind = 1;
 
@@ -72,7 +71,7 @@
     instance& each = m_instances[index];
     each.m_up = false;
     const std::uint64_t life = each.m_life++;
-    m_events.after(list_lag, [=, this, id = each.m_member.m_id] {
+    m_events.after(m_list_lag, [=, this, id = each.m_member.m_id] {
         if (m_instances[index].m_life == life + 1)
         {
             std::erase_if(m_list, [id](const auto& entry) { return entry.m_member.m_id == id; });
