--- a/tarragontrail/config/bundle_agent.hpp
+++ b/tarragontrail/config/bundle_agent.hpp
@@ -74,6 +74,14 @@
     ready,       ///< The bundle in force is applied.
 };
 
+/// How far the withdrawals made on an instance have come.
+enum class withdrawal_reach
+{
+    pending,  ///< Known to this instance; no other is known to have them.
+    peers,    ///< An instance of every listed failure domain has them.
+    in_table, ///< The head row or the bundle has them.
+};
+
 /// Keeps one instance's bundle and withdrawals up to date.
 ///
 /// Polls the head row by version, learns it also from peers, fetches documents and applies only
@@ -119,6 +127,10 @@
     /// An operator withdrew a key here; effective at once, then spread and written to the table.
     void withdraw(key_prefix key, core::time_point now);
 
+    /// How far the withdrawals made here have come; an operator is told of a withdrawal as done
+    /// only when it is no longer pending.
+    withdrawal_reach reach() const;
+
     /// Members of the current view; peers outside it are not asked any more.
     void set_members(const std::vector<core::instance_id>& members);
 
@@ -128,6 +140,9 @@
     /// Whether keyed routes may be served as far as the bundle goes.
     agent_state state() const noexcept;
 
+    /// Verdict on a key's digest; asked for each request and again while its stream runs.
+    key_check check_key(const sha256_digest& digest, core::time_point now) const;
+
     /// Head row as last learned.
     const std::optional<head_row>& head() const noexcept { return m_head; }
 
@@ -172,6 +187,7 @@
     // Withdrawals and peers.
     void merge_withdrawal(const withdrawal& learned, bool spread, core::time_point now);
     bool is_persisted(const withdrawal& held) const;
+    void note_informed(core::failure_domain_id domain);
     void plan_persist(core::duration longest, core::time_point now);
     void persist_withdrawals(core::time_point now);
     void request_state(core::instance_id peer, core::time_point now);
@@ -192,6 +208,8 @@
     std::optional<pending_call> m_object;            ///< Object call under way.
     core::time_point m_next_poll{};                  ///< Moment of the next poll.
     std::optional<core::time_point> m_persist_at;    ///< Moment to write unwritten withdrawals.
+    core::time_point m_withdrawn_at{};               ///< Moment of the last withdrawal made here.
+    std::vector<core::failure_domain_id> m_informed; ///< Domains that answered with all of them.
     core::time_point m_next_request{};               ///< Earliest moment of a state request.
     core::time_point m_requested_at{};               ///< Moment of the last state request.
     std::uint64_t m_request_sequence = 0;            ///< Sequence of the last state request.
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -348,7 +348,7 @@
 }
 
 void admin_server::run(const exchange_pointer& exchange,
-                       std::function<config::command_id(core::time_point)> command)
+                       const std::function<config::command_id(core::time_point)>& command)
 {
     const bool taken = m_control.ask([this, exchange, command] {
         try
@@ -379,7 +379,8 @@
     }
 }
 
-void admin_server::ask(const exchange_pointer& exchange, std::function<net::http_response()> work)
+void admin_server::ask(const exchange_pointer& exchange,
+                       const std::function<net::http_response()>& work)
 {
     if (!m_control.ask([this, exchange, work] { respond(exchange, work()); }))
     {
--- a/tarragontrail/entry/admin_server.hpp
+++ b/tarragontrail/entry/admin_server.hpp
@@ -50,8 +50,8 @@
     void withdraw_key(const exchange_pointer& exchange, const std::string& name);
     void clear_quarantine(const exchange_pointer& exchange, const std::string& fingerprint);
     void run(const exchange_pointer& exchange,
-             std::function<config::command_id(core::time_point)> command);
-    void ask(const exchange_pointer& exchange, std::function<net::http_response()> work);
+             const std::function<config::command_id(core::time_point)>& command);
+    void ask(const exchange_pointer& exchange, const std::function<net::http_response()>& work);
     void respond(const exchange_pointer& exchange, net::http_response response);
 
     net::duty& m_admin;                  ///< Thread of this listener.
--- a/tarragontrail/entry/call_flow.cpp
+++ b/tarragontrail/entry/call_flow.cpp
@@ -101,8 +101,8 @@
     return found == m_calls.end() ? nullptr : &found->second;
 }
 
-void call_flow::begin(std::shared_ptr<const call_request> request,
-                      std::shared_ptr<call_listener> listener, core::time_point arrived)
+void call_flow::begin(const std::shared_ptr<const call_request>& request,
+                      const std::shared_ptr<call_listener>& listener, core::time_point arrived)
 {
     const core::time_point now = core::runtime_clock::now();
     try
--- a/tarragontrail/entry/call_flow.hpp
+++ b/tarragontrail/entry/call_flow.hpp
@@ -52,8 +52,8 @@
     void on_bundle(const std::shared_ptr<const config::bundle>& applied);
 
     // Events of sessions.
-    void begin(std::shared_ptr<const call_request> request, std::shared_ptr<call_listener> listener,
-               core::time_point arrived);
+    void begin(const std::shared_ptr<const call_request>& request,
+               const std::shared_ptr<call_listener>& listener, core::time_point arrived);
     void on_answered(core::request_id id, std::uint64_t attempt,
                      const idempotency::service_answer& answer, core::time_point now);
     void on_failed(core::request_id id, std::uint64_t attempt, const net::call_failure& failure,
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -59,8 +59,9 @@
     return found == m_requests.end() ? nullptr : &found->second;
 }
 
-void completion_flow::begin(std::shared_ptr<const completion_request> request,
-                            std::shared_ptr<completion_listener> listener, core::time_point arrived)
+void completion_flow::begin(const std::shared_ptr<const completion_request>& request,
+                            const std::shared_ptr<completion_listener>& listener,
+                            core::time_point arrived)
 {
     try
     {
--- a/tarragontrail/entry/completion_flow.hpp
+++ b/tarragontrail/entry/completion_flow.hpp
@@ -78,8 +78,8 @@
                  recovery_service& recovery);
 
     // Events of sessions.
-    void begin(std::shared_ptr<const completion_request> request,
-               std::shared_ptr<completion_listener> listener, core::time_point arrived);
+    void begin(const std::shared_ptr<const completion_request>& request,
+               const std::shared_ptr<completion_listener>& listener, core::time_point arrived);
     void on_first_token(core::request_id id, core::time_point now);
     void on_attempt_failed(core::request_id id, const attempt_failure& failure,
                            core::time_point now);
--- a/tarragontrail/entry/control_port.cpp
+++ b/tarragontrail/entry/control_port.cpp
@@ -4,16 +4,16 @@
 
 using core::runtime_clock;
 
-bool control_port::begin(std::shared_ptr<const completion_request> request,
-                         std::shared_ptr<completion_listener> listener)
+bool control_port::begin(const std::shared_ptr<const completion_request>& request,
+                         const std::shared_ptr<completion_listener>& listener)
 {
     return m_control.try_post([this, request, listener, arrived = runtime_clock::now()] {
         m_completions.begin(request, listener, arrived);
     });
 }
 
-bool control_port::begin(std::shared_ptr<const call_request> request,
-                         std::shared_ptr<call_listener> listener)
+bool control_port::begin(const std::shared_ptr<const call_request>& request,
+                         const std::shared_ptr<call_listener>& listener)
 {
     return m_control.try_post([this, request, listener, arrived = runtime_clock::now()] {
         m_calls.begin(request, listener, arrived);
--- a/tarragontrail/entry/control_port.hpp
+++ b/tarragontrail/entry/control_port.hpp
@@ -14,12 +14,12 @@
     {}
 
     /// Takes on a completion; false when the control thread has too much to do.
-    bool begin(std::shared_ptr<const completion_request> request,
-               std::shared_ptr<completion_listener> listener);
+    bool begin(const std::shared_ptr<const completion_request>& request,
+               const std::shared_ptr<completion_listener>& listener);
 
     /// Takes on a call to a plain service; false when the control thread has too much to do.
-    bool begin(std::shared_ptr<const call_request> request,
-               std::shared_ptr<call_listener> listener);
+    bool begin(const std::shared_ptr<const call_request>& request,
+               const std::shared_ptr<call_listener>& listener);
 
     // Events of completions.
     void first_token(core::request_id id);
--- a/tarragontrail/entry/table_bridge.hpp
+++ b/tarragontrail/entry/table_bridge.hpp
@@ -33,12 +33,12 @@
 
 /// Carries out a write for a core with config's reply types.
 template <class Core>
-void bridge_write(const control_context& context, Core& core, config::store_write call)
+void bridge_write(const control_context& context, Core& core, const config::store_write& call)
 {
     const auto operation = call.m_operation;
     const auto pump = context.m_pump;
     context.m_platform.write(
-        {{call.m_table, call.m_key, call.m_expected_version, std::move(call.m_value)}},
+        {{call.m_table, call.m_key, call.m_expected_version, call.m_value}},
         [&core, operation, pump](const std::optional<idempotency::write_result>& result) {
             const core::time_point now = core::runtime_clock::now();
             if (!result)
@@ -82,12 +82,12 @@
 
 /// Carries out a transaction for a core with idempotency's reply types.
 template <class Core>
-void bridge_write(const control_context& context, Core& core, idempotency::store_write call)
+void bridge_write(const control_context& context, Core& core, const idempotency::store_write& call)
 {
     const std::uint64_t operation = call.m_operation;
     const auto pump = context.m_pump;
     context.m_platform.write(
-        std::move(call.m_writes),
+        call.m_writes,
         [&core, operation, pump](const std::optional<idempotency::write_result>& result) {
             const core::time_point now = core::runtime_clock::now();
             if (result)
--- a/unit_tests/membership/fake_fleet.cpp
+++ b/unit_tests/membership/fake_fleet.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr core::duration tick_length = 50ms;
-constexpr core::duration list_lag = 5s;
 constexpr core::duration message_delay = 30ms;
 constexpr std::uint64_t withdrawal_kind = 1;
 
@@ -72,7 +71,7 @@
     instance& each = m_instances[index];
     each.m_up = false;
     const std::uint64_t life = each.m_life++;
-    m_events.after(list_lag, [=, this, id = each.m_member.m_id] {
+    m_events.after(m_list_lag, [=, this, id = each.m_member.m_id] {
         if (m_instances[index].m_life == life + 1)
         {
             std::erase_if(m_list, [id](const auto& entry) { return entry.m_member.m_id == id; });
@@ -135,7 +134,7 @@
             domains.push_back(entry.m_member.m_domain_id);
         }
     }
-    each.m_keys->ages().set_domains(domains);
+    each.m_keys->ages().set_domains(domains, each.m_member.m_domain_id);
     watch_view(each);
 }
 
@@ -194,7 +193,8 @@
                      [to](const instance& each) { return each.m_member.m_id == to; });
     const auto index = static_cast<std::size_t>(target - m_instances.begin());
     const bool crosses = m_instances[from].m_member.m_region_id != target->m_member.m_region_id;
-    if (m_events.chance(m_loss) || (crosses && m_regions_cut))
+    const bool isolated = m_isolated.contains(from) || m_isolated.contains(index);
+    if (m_events.chance(m_loss) || (crosses && m_regions_cut) || isolated)
     {
         return;
     }
