Split the stand-in servers into modules of one job

An unload during a load no longer leaves prefill paused, and a load order without its fields no longer supersedes the load under way.

--- a/stand_ins/engine_scheduler.cpp
+++ b/stand_ins/engine_scheduler.cpp
@@ -12,6 +12,21 @@
 
 } // namespace
 
+nlohmann::json engine_counters::to_json() const
+{
+    const auto busy = std::chrono::duration_cast<std::chrono::milliseconds>(m_prefill_busy);
+    return {{"requests", m_requests},
+            {"completed", m_completed},
+            {"cancelled", m_cancelled},
+            {"prompt_tokens", m_prompt_tokens},
+            {"cached_tokens", m_cached_tokens},
+            {"computed_tokens", m_computed_tokens},
+            {"recomputed_tokens", m_recomputed_tokens},
+            {"generated_tokens", m_generated_tokens},
+            {"max_running", m_max_running},
+            {"prefill_busy_ms", busy.count()}};
+}
+
 engine_scheduler::engine_scheduler(boost::asio::io_context& context, const engine_speed& speed,
                                    block_cache& cache,
                                    std::function<void(const cache_change&)> on_change,
--- a/stand_ins/engine_scheduler.hpp
+++ b/stand_ins/engine_scheduler.hpp
@@ -31,6 +31,9 @@
     std::uint64_t m_generated_tokens = 0;  ///< Answer tokens sent.
     std::size_t m_max_running = 0;         ///< Most requests running at once.
     core::duration m_prefill_busy{0};      ///< Time spent in prefill.
+
+    /// Counts by name.
+    nlohmann::json to_json() const;
 };
 
 /// One request in an engine and its answer.
--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -9,14 +9,17 @@
 
 engine_server::engine_server(boost::asio::io_context& context,
                              const config::engine_settings& settings)
-    : m_context(context), m_settings(settings), m_client(context), m_cache(settings.m_cache_blocks),
+    : m_context(context), m_settings(settings), m_cache(settings.m_cache_blocks),
       m_events(context, settings.m_event_delay, settings.m_event_loss, settings.m_seed),
       m_scheduler(
           context,
           {settings.m_prefill_tokens_per_s, settings.m_decode_tokens_per_s, settings.m_batch},
           m_cache, [this](const cache_change& change) { m_events.publish(change); },
           [this] { crash(); }),
-      m_sample_timer(context), m_orders(json::array())
+      m_orders(
+          context, settings, [this](bool loading) { m_scheduler.set_paused(loading); },
+          [this] { m_events.publish(m_cache.clear()); }),
+      m_sample_timer(context)
 {
     restart();
     sample_load();
@@ -62,7 +65,7 @@
     }
     if (path == "/orders/log")
     {
-        reply(*exchange, 200, {{"orders", m_orders}});
+        reply(*exchange, 200, {{"orders", m_orders.log()}});
         return true;
     }
     return false;
@@ -94,7 +97,7 @@
     }
     else if (path == "/orders")
     {
-        serve_order(exchange);
+        m_orders.serve(exchange);
     }
     else if (path == "/kv/export")
     {
@@ -113,12 +116,12 @@
 void engine_server::serve_chat(const exchange_pointer& exchange)
 {
     chat_request request = parse_chat_request(exchange->request());
-    if (m_model.empty() || request.m_model.substr(0, request.m_model.find(':')) != m_model)
+    if (!m_orders.serves(request.m_model))
     {
         throw bad_request("model not loaded: " + request.m_model, 404);
     }
-    const auto job = std::make_shared<engine_job>(m_context, std::move(request),
-                                                  chat_response(exchange, m_weights_version));
+    const auto job = std::make_shared<engine_job>(
+        m_context, std::move(request), chat_response(exchange, m_orders.weights_version()));
     const std::string& text = m_settings.m_crash_on;
     job->m_poisonous = text != "none" && exchange->request().body().find(text) != std::string::npos;
     exchange->on_client_gone([this, weak = std::weak_ptr(job)] {
@@ -144,89 +147,6 @@
     reply(*exchange, count > 0 ? 200 : 404, {{"cancelled", count}});
 }
 
-void engine_server::serve_order(const exchange_pointer& exchange)
-{
-    const json order = parse_body(exchange->request());
-    const std::uint64_t fence = order.at("fence");
-    const std::string kind = order.at("kind");
-    const bool stale = fence < m_highest_fence;
-    const bool accepted = !stale || !m_settings.m_checks_fence;
-    json entry = order;
-    entry["accepted"] = accepted;
-    entry["highest_fence"] = m_highest_fence;
-    entry["incarnation"] = m_incarnation;
-    m_orders.push_back(std::move(entry));
-    observe::log("order", {{"fence", fence}, {"kind", kind}, {"accepted", accepted}});
-    if (!accepted)
-    {
-        reply(*exchange, 409, {{"error", "old fence"}, {"highest_fence", m_highest_fence}});
-        return;
-    }
-    m_highest_fence = std::max(m_highest_fence, fence);
-    if (kind == "load")
-    {
-        load_weights(exchange, order);
-        return;
-    }
-    if (kind == "unload")
-    {
-        ++m_load_number;
-        m_model.clear();
-        m_events.publish(m_cache.clear());
-    }
-    else if (kind == "role")
-    {
-        m_role = order.at("role");
-    }
-    else
-    {
-        throw bad_request("no such order");
-    }
-    reply(*exchange, 200, state());
-}
-
-void engine_server::load_weights(const exchange_pointer& exchange, const json& order)
-{
-    const std::uint64_t number = ++m_load_number;
-    const std::string model = order.at("model");
-    const std::uint64_t version = order.at("weights_version");
-    m_scheduler.set_paused(true);
-    if (m_settings.m_platform == "none")
-    {
-        finish_load(exchange, order, number, true);
-        return;
-    }
-    const std::string target = "/weights/" + model + "/" + std::to_string(version);
-    m_client.fetch(net::parse_endpoint(m_settings.m_platform), net::make_request(verb::get, target),
-                   {},
-                   [this, exchange, order, number](const net::http_client::fetch_result& result) {
-                       const bool ok = result.m_ok && result.m_response.result_int() == 200;
-                       finish_load(exchange, order, number, ok);
-                   });
-}
-
-void engine_server::finish_load(const exchange_pointer& exchange, const json& order,
-                                std::uint64_t number, bool ok)
-{
-    if (number != m_load_number)
-    {
-        reply(*exchange, 409, {{"error", "superseded"}});
-        return;
-    }
-    if (!ok)
-    {
-        m_scheduler.set_paused(false);
-        reply(*exchange, 502, {{"error", "weight store failed"}});
-        return;
-    }
-    m_model = order.at("model");
-    m_weights_version = order.at("weights_version");
-    m_events.publish(m_cache.clear());
-    m_scheduler.set_paused(false);
-    observe::log("weights_loaded", {{"model", m_model}, {"version", m_weights_version}});
-    reply(*exchange, 200, state());
-}
-
 void engine_server::export_blocks(const exchange_pointer& exchange)
 {
     const json body = parse_body(exchange->request());
@@ -303,11 +223,7 @@
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const auto now_ns = std::chrono::duration_cast<std::chrono::nanoseconds>(now).count();
     m_incarnation = std::max(m_incarnation + 1, static_cast<std::uint64_t>(now_ns));
-    m_model = m_settings.m_model;
-    m_role = default_role;
-    m_weights_version = m_settings.m_weights_version;
-    m_highest_fence = 0;
-    ++m_load_number;
+    m_orders.restart(m_incarnation);
     m_events.restart(m_incarnation);
     m_samples.clear();
     m_scheduler.set_paused(false);
@@ -320,9 +236,8 @@
         }
     }
     observe::log("serving", {{"incarnation", m_incarnation},
-                             {"model", m_model},
                              {"region", m_settings.m_region},
-                             {"weights_version", m_weights_version}});
+                             {"weights_version", m_orders.weights_version()}});
 }
 
 void engine_server::sample_load()
@@ -350,7 +265,7 @@
 
 json engine_server::load_report() const
 {
-    json report = state();
+    json report = m_orders.state();
     report["queued_tokens"] = m_scheduler.queued_tokens();
     report["running"] = m_scheduler.running();
     report["waiting"] = m_scheduler.waiting();
@@ -362,31 +277,11 @@
     return report;
 }
 
-json engine_server::state() const
-{
-    return {{"incarnation", m_incarnation},
-            {"model", m_model},
-            {"weights_version", m_weights_version},
-            {"role", m_role}};
-}
-
 json engine_server::stats() const
 {
-    const engine_counters& counters = m_scheduler.counters();
-    const auto busy =
-        std::chrono::duration_cast<std::chrono::milliseconds>(counters.m_prefill_busy);
-    json stats = state();
-    stats["requests"] = counters.m_requests;
-    stats["completed"] = counters.m_completed;
-    stats["cancelled"] = counters.m_cancelled;
+    json stats = m_orders.state();
+    stats.update(m_scheduler.counters().to_json());
     stats["crashes"] = m_crashes;
-    stats["prompt_tokens"] = counters.m_prompt_tokens;
-    stats["cached_tokens"] = counters.m_cached_tokens;
-    stats["computed_tokens"] = counters.m_computed_tokens;
-    stats["recomputed_tokens"] = counters.m_recomputed_tokens;
-    stats["generated_tokens"] = counters.m_generated_tokens;
-    stats["max_running"] = counters.m_max_running;
-    stats["prefill_busy_ms"] = busy.count();
     stats["keys_seen"] = m_keys_seen;
     return stats;
 }
--- a/stand_ins/engine_server.hpp
+++ b/stand_ins/engine_server.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "stand_ins/engine_events.hpp"
+#include "stand_ins/engine_orders.hpp"
 #include "stand_ins/engine_scheduler.hpp"
-#include "tarragontrail/config/generated_engine_settings.hpp"
-#include "tarragontrail/net/http_client.hpp"
 
 #include <deque>
 
@@ -31,39 +30,27 @@
     bool serve_control(const exchange_pointer& exchange, std::string_view path);
     void serve_chat(const exchange_pointer& exchange);
     void serve_cancel(const exchange_pointer& exchange, std::string_view id);
-    void serve_order(const exchange_pointer& exchange);
     void export_blocks(const exchange_pointer& exchange);
     void import_blocks(const exchange_pointer& exchange);
-    void load_weights(const exchange_pointer& exchange, const nlohmann::json& order);
-    void finish_load(const exchange_pointer& exchange, const nlohmann::json& order,
-                     std::uint64_t number, bool ok);
     void set_faults(const exchange_pointer& exchange);
     void crash();
     void restart();
     void sample_load();
     nlohmann::json load_report() const;
     nlohmann::json lagged_load_report() const;
-    nlohmann::json state() const;
     nlohmann::json stats() const;
 
     static constexpr std::chrono::milliseconds sample_interval{25};
-    static constexpr const char* default_role = "both";
 
     boost::asio::io_context& m_context;   ///< Event loop.
     config::engine_settings m_settings;   ///< Settings.
-    net::http_client m_client;            ///< Client of the weight store.
     block_cache m_cache;                  ///< Prefix cache.
     engine_events m_events;               ///< Cache events.
     engine_scheduler m_scheduler;         ///< Requests.
+    engine_orders m_orders;               ///< Loaded weights and role.
     net::timer m_sample_timer;            ///< Next load sample.
     std::deque<load_sample> m_samples;    ///< Load reports not older than the lag.
-    nlohmann::json m_orders;              ///< Every order received.
-    std::string m_model;                  ///< Loaded model; empty for none.
-    std::string m_role;                   ///< Role set by an order.
-    std::uint64_t m_weights_version = 0;  ///< Version of the loaded weights.
     std::uint64_t m_incarnation = 0;      ///< Start time; higher after each restart.
-    std::uint64_t m_highest_fence = 0;    ///< Highest fence seen since the restart.
-    std::uint64_t m_load_number = 0;      ///< Number of the latest weight load.
     std::uint64_t m_keys_seen = 0;        ///< Requests that carried a caller's key.
     std::uint64_t m_crashes = 0;          ///< Restarts within this process.
     bool m_hung = false;                  ///< Accepts and never answers.
--- a/stand_ins/platform_server.cpp
+++ b/stand_ins/platform_server.cpp
@@ -30,23 +30,13 @@
     return fields;
 }
 
-template <class Number>
-void take(const json& body, const char* name, Number& target)
-{
-    if (body.contains(name))
-    {
-        target = body.at(name).get<Number>();
-    }
-}
-
 } // namespace
 
 platform_server::platform_server(boost::asio::io_context& context,
                                  const config::platform_settings& settings)
     : m_context(context), m_settings(settings), m_random(settings.m_seed),
-      m_weights(context, settings.m_weight_load_time)
+      m_weights(context, settings.m_weight_load_time), m_list(settings.m_list_lag)
 {
-    m_list.push_back({core::runtime_clock::now(), {}});
     m_server = make_server(context, settings.m_address, settings.m_port,
                            [this](const exchange_pointer& exchange) { handle(exchange); });
 }
@@ -69,7 +59,7 @@
     }
     if (service == "instances" && exchange->request().method() != verb::get)
     {
-        serve_instances(exchange, percent_decode(path));
+        change_instance(exchange, percent_decode(path));
         return;
     }
     if (service == "weights")
@@ -120,7 +110,7 @@
     }
     if (service == "instances")
     {
-        serve_instances(exchange, {});
+        list_instances(exchange);
         return;
     }
     reply(*exchange, 404, {{"error", "no such path"}});
@@ -244,34 +234,26 @@
     answer(exchange, std::move(response));
 }
 
-void platform_server::serve_instances(const exchange_pointer& exchange, const std::string& name)
+void platform_server::change_instance(const exchange_pointer& exchange, const std::string& name)
 {
     const core::time_point now = core::runtime_clock::now();
-    const net::http_request& request = exchange->request();
-    if (request.method() != verb::get)
+    if (exchange->request().method() == verb::delete_)
     {
-        instance_map instances = m_list.back().m_instances;
-        if (request.method() == verb::delete_)
-        {
-            instances.erase(name);
-        }
-        else
-        {
-            instances[name] = parse_body(request);
-            instances[name]["name"] = name;
-        }
-        m_list.push_back({now, std::move(instances)});
-        reply(*exchange, 200, json::object());
-        return;
+        m_list.erase(name, now);
     }
-
-    // Shows the list as it was before the lag.
-    while (m_list.size() > 1 && m_list[1].m_since + m_settings.m_list_lag <= now)
+    else
     {
-        m_list.pop_front();
+        json fields = parse_body(exchange->request());
+        fields["name"] = name;
+        m_list.put(name, std::move(fields), now);
     }
+    reply(*exchange, 200, json::object());
+}
+
+void platform_server::list_instances(const exchange_pointer& exchange)
+{
     json shown = json::array();
-    for (const auto& [shown_name, fields] : m_list.front().m_instances)
+    for (const auto& [name, fields] : m_list.shown(core::runtime_clock::now()))
     {
         shown.push_back(fields);
     }
@@ -281,15 +263,7 @@
 void platform_server::set_faults(const exchange_pointer& exchange)
 {
     const json body = parse_body(exchange->request());
-    take(body, "table_down", m_faults.m_table_down);
-    take(body, "object_down", m_faults.m_object_down);
-    take(body, "list_down", m_faults.m_list_down);
-    take(body, "lose_reply_fraction", m_faults.m_lose_reply_fraction);
-    take(body, "drop_request_fraction", m_faults.m_drop_request_fraction);
-    if (body.contains("delay_ms"))
-    {
-        m_faults.m_delay = std::chrono::milliseconds(body.at("delay_ms").get<std::uint32_t>());
-    }
+    m_faults.update(body);
     if (body.contains("seed"))
     {
         m_random = core::seeded_random(body.at("seed").get<std::uint64_t>());
@@ -300,16 +274,10 @@
 
 json platform_server::stats() const
 {
-    return {{"reads", m_counters.m_reads},
-            {"writes", m_counters.m_writes},
-            {"transactions", m_counters.m_transactions},
-            {"conflicts", m_counters.m_conflicts},
-            {"objects_read", m_counters.m_objects_read},
-            {"objects_written", m_counters.m_objects_written},
-            {"lost_replies", m_counters.m_lost_replies},
-            {"dropped_requests", m_counters.m_dropped_requests},
-            {"weight_loads", m_weights.total()},
-            {"max_concurrent_weight_loads", m_weights.max_concurrent()}};
+    json counts = m_counters.to_json();
+    counts["weight_loads"] = m_weights.total();
+    counts["max_concurrent_weight_loads"] = m_weights.max_concurrent();
+    return counts;
 }
 
 void platform_server::answer(const exchange_pointer& exchange, net::http_response response)
--- a/tarragontrail/load/load_run.cpp
+++ b/tarragontrail/load/load_run.cpp
@@ -1,6 +1,5 @@
 #include "tarragontrail/load/load_run.hpp"
 
-#include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/observe/log.hpp"
 
 #include <algorithm>
@@ -11,42 +10,8 @@
 
 namespace {
 
-constexpr const char* none = "none";
 constexpr std::size_t idle_connections = 256;
 
-std::vector<std::string> split(const std::string& text, char separator)
-{
-    std::vector<std::string> parts;
-    std::size_t start = 0;
-    while (start <= text.size())
-    {
-        const std::size_t end = std::min(text.find(separator, start), text.size());
-        if (end > start)
-        {
-            parts.push_back(text.substr(start, end - start));
-        }
-        start = end + 1;
-    }
-    return parts;
-}
-
-std::vector<net::tcp::endpoint> parse_endpoints(const std::string& setting, const std::string& text)
-{
-    std::vector<net::tcp::endpoint> endpoints;
-    try
-    {
-        for (const std::string& part : split(text == none ? "" : text, ','))
-        {
-            endpoints.push_back(net::parse_endpoint(part));
-        }
-    }
-    catch (const net::address_error& failure)
-    {
-        throw config::setting_error(setting, text, failure.what());
-    }
-    return endpoints;
-}
-
 } // namespace
 
 load_run::load_run(boost::asio::io_context& context, const config::load_settings& settings)
@@ -90,32 +55,6 @@
     finish();
 }
 
-std::vector<load_run::workspace> load_run::read_workspaces(const config::load_settings& settings)
-{
-    std::vector<workspace> workspaces;
-    for (const std::string& part : split(settings.m_keys, ','))
-    {
-        const std::size_t equals = part.find('=');
-        workspaces.push_back({part.substr(0, equals), part.substr(equals + 1), std::nullopt});
-    }
-    const core::time_point now = core::runtime_clock::now();
-    for (const std::string& part : split(settings.m_limits == none ? "" : settings.m_limits, ','))
-    {
-        const std::size_t equals = part.find('=');
-        const std::size_t colon = part.find(':', equals);
-        const std::string name = part.substr(0, equals);
-        const auto found = std::find_if(workspaces.begin(), workspaces.end(),
-                                        [&name](const auto& each) { return each.m_name == name; });
-        if (found == workspaces.end())
-        {
-            throw config::setting_error("limits", settings.m_limits, "no key for " + name);
-        }
-        found->m_allowance.emplace(std::stod(part.substr(equals + 1)),
-                                   std::stod(part.substr(colon + 1)), now);
-    }
-    return workspaces;
-}
-
 plan_settings load_run::make_plan_settings() const
 {
     plan_settings plan = deployment_preset(m_settings.m_deployment);
@@ -147,7 +86,7 @@
 std::vector<std::string> load_run::workspace_names() const
 {
     std::vector<std::string> names;
-    for (const workspace& each : m_workspaces)
+    for (const load_workspace& each : m_workspaces)
     {
         names.push_back(each.m_name);
     }
@@ -244,7 +183,7 @@
 
 void load_run::send(const planned_request& request)
 {
-    workspace& owner = m_workspaces[request.m_workspace];
+    load_workspace& owner = m_workspaces[request.m_workspace];
     call_order order;
     order.m_request = request;
     order.m_site = {request.m_caller, owner.m_name, m_regions[request.m_caller % m_regions.size()]};
--- a/tarragontrail/load/load_run.hpp
+++ b/tarragontrail/load/load_run.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "tarragontrail/config/generated_load_settings.hpp"
 #include "tarragontrail/load/load_call.hpp"
+#include "tarragontrail/load/load_workspace.hpp"
 
-#include <deque>
 #include <unordered_set>
 
 namespace tarragontrail::load {
@@ -25,17 +24,8 @@
     const load_report& report() const noexcept { return m_report; }
 
 private:
-    /// Workspace with its key and its account.
-    struct workspace
-    {
-        std::string m_name;                         ///< Name.
-        std::string m_key;                          ///< Key.
-        std::optional<token_allowance> m_allowance; ///< Rate and burst; none for no bound.
-    };
-
     using totals_handler = std::function<void(const engine_totals&)>;
 
-    static std::vector<workspace> read_workspaces(const config::load_settings& settings);
     plan_settings make_plan_settings() const;
     std::vector<std::string> workspace_names() const;
     void read_engines(const totals_handler& on_totals);
@@ -54,7 +44,7 @@
 
     boost::asio::io_context& m_context;               ///< Event loop.
     config::load_settings m_settings;                 ///< Settings.
-    std::vector<workspace> m_workspaces;              ///< In the order of the keys.
+    std::vector<load_workspace> m_workspaces;         ///< In the order of the keys.
     std::vector<std::string> m_regions;               ///< Callers take them in turn.
     request_plan m_plan;                              ///< What to send.
     net::http_client m_client;                        ///< Client of all callers.
--- a/unit_tests/load/load_test.cpp
+++ b/unit_tests/load/load_test.cpp
@@ -198,6 +198,7 @@
                 *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000)));
             const auto percent = *rc::gen::inRange(1, 101);
             std::vector<core::duration> values;
+            values.reserve(numbers.size());
             for (const int number : numbers)
             {
                 values.emplace_back(milliseconds(number));
--- a/unit_tests/stand_ins/engine_test.cpp
+++ b/unit_tests/stand_ins/engine_test.cpp
@@ -79,7 +79,7 @@
 
     std::shared_ptr<test::stream_recorder> stream(std::uint16_t port, net::http_request request)
     {
-        const auto recorder = std::make_shared<test::stream_recorder>();
+        auto recorder = std::make_shared<test::stream_recorder>();
         m_call = m_loop.m_client.start(net::make_endpoint("127.0.0.1", port), std::move(request),
                                        {}, recorder);
         return recorder;
--- a/unit_tests/stand_ins/loop_client.hpp
+++ b/unit_tests/stand_ins/loop_client.hpp
@@ -25,7 +25,7 @@
         std::optional<net::http_client::fetch_result> result;
         m_client.fetch(net::make_endpoint("127.0.0.1", port),
                        net::make_request(method, target, body), {},
-                       [&result](net::http_client::fetch_result value) { result = value; });
+                       [&result](const net::http_client::fetch_result& value) { result = value; });
         run_until([&result] { return result.has_value(); });
         return *result;
     }
