Resume a stream that reports its break, as after a lost connection

The entry closes a stream that it cannot finish with an error event; the tool counted it as failed although the caller may resume it from its offset. Only stream_broken is resumed.

--- a/tarragontrail/load/answer_check.cpp
+++ b/tarragontrail/load/answer_check.cpp
@@ -43,6 +43,17 @@
     m_buffer.erase(0, start);
 }
 
+void answer_check::on_stream_lost()
+{
+    m_buffer.clear();
+    m_id.clear();
+    m_reported.clear();
+    if (m_fault == answer_fault::reported)
+    {
+        m_fault = answer_fault::none;
+    }
+}
+
 answer_fault answer_check::verdict() const noexcept
 {
     if (m_fault != answer_fault::none)
--- a/tarragontrail/load/answer_check.hpp
+++ b/tarragontrail/load/answer_check.hpp
@@ -38,8 +38,8 @@
     /// A piece of the stream has arrived.
     void on_bytes(std::string_view piece);
 
-    /// The stream has ended; later pieces continue the answer on another connection.
-    void on_connection_lost() { m_buffer.clear(); }
+    /// The stream broke, or reported that it did; later pieces continue the answer on another one.
+    void on_stream_lost();
 
     /// Verdict once the stream has ended.
     answer_fault verdict() const noexcept;
--- a/tarragontrail/load/load_call.cpp
+++ b/tarragontrail/load/load_call.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr const char* broken_stream_kind = "stream_broken";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_unavailable = 503;
@@ -179,6 +180,13 @@
         const std::uint64_t used = std::min(m_charge, m_outcome.m_demand_tokens);
         m_order.m_allowance->refund(m_charge - used, core::runtime_clock::now());
     }
+    if (m_check.reported() == broken_stream_kind && may_retry())
+    {
+        ++m_outcome.m_resumes;
+        m_check.on_stream_lost();
+        retry_after(reconnect_delay);
+        return;
+    }
     if (verdict == answer_fault::reported)
     {
         end(m_check.reported());
@@ -201,7 +209,7 @@
     if ((not_sent || stale_connection || broken_stream) && may_retry())
     {
         m_outcome.m_resumes += broken_stream ? 1 : 0;
-        m_check.on_connection_lost();
+        m_check.on_stream_lost();
         retry_after(reconnect_delay);
         return;
     }
@@ -210,7 +218,7 @@
         end(to_string(m_check.fault()));
         return;
     }
-    end(broken_stream ? "stream_broken"
+    end(broken_stream ? broken_stream_kind
                       : "connection_" + std::string(net::to_string(failure.m_fault)));
 }
 
--- a/unit_tests/load/load_test.cpp
+++ b/unit_tests/load/load_test.cpp
@@ -163,7 +163,10 @@
                 bytes += line + "\n\n";
             }
             load::answer_check check(answer);
-            const auto lost_at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            // A connection breaks anywhere; a failure is reported between two events.
+            const bool reported = *rc::gen::arbitrary<bool>();
+            auto lost_at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            lost_at = reported ? bytes.find("\n\n", lost_at == 0 ? 0 : lost_at - 1) + 2 : lost_at;
             for (std::size_t start = 0; start < lost_at;)
             {
                 const auto length = *rc::gen::inRange<std::size_t>(1, 200);
@@ -173,7 +176,13 @@
             }
             RC_PRE(check.tokens() < answer.size());
             RC_ASSERT(check.verdict() == answer_fault::cut);
-            check.on_connection_lost();
+            if (reported)
+            {
+                check.on_bytes("event: error\ndata: {\"title\":\"stream_broken\"}\n\n");
+                RC_ASSERT(check.verdict() == answer_fault::reported);
+                RC_ASSERT(check.reported() == "stream_broken");
+            }
+            check.on_stream_lost();
             for (const std::string& line : stream_lines(answer, check.tokens()))
             {
                 check.on_bytes(line + "\n\n");
