--- a/unit_tests/limits/admission_control_test.cpp
+++ b/unit_tests/limits/admission_control_test.cpp
@@ -282,6 +282,7 @@
                                            core::time_point now)
     {
         std::vector<member> members;
+        members.reserve(homes.size());
         for (const core::instance_id home : homes)
         {
             members.push_back({home, {}});
