--- a/unit_tests/config/bundle_agent_test.cpp
+++ b/unit_tests/config/bundle_agent_test.cpp
@@ -330,6 +330,11 @@
     void herd_restart_comes_up_from_the_store()
     {
         configured_fleet at(42, 16);
+        const config::sha256_digest digest = config::sha256(test::key_text(1));
+        at.m_fleet.m_instances[5].m_agent->withdraw(config::prefix_of(digest), at.m_fleet.now());
+        at.m_fleet.run_for(5s);
+        CPPUNIT_ASSERT(at.m_fleet.m_instances[5].m_agent->reach() ==
+                       config::withdrawal_reach::in_table);
         for (std::size_t i = 0; i < 16; ++i)
         {
             at.m_fleet.crash(i);
@@ -340,6 +345,7 @@
         }
         at.m_fleet.run_for(5s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{16}, at.count(0, key_verdict::accepted));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, at.count(1, key_verdict::withdrawn));
     }
 
     void herd_restart_without_table_serves_open_routes_only()
