--- a/unit_tests/config/bundle_agent_test.cpp
+++ b/unit_tests/config/bundle_agent_test.cpp
@@ -164,6 +164,7 @@
     CPPUNIT_TEST(fresh_instance_learns_all_from_peers);
     CPPUNIT_TEST(herd_restart_comes_up_from_the_store);
     CPPUNIT_TEST(herd_restart_without_table_serves_open_routes_only);
+    CPPUNIT_TEST(late_words_look_no_fresher_than_they_are);
     CPPUNIT_TEST(bundle_that_cannot_be_fetched_stops_keyed_routes);
     CPPUNIT_TEST(wrong_change_gives_way_to_the_whole_document);
     CPPUNIT_TEST(lone_instance_without_table_trusts_no_copy);
@@ -375,6 +376,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, at.count(0, key_verdict::accepted));
     }
 
+    void late_words_look_no_fresher_than_they_are()
+    {
+        configured_fleet at(42, 2);
+        at.m_fleet.m_list_lag = 600s;
+        at.m_fleet.crash(1);
+        at.m_fleet.m_platform.m_table_up = false;
+        at.m_fleet.run_for(15s);
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::view_too_old);
+
+        // A peer that holds the same says that it has just heard the table.
+        config::bundle_agent& agent = *at.m_fleet.m_instances[0].m_agent;
+        config::freshness_word word = agent.word(at.m_fleet.now());
+        word.m_sender = at.m_fleet.m_instances[1].m_member.m_id;
+        word.m_store_age = 0ms;
+        word.m_domains.clear();
+
+        // Unasked, it may have been under way for any time; asked for, at most since then.
+        agent.on_peer_word(word, std::nullopt, at.m_fleet.now());
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::view_too_old);
+        agent.on_peer_word(word, at.m_fleet.now() - 9s, at.m_fleet.now());
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::accepted);
+        at.m_fleet.run_for(2s);
+        CPPUNIT_ASSERT(at.check(0, 0) == key_verdict::view_too_old);
+    }
+
     void bundle_that_cannot_be_fetched_stops_keyed_routes()
     {
         // The head is known, but not what it withdraws.
