--- a/unit_tests/load/load_test.cpp
+++ b/unit_tests/load/load_test.cpp
@@ -147,6 +147,12 @@
             doubled.insert(doubled.begin() + static_cast<std::ptrdiff_t>(at), whole[at]);
             RC_ASSERT(verdict_of(answer, doubled) == answer_fault::out_of_order);
 
+            // An engine's own error object.
+            auto failed = whole;
+            failed.insert(failed.begin() + static_cast<std::ptrdiff_t>(at),
+                          R"(data: {"error":{"message":"busy"}})");
+            RC_ASSERT(verdict_of(answer, failed) == answer_fault::reported);
+
             // Answer of another prompt.
             const load::answer_text other("another prompt" + std::to_string(size), "", size);
             RC_ASSERT(verdict_of(other, whole) == answer_fault::crossed);
