Roll weights out from the entry: plan per model, orders under leases with fencing numbers

Cause: the placement cores were called by tests only. Ruled out: planning at every instance; one live instance plans for each model, and the lease with its fencing number makes a second planner harmless. Conclusion: the weights in the bundle's models are the desired state; adapters and roles are left as they are, since no engine met so far reports them.

--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -69,8 +69,9 @@
       m_calls(m_context, callers, seed_of(self, 4)),
       m_routing(m_context, settings.m_routing, m_membership, m_completions, seed_of(self, 5)),
       m_recovery(m_context, m_membership, *this, seed_of(self, 6)),
-      m_services{&m_membership, &m_config, &m_limits,     &m_routing,
-                 &m_recovery,   &m_calls,  &m_completions}
+      m_placement(m_context, settings.m_placement, m_membership, m_routing, seed_of(self, 7)),
+      m_services{&m_membership, &m_config,    &m_limits, &m_routing,
+                 &m_recovery,   &m_placement, &m_calls,  &m_completions}
 {
     m_completions.connect(m_config, m_limits, m_routing, m_recovery);
     m_calls.connect(m_config, m_limits, m_recovery);
@@ -310,6 +311,7 @@
     m_limits.on_bundle(*applied, now);
     m_routing.on_bundle(*applied, now);
     m_calls.on_bundle(applied);
+    m_placement.on_bundle(applied);
 }
 
 void control_plane::on_keys_changed()
--- a/tarragontrail/entry/control_plane.hpp
+++ b/tarragontrail/entry/control_plane.hpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/entry/call_flow.hpp"
 #include "tarragontrail/entry/completion_flow.hpp"
 #include "tarragontrail/entry/membership_service.hpp"
+#include "tarragontrail/entry/placement_service.hpp"
 
 #include <memory>
 #include <vector>
@@ -18,6 +19,7 @@
     limits_service_settings m_limits;           ///< Rate and burst.
     routing_service_settings m_routing;         ///< Engines.
     limits::fair_queue_settings m_queue;        ///< Queue in front of each engine.
+    placement_settings m_placement;             ///< Roll-out of weights.
     net::peer_link_settings m_links;            ///< Links to other instances.
 };
 
@@ -93,6 +95,7 @@
     call_flow m_calls;                        ///< Calls to plain services.
     routing_service m_routing;                ///< Engines.
     recovery_service m_recovery;              ///< Crashes and retries.
+    placement_service m_placement;            ///< Roll-out of weights.
     std::vector<control_service*> m_services; ///< All of the above.
     std::optional<core::time_point> m_armed;  ///< Deadline that the timer is set to.
     core::time_point m_next_metrics{};        ///< Next update of the gauges.
