Ask the bundle agent for each key's verdict and tell operators how far a withdrawal has come

Ruled out: answering a withdrawal as done at once; behind a region cut it would not be true. Conclusion: a withdrawal is answered with its reach: pending, peers or in_table.

--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -18,6 +18,23 @@
 constexpr unsigned status_unavailable = 503;
 constexpr std::uint64_t bundle_limit_bytes = std::uint64_t{64} * 1024 * 1024;
 
+constexpr std::chrono::milliseconds withdrawal_wait{5000};
+constexpr std::chrono::milliseconds withdrawal_poll{100};
+
+const char* name_of(config::withdrawal_reach reach)
+{
+    switch (reach)
+    {
+    case config::withdrawal_reach::pending:
+        return "pending";
+    case config::withdrawal_reach::peers:
+        return "peers";
+    case config::withdrawal_reach::in_table:
+        return "in_table";
+    }
+    return "unknown";
+}
+
 const std::string drafts_prefix = "/admin/v1/drafts/";
 const std::string quarantine_prefix = "/admin/v1/quarantines/";
 
@@ -328,10 +345,32 @@
     }
     observe::log("key_withdrawn",
                  {{"operator", name}, {"digest", body["digest"].get<std::string>().substr(0, 16)}});
-    ask(exchange, [this, digest] {
+    const bool taken = m_control.ask([this, exchange, digest] {
         m_plane.config().withdraw(config::prefix_of(digest), core::runtime_clock::now());
         m_plane.pump();
-        return ok({{"withdrawn", true}});
+        report_withdrawal(exchange, core::runtime_clock::now() + withdrawal_wait);
+    });
+    if (!taken)
+    {
+        refuse(problem_kind::overloaded, "this instance has too much to do");
+    }
+}
+
+void admin_server::report_withdrawal(const exchange_pointer& exchange, core::time_point give_up)
+{
+    // In force here at once; the operator is told how far it has come beyond.
+    const config::withdrawal_reach reach = m_plane.config().reach();
+    if (reach != config::withdrawal_reach::pending || core::runtime_clock::now() >= give_up)
+    {
+        respond(exchange, ok({{"withdrawn", true}, {"reach", name_of(reach)}}));
+        return;
+    }
+    const auto again = std::make_shared<net::timer>(m_control.context(), withdrawal_poll);
+    again->async_wait([this, exchange, give_up, again](boost::system::error_code error) {
+        if (!error)
+        {
+            report_withdrawal(exchange, give_up);
+        }
     });
 }
 
--- a/tarragontrail/entry/admin_server.hpp
+++ b/tarragontrail/entry/admin_server.hpp
@@ -48,6 +48,7 @@
                     const std::string& step, const std::string& name);
     void advance_rollout(const exchange_pointer& exchange);
     void withdraw_key(const exchange_pointer& exchange, const std::string& name);
+    void report_withdrawal(const exchange_pointer& exchange, core::time_point give_up);
     void clear_quarantine(const exchange_pointer& exchange, const std::string& fingerprint);
     void run(const exchange_pointer& exchange,
              const std::function<config::command_id(core::time_point)>& command);
--- a/tarragontrail/entry/config_service.cpp
+++ b/tarragontrail/entry/config_service.cpp
@@ -72,11 +72,7 @@
 config::key_check config_service::check(const config::sha256_digest& digest,
                                         core::time_point now) const
 {
-    if (m_agent.state() != config::agent_state::ready)
-    {
-        return {};
-    }
-    return m_keys.check(digest, now);
+    return m_agent.check_key(digest, now);
 }
 
 void config_service::await(config::command_id command, command_handler handler)
--- a/tarragontrail/entry/config_service.hpp
+++ b/tarragontrail/entry/config_service.hpp
@@ -82,6 +82,9 @@
     config::approval& approvals() noexcept { return m_approval; }
     void await(config::command_id command, command_handler handler);
 
+    /// How far the withdrawals made here have come.
+    config::withdrawal_reach reach() const { return m_agent.reach(); }
+
     /// An operator withdraws a key at once.
     void withdraw(config::key_prefix key, core::time_point now);
 
--- a/tarragontrail/entry/control_port.hpp
+++ b/tarragontrail/entry/control_port.hpp
@@ -32,6 +32,9 @@
     void call_failed(core::request_id id, std::uint64_t attempt, const net::call_failure& failure);
     void call_abandoned(core::request_id id);
 
+    /// Event loop of the control thread, for timers that its tasks set.
+    boost::asio::io_context& context() noexcept { return m_control.context(); }
+
     /// Runs a task on the control thread; false when it has too much to do.
     bool ask(net::duty::task work) { return m_control.try_post(std::move(work)); }
 
--- a/tarragontrail/entry/membership_service.cpp
+++ b/tarragontrail/entry/membership_service.cpp
@@ -156,6 +156,7 @@
     {
         observe::log("view_changed", {{"view", core::value_of(action.m_view->number())},
                                       {"members", action.m_view->members().size()}});
+        m_planner.on_view(*action.m_view);
         watch_members();
         m_listener.on_view(*action.m_view);
     }
@@ -186,7 +187,8 @@
 
 std::optional<core::time_point> membership_service::next_deadline() const
 {
-    return earlier(m_next_list, earlier(m_detector.next_deadline(), m_keeper.next_deadline()));
+    return earlier(std::min(m_next_list, m_next_plan),
+                   earlier(m_detector.next_deadline(), m_keeper.next_deadline()));
 }
 
 void membership_service::on_timer(core::time_point now)
@@ -196,7 +198,11 @@
         poll_list(now);
     }
     m_detector.on_timer(now);
-    m_keeper.set_needed(m_planner.needed(current(), m_detector), now);
+    if (now >= m_next_plan)
+    {
+        m_next_plan = now + m_settings.m_plan_interval;
+        m_keeper.set_needed(m_planner.needed(current(), m_detector), now);
+    }
     m_keeper.on_timer(now);
 }
 
--- a/tarragontrail/entry/membership_service.hpp
+++ b/tarragontrail/entry/membership_service.hpp
@@ -47,6 +47,7 @@
 struct membership_settings
 {
     std::chrono::milliseconds m_list_interval{2000};  ///< Time between readings of the list.
+    std::chrono::milliseconds m_plan_interval{500};   ///< Time between looks at the needed view.
     membership::view_keeper_settings m_keeper;        ///< Agreed view.
     membership::failure_detector_settings m_detector; ///< Heartbeats.
     membership::gossip_buffer_settings m_gossip;      ///< Gossip.
@@ -106,6 +107,7 @@
     membership::locator m_locator;                     ///< Answers to callers.
     std::vector<membership::listed_instance> m_listed; ///< Platform's list as last read.
     core::time_point m_next_list{};                    ///< Next reading of the list.
+    core::time_point m_next_plan{};                    ///< Next look at what the view needs.
     bool m_leaving = false;                            ///< This instance is shutting down.
 };
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -211,6 +211,8 @@
     command = words[split + 1:]
     description = json.loads((ROOT / "samples" / f"{options.name}.json").read_text())
     deployment = Deployment(description, options)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    signal.signal(signal.SIGINT, lambda *_: sys.exit(1))
     status = 1
     try:
         deployment.start()
