--- /dev/null
+++ b/tarragontrail/config/generated_ctl_settings.cpp
@@ -0,0 +1,56 @@
+#include "tarragontrail/config/generated_ctl_settings.hpp"
+
+#include <array>
+#include <gflags/gflags.h>
+
+DEFINE_string(
+    admins, "127.0.0.1:8082",
+    "Addresses and administration ports of entry instances, separated by commas; tried in turn.");
+DEFINE_string(token, "",
+              "Operator's token; better given in the environment, as other users of the machine "
+              "may see the command line.");
+DEFINE_bool(json, false, "Answers as JSON.");
+DEFINE_bool(dry_run, false, "Prints what a change would send and sends nothing.");
+DEFINE_uint64(timeout, 20000, "Longest wait for one answer.");
+DEFINE_uint64(poll_interval, 500, "Time between two looks of bundle watch.");
+
+namespace tarragontrail::config {
+namespace {
+
+constexpr std::array<setting_description, 6> descriptions{{
+    {"admins", "string", "127.0.0.1:8082",
+     "Addresses and administration ports of entry instances, separated by commas; tried in turn."},
+    {"token", "string", "",
+     "Operator's token; better given in the environment, as other users of the machine may see the "
+     "command line."},
+    {"json", "boolean", "false", "Answers as JSON."},
+    {"dry_run", "boolean", "false", "Prints what a change would send and sends nothing."},
+    {"timeout", "duration_ms", "20000", "Longest wait for one answer."},
+    {"poll_interval", "duration_ms", "500", "Time between two looks of bundle watch."},
+}};
+
+} // namespace
+
+ctl_settings load_ctl_settings(int& argc, char**& argv)
+{
+    const setting_page page{
+        "tarragontrailctl",
+        "Operators' command line over the administration API of the entry instances.",
+        "COMMAND... (the command help lists them)"};
+    parse_settings(page, descriptions, argc, argv);
+
+    ctl_settings settings;
+    check_pattern("admins", FLAGS_admins,
+                  "^[0-9a-fA-F.:\\[\\]]+:[0-9]+(,[0-9a-fA-F.:\\[\\]]+:[0-9]+)*$");
+    settings.m_admins = FLAGS_admins;
+    settings.m_token = FLAGS_token;
+    settings.m_json = FLAGS_json;
+    settings.m_dry_run = FLAGS_dry_run;
+    check_range("timeout", static_cast<double>(FLAGS_timeout), 10, 600000);
+    settings.m_timeout = std::chrono::milliseconds(FLAGS_timeout);
+    check_range("poll_interval", static_cast<double>(FLAGS_poll_interval), 10, 600000);
+    settings.m_poll_interval = std::chrono::milliseconds(FLAGS_poll_interval);
+    return settings;
+}
+
+} // namespace tarragontrail::config
