--- a/programs/tarragontrailctl.cpp
+++ b/programs/tarragontrailctl.cpp
@@ -11,6 +11,7 @@
         // The settings loader takes flags out of a list of words that it may reorder.
         std::vector<std::string> line = ctl::expand_switches({argv, argv + argc});
         std::vector<char*> words;
+        words.reserve(line.size());
         for (std::string& word : line)
         {
             words.push_back(word.data());
--- a/tarragontrail/config/generated_ctl_settings.cpp
+++ b/tarragontrail/config/generated_ctl_settings.cpp
@@ -6,9 +6,9 @@
 DEFINE_string(
     admins, "127.0.0.1:8082",
     "Addresses and administration ports of entry instances, separated by commas; tried in turn.");
-DEFINE_string(token, "",
-              "Operator's token; better given in the environment, as other users of the machine "
-              "may see the command line.");
+DEFINE_string(token, "none",
+              "Operator's token, or none; better given in the environment, as other users of the "
+              "machine may see the command line.");
 DEFINE_bool(json, false, "Answers as JSON.");
 DEFINE_bool(dry_run, false, "Prints what a change would send and sends nothing.");
 DEFINE_uint64(timeout, 20000, "Longest wait for one answer.");
@@ -20,9 +20,9 @@
 constexpr std::array<setting_description, 6> descriptions{{
     {"admins", "string", "127.0.0.1:8082",
      "Addresses and administration ports of entry instances, separated by commas; tried in turn."},
-    {"token", "string", "",
-     "Operator's token; better given in the environment, as other users of the machine may see the "
-     "command line."},
+    {"token", "string", "none",
+     "Operator's token, or none; better given in the environment, as other users of the machine "
+     "may see the command line."},
     {"json", "boolean", "false", "Answers as JSON."},
     {"dry_run", "boolean", "false", "Prints what a change would send and sends nothing."},
     {"timeout", "duration_ms", "20000", "Longest wait for one answer."},
--- a/tarragontrail/ctl/command_line.cpp
+++ b/tarragontrail/ctl/command_line.cpp
@@ -13,7 +13,7 @@
 {
     admin_client_settings client;
     client.m_admins = settings.m_admins;
-    client.m_token = settings.m_token;
+    client.m_token = settings.m_token == "none" ? std::string() : settings.m_token;
     client.m_timeout = settings.m_timeout;
     client.m_dry_run = settings.m_dry_run;
     return client;
--- a/unit_tests/ctl/ctl_test.cpp
+++ b/unit_tests/ctl/ctl_test.cpp
@@ -5,12 +5,18 @@
 #include "tarragontrail/ctl/key_issue.hpp"
 #include "unit_tests/config/sample_bundle.hpp"
 
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <rapidcheck.h>
 #include <sstream>
+#include <thread>
 
 using namespace tarragontrail;
 using nlohmann::json;
@@ -57,6 +63,57 @@
     };
 }
 
+/// Instance that takes one request after another and breaks the connection without an answer.
+class silent_instance
+{
+public:
+    silent_instance() : m_thread([this] { run(); }) {}
+
+    ~silent_instance()
+    {
+        m_stopping = true;
+        // A connection of its own wakes the thread.
+        boost::asio::io_context context;
+        tcp::socket waker(context);
+        waker.connect(m_acceptor.local_endpoint());
+        m_thread.join();
+    }
+
+    /// Address and port.
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /// Requests that arrived.
+    int requests() const { return m_requests; }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    void run()
+    {
+        while (true)
+        {
+            tcp::socket socket = m_acceptor.accept();
+            if (m_stopping)
+            {
+                return;
+            }
+            std::string head;
+            boost::system::error_code ignored;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", ignored);
+            ++m_requests;
+        }
+    }
+
+    boost::asio::io_context m_context; ///< Of the acceptor.
+    tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+    std::atomic<bool> m_stopping{false}; ///< The next connection is the last.
+    std::atomic<int> m_requests{0};      ///< Requests that arrived.
+    std::thread m_thread;                ///< Serves.
+};
+
 } // namespace
 
 class ctl_test : public CppUnit::TestFixture
@@ -67,6 +124,7 @@
     CPPUNIT_TEST(issued_key_matches_its_digest);
     CPPUNIT_TEST(usage_errors_send_nothing);
     CPPUNIT_TEST(unreached_instance_is_told_apart);
+    CPPUNIT_TEST(change_without_answer_is_sent_once);
     CPPUNIT_TEST_SUITE_END();
 
     void edits_keep_the_bundle_valid_and_raise_the_version()
@@ -169,10 +227,28 @@
         CPPUNIT_ASSERT(run({"quarantine", "clear", "12"}) == ctl::exit_code::done);
     }
 
+    void change_without_answer_is_sent_once()
+    {
+        const silent_instance first;
+        const silent_instance second;
+        const std::string closed = "127.0.0.1:1,";
+        const std::string admins = closed + first.address() + "," + second.address();
+        // The closed address is passed over, as nothing was sent there; then the change may have
+        // taken effect, and no other instance may get it too.
+        CPPUNIT_ASSERT(run({"bundle", "roll", "draft"}, admins) == ctl::exit_code::outcome_unknown);
+        CPPUNIT_ASSERT_EQUAL(1, first.requests());
+        CPPUNIT_ASSERT_EQUAL(0, second.requests());
+        // A read changes nothing and goes to all of them.
+        CPPUNIT_ASSERT(run({"status"}, admins) == ctl::exit_code::unreachable);
+        CPPUNIT_ASSERT_EQUAL(2, first.requests());
+        CPPUNIT_ASSERT_EQUAL(1, second.requests());
+    }
+
 private:
-    ctl::exit_code run(const std::vector<std::string>& words)
+    ctl::exit_code run(const std::vector<std::string>& words,
+                       const std::string& admins = "127.0.0.1:1")
     {
-        m_settings.m_admins = "127.0.0.1:1";
+        m_settings.m_admins = admins;
         std::ostringstream output;
         return ctl::run_command_line(m_settings, words, output, m_errors);
     }
