Allow for an engine's queue before its silence ends an attempt; audit every operator's command

Ruled out: dead connections (the probe found the same incarnation each time) and the retry budget. Conclusion: the wait that the decision expected, four times over, is added to the limit; a path that died is still noticed by keep-alive within 5 s.

--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -212,6 +212,7 @@
                                 const std::string& name)
 {
     const http::verb method = exchange->request().method();
+    observe::log("operator_command", {{"operator", name}, {"path", path}});
     if (path == "/admin/v1/bundles/check")
     {
         check_bundle(exchange);
@@ -304,7 +305,6 @@
 void admin_server::move_draft(const exchange_pointer& exchange, const std::string& draft,
                               const std::string& step, const std::string& name)
 {
-    observe::log("operator_command", {{"operator", name}, {"command", step}, {"draft", draft}});
     run(exchange, [this, draft, step, name](core::time_point now) {
         config::approval& approvals = m_plane.config().approvals();
         if (step == "review")
@@ -378,7 +378,12 @@
                                     const std::string& fingerprint)
 {
     std::uint64_t number = 0;
-    std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(), number);
+    const char* end = fingerprint.data() + fingerprint.size();
+    const auto [stop, error] = std::from_chars(fingerprint.data(), end, number);
+    if (error != std::errc() || stop != end)
+    {
+        refuse(problem_kind::malformed_request, "a fingerprint is a whole number");
+    }
     ask(exchange, [this, number] {
         const bool cleared = m_plane.recovery().blame().clear(number, core::runtime_clock::now());
         m_plane.pump();
--- a/tarragontrail/entry/call_flow.cpp
+++ b/tarragontrail/entry/call_flow.cpp
@@ -122,6 +122,7 @@
     }
     catch (const request_error& failure)
     {
+        m_context.m_metrics.count_request(to_string(failure.told().m_kind));
         m_callers.post([listener, told = failure.told()] { listener->on_refused(told); });
     }
     m_context.m_pump();
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -72,6 +72,7 @@
     }
     catch (const request_error& failure)
     {
+        m_context.m_metrics.count_request(to_string(failure.told().m_kind));
         observe::log("refused", {{"request", core::value_of(request->m_id)},
                                  {"reason", to_string(failure.told().m_kind)}});
         m_callers.post([listener, told = failure.told()] { listener->on_refused(told); });
@@ -201,6 +202,7 @@
     each->m_engine = decision.m_engine;
     each->m_incarnation = decision.m_incarnation;
     each->m_expected_hit = decision.m_expected_hit_pieces;
+    each->m_expected_wait = decision.m_expected_wait + decision.m_recompute;
     switch (m_recovery->blame().check(each->m_fingerprint, decision.m_engine, now))
     {
     case recovery::blame_verdict::quarantined:
@@ -305,14 +307,16 @@
     {
         m_recovery->budget().on_request();
     }
-    dispatch_order order{id,
-                         each->m_attempt,
-                         each->m_engine,
-                         engine->m_name,
-                         engine->m_endpoint,
-                         routing::cache_salt(each->m_identity),
-                         each->m_priority,
-                         each->m_deadline};
+    dispatch_order order{
+        id,
+        each->m_attempt,
+        each->m_engine,
+        engine->m_name,
+        engine->m_endpoint,
+        routing::cache_salt(each->m_identity),
+        each->m_priority,
+        each->m_deadline,
+        std::chrono::duration_cast<std::chrono::milliseconds>(each->m_expected_wait)};
     m_callers.post([listener = each->m_listener, order] { listener->on_dispatch(order); });
 }
 
--- a/tarragontrail/entry/completion_flow.hpp
+++ b/tarragontrail/entry/completion_flow.hpp
@@ -17,14 +17,15 @@
 /// Order to send a completion to an engine.
 struct dispatch_order
 {
-    core::request_id m_request{};  ///< Request.
-    std::uint64_t m_attempt = 1;   ///< Counts from one.
-    core::upstream_id m_engine{};  ///< Engine.
-    std::string m_engine_name;     ///< Its name, for logs.
-    net::tcp::endpoint m_endpoint; ///< Its address.
-    std::string m_cache_salt;      ///< Root of the prompt's identity.
-    std::uint64_t m_priority = 0;  ///< Priority at the engine.
-    core::time_point m_deadline{}; ///< Caller's deadline.
+    core::request_id m_request{};                ///< Request.
+    std::uint64_t m_attempt = 1;                 ///< Counts from one.
+    core::upstream_id m_engine{};                ///< Engine.
+    std::string m_engine_name;                   ///< Its name, for logs.
+    net::tcp::endpoint m_endpoint;               ///< Its address.
+    std::string m_cache_salt;                    ///< Root of the prompt's identity.
+    std::uint64_t m_priority = 0;                ///< Priority at the engine.
+    core::time_point m_deadline{};               ///< Caller's deadline.
+    std::chrono::milliseconds m_expected_wait{}; ///< Estimated time to the first token.
 };
 
 /// Receives the decisions on one completion, on the callers' thread.
@@ -119,19 +120,20 @@
     /// One request from begin to end.
     struct running
     {
-        std::shared_ptr<const completion_request> m_request;    ///< Request.
-        std::shared_ptr<completion_listener> m_listener;        ///< Its session.
-        core::workspace_id m_workspace{};                       ///< Owner of the key.
-        std::uint64_t m_priority = 0;                           ///< Priority at engines.
-        std::uint64_t m_fingerprint = 0;                        ///< Request within its workspace.
-        routing::prefix_identity m_identity;                    ///< Identity of its prompt.
-        routing::prefix_chain m_chain;                          ///< Chain of its prompt.
-        stage m_stage = stage::admitting;                       ///< Progress.
-        std::uint64_t m_attempt = 1;                            ///< Attempt under way.
-        std::vector<core::upstream_id> m_excluded;              ///< Engines not to use again.
-        core::upstream_id m_engine{};                           ///< Engine chosen.
-        core::incarnation m_incarnation{};                      ///< Its incarnation when chosen.
-        std::uint64_t m_expected_hit = 0;                       ///< Pieces expected in its cache.
+        std::shared_ptr<const completion_request> m_request; ///< Request.
+        std::shared_ptr<completion_listener> m_listener;     ///< Its session.
+        core::workspace_id m_workspace{};                    ///< Owner of the key.
+        std::uint64_t m_priority = 0;                        ///< Priority at engines.
+        std::uint64_t m_fingerprint = 0;                     ///< Request within its workspace.
+        routing::prefix_identity m_identity;                 ///< Identity of its prompt.
+        routing::prefix_chain m_chain;                       ///< Chain of its prompt.
+        stage m_stage = stage::admitting;                    ///< Progress.
+        std::uint64_t m_attempt = 1;                         ///< Attempt under way.
+        std::vector<core::upstream_id> m_excluded;           ///< Engines not to use again.
+        core::upstream_id m_engine{};                        ///< Engine chosen.
+        core::incarnation m_incarnation{};                   ///< Its incarnation when chosen.
+        std::uint64_t m_expected_hit = 0;                    ///< Pieces expected in its cache.
+        core::duration m_expected_wait{};                    ///< Estimated time to its first token.
         core::execution m_execution = core::execution::not_run; ///< Over all attempts.
         core::time_point m_arrived{};                           ///< Arrival.
         core::time_point m_deadline{};                          ///< Caller's deadline.
--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -13,6 +13,9 @@
 
 constexpr unsigned status_ok = 200;
 
+/// Times the expected wait that an engine's queue may take before it counts as silent.
+constexpr int queue_allowance = 4;
+
 /// Identity that engines return with each chunk.
 std::string chunk_identity(core::request_id request, std::uint64_t attempt)
 {
@@ -38,10 +41,11 @@
     return {core::request_id{request}, attempt};
 }
 
-recovery::stream_tracker_settings tracker_settings(const session_settings& settings)
+recovery::stream_tracker_settings tracker_settings(const session_settings& settings,
+                                                   std::chrono::milliseconds expected_wait)
 {
     recovery::stream_tracker_settings tracker;
-    tracker.m_read_wait = settings.m_silence;
+    tracker.m_read_wait = settings.m_silence + queue_allowance * expected_wait;
     return tracker;
 }
 
@@ -134,8 +138,8 @@
     const core::time_point now = core::runtime_clock::now();
     if (!m_tracker)
     {
-        m_tracker.emplace(tracker_settings(m_settings), m_request->m_id, m_request->m_resume_from,
-                          order.m_deadline, now);
+        m_tracker.emplace(tracker_settings(m_settings, order.m_expected_wait), m_request->m_id,
+                          m_request->m_resume_from, order.m_deadline, now);
     }
     m_tracker->on_attempt_started(order.m_attempt, now);
 
@@ -153,7 +157,8 @@
 
     net::call_settings settings;
     settings.m_connect_timeout = m_settings.m_connect_timeout;
-    settings.m_first_byte_timeout = m_settings.m_silence;
+    // A long queue is no silence: what the decision expected is waited for as well, with room.
+    settings.m_first_byte_timeout = m_settings.m_silence + queue_allowance * order.m_expected_wait;
     settings.m_idle_timeout = m_settings.m_silence;
     m_call = m_client.start(order.m_endpoint, std::move(request), settings,
                             std::make_shared<attempt_listener>(weak_from_this(), order.m_attempt));
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -148,19 +148,19 @@
     {
         m_connection = std::make_unique<client_connection>(m_pool->m_context);
         arm(m_settings.m_connect_timeout);
-        m_connection->m_socket.async_connect(
-            m_endpoint, [self = this->shared_from_this()](error_code error) {
-                if (error)
-                {
-                    self->fail(call_fault::refused);
-                    return;
-                }
-                if (self->m_connection)
-                {
-                    prepare_socket(self->m_connection->m_socket);
-                    self->send();
-                }
-            });
+        m_connection->m_socket.async_connect(m_endpoint,
+                                             [self = this->shared_from_this()](error_code error) {
+                                                 if (error)
+                                                 {
+                                                     self->fail(call_fault::refused);
+                                                     return;
+                                                 }
+                                                 if (self->m_connection)
+                                                 {
+                                                     prepare_socket(self->m_connection->m_socket);
+                                                     self->send();
+                                                 }
+                                             });
     }
 
     void send()
