--- a/tarragontrail/entry/call_flow.cpp
+++ b/tarragontrail/entry/call_flow.cpp
@@ -1,7 +1,7 @@
 #include "tarragontrail/entry/call_flow.hpp"
 
 #include "tarragontrail/core/hash.hpp"
-#include "tarragontrail/entry/completion_flow.hpp"
+#include "tarragontrail/entry/refusal_problems.hpp"
 #include "tarragontrail/entry/table_bridge.hpp"
 #include "tarragontrail/observe/log.hpp"
 
@@ -12,49 +12,6 @@
 
 constexpr std::uint64_t bytes_per_token = 4;
 
-problem refusal_problem(const idempotency::refuse& action)
-{
-    problem told;
-    told.m_execution = action.m_execution;
-    switch (action.m_reason)
-    {
-    case idempotency::refusal::store_unavailable:
-        told.m_kind = problem_kind::store_unavailable;
-        told.m_detail = "the intent could not be settled at the platform's table";
-        told.m_retry_after = std::chrono::milliseconds(2000);
-        break;
-    case idempotency::refusal::key_reused:
-        told.m_kind = problem_kind::key_reused;
-        told.m_detail = "another request came with this Idempotency-Key";
-        break;
-    case idempotency::refusal::in_progress:
-        told.m_kind = problem_kind::call_in_progress;
-        told.m_detail = "the first call with this Idempotency-Key is still running";
-        told.m_retry_after = std::chrono::milliseconds(1000);
-        break;
-    case idempotency::refusal::outcome_unknown:
-        told.m_kind = problem_kind::outcome_unknown;
-        told.m_detail = "the call was dispatched and its outcome was not learned";
-        break;
-    case idempotency::refusal::upstream_refused:
-        told.m_kind = problem_kind::no_upstream;
-        told.m_detail = "no service accepted the call";
-        told.m_retry_after = std::chrono::milliseconds(1000);
-        break;
-    case idempotency::refusal::overloaded:
-        told.m_kind = problem_kind::overloaded;
-        told.m_detail = "too many guarded calls are under way";
-        told.m_retry_after = std::chrono::milliseconds(1000);
-        break;
-    case idempotency::refusal::answer_lost:
-        told.m_kind = problem_kind::answer_lost;
-        told.m_detail = "the call ran; its stored answer could not be fetched";
-        told.m_retry_after = std::chrono::milliseconds(1000);
-        break;
-    }
-    return told;
-}
-
 const config::service_route* find_route(const config::bundle& bundle, std::string_view path)
 {
     const config::service_route* best = nullptr;
@@ -427,7 +384,7 @@
     else
     {
         const auto& refused = std::get<idempotency::refuse>(action);
-        refuse(refused.m_request, refusal_problem(refused), now);
+        refuse(refused.m_request, call_problem(refused), now);
     }
 }
 
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -5,39 +5,6 @@
 #include "tarragontrail/observe/log.hpp"
 
 namespace tarragontrail::entry {
-namespace {
-
-constexpr std::chrono::milliseconds recheck_interval{1000};
-
-} // namespace
-
-problem limit_problem(const limits::refused& decision)
-{
-    problem told;
-    told.m_detail = limits::to_string(decision.m_reason);
-    if (decision.m_retry_after.count() > 0)
-    {
-        told.m_retry_after = decision.m_retry_after;
-    }
-    switch (decision.m_reason)
-    {
-    case limits::refusal_reason::above_burst:
-        told.m_kind = problem_kind::charge_above_burst;
-        break;
-    case limits::refusal_reason::rate_exceeded:
-        told.m_kind = problem_kind::rate_exceeded;
-        break;
-    case limits::refusal_reason::deadline_expired:
-        told.m_kind = problem_kind::deadline_passed;
-        break;
-    case limits::refusal_reason::unknown_workspace:
-    case limits::refusal_reason::homes_unreachable:
-        told.m_kind = problem_kind::limits_unreachable;
-        break;
-    }
-    return told;
-}
-
 completion_flow::completion_flow(control_context& context, net::duty& callers,
                                  const limits::fair_queue_settings& queue_settings)
     : m_context(context), m_callers(callers), m_queue_settings(queue_settings),
@@ -129,21 +96,6 @@
     return m_requests.insert_or_assign(request->m_id, std::move(each)).first->second;
 }
 
-problem key_problem(config::key_verdict verdict)
-{
-    switch (verdict)
-    {
-    case config::key_verdict::withdrawn:
-        return {problem_kind::key_withdrawn, core::execution::not_run, "the key was withdrawn", {}};
-    case config::key_verdict::unknown_key:
-        return {
-            problem_kind::key_unknown, core::execution::not_run, "no workspace has this key", {}};
-    default:
-        return {problem_kind::keys_not_vouched, core::execution::not_run,
-                "this instance cannot vouch for keys now", std::chrono::milliseconds(2000)};
-    }
-}
-
 void completion_flow::on_admitted(const limits::admitted& decision)
 {
     running* each = find(decision.m_request);
@@ -320,141 +272,6 @@
     m_callers.post([listener = each->m_listener, order] { listener->on_dispatch(order); });
 }
 
-void completion_flow::on_first_token(core::request_id id, core::time_point now)
-{
-    running* each = find(id);
-    if (each == nullptr)
-    {
-        return;
-    }
-    if (!each->m_first_token)
-    {
-        each->m_first_token = true;
-        m_context.m_metrics.note_first_token(now - each->m_arrived);
-    }
-    m_routing->router().on_first_token(id, now);
-    m_context.m_pump();
-}
-
-void completion_flow::on_end(core::request_id id, const completion_end& end, core::time_point now)
-{
-    running* each = find(id);
-    if (each == nullptr)
-    {
-        return;
-    }
-    if (each->m_stage == stage::dispatched)
-    {
-        m_recovery->blame().on_finished(each->m_fingerprint, each->m_engine, end.m_complete, now);
-        m_recovery->on_attempt(each->m_engine, connection_outcome::worked, now);
-    }
-    leave_engine(id, *each, end.m_output_tokens, now);
-    if (end.m_complete)
-    {
-        m_context.m_metrics.note_prompt(end.m_prompt_tokens, end.m_cached_tokens);
-    }
-    observe::log("completed", {{"request", core::value_of(id)},
-                               {"complete", end.m_complete},
-                               {"attempts", each->m_attempt},
-                               {"prompt_tokens", end.m_prompt_tokens},
-                               {"cached_tokens", end.m_cached_tokens},
-                               {"expected_hit", each->m_expected_hit},
-                               {"output_tokens", end.m_output_tokens}});
-    finish(id, each->m_request->m_prompt_tokens + end.m_output_tokens, now);
-    m_context.m_pump();
-}
-
-void completion_flow::leave_engine(core::request_id id, running& each, std::uint64_t tokens,
-                                   core::time_point now)
-{
-    m_routing->router().on_finished(id, tokens, now);
-    const auto queue = m_queues.find(each.m_engine);
-    if (queue == m_queues.end())
-    {
-        return;
-    }
-    if (!queue->second.cancel(id, now))
-    {
-        queue->second.on_finished(id, now);
-    }
-}
-
-void completion_flow::refuse(core::request_id id, const problem& told)
-{
-    running* each = find(id);
-    if (each == nullptr)
-    {
-        return;
-    }
-    observe::log("refused", {{"request", core::value_of(id)},
-                             {"workspace", core::value_of(each->m_workspace)},
-                             {"reason", to_string(told.m_kind)},
-                             {"execution", core::to_string(told.m_execution)}});
-    const auto listener = each->m_listener;
-    const bool ran = told.m_execution != core::execution::not_run;
-    finish(id, ran ? each->m_request->m_prompt_tokens : 0, core::runtime_clock::now());
-    m_callers.post([listener, told] { listener->on_refused(told); });
-}
-
-void completion_flow::finish(core::request_id id, std::uint64_t used_tokens, core::time_point now)
-{
-    const running* each = find(id);
-    if (each == nullptr)
-    {
-        return;
-    }
-    if (each->m_stage == stage::admitting)
-    {
-        m_limits->admission().cancel(id, now);
-    }
-    else
-    {
-        m_limits->admission().settle(id, used_tokens, now);
-    }
-    m_requests.erase(id);
-}
-
-void completion_flow::recheck_keys(core::time_point now)
-{
-    m_next_recheck = now + recheck_interval;
-    std::vector<std::pair<core::request_id, config::key_verdict>> ended;
-    for (const auto& [id, each] : m_requests)
-    {
-        const config::key_verdict verdict =
-            m_config->check(*each.m_request->m_caller.m_digest, now).m_verdict;
-        const bool runs_on = verdict == config::key_verdict::accepted ||
-                             verdict == config::key_verdict::view_too_old;
-        if (!runs_on)
-        {
-            ended.emplace_back(id, verdict);
-        }
-    }
-    for (const auto& [id, verdict] : ended)
-    {
-        problem told = key_problem(verdict);
-        told.m_execution = find(id)->m_execution;
-        cancel(id, told, now);
-    }
-}
-
-void completion_flow::cancel(core::request_id id, const problem& told, core::time_point now)
-{
-    running* each = find(id);
-    observe::log("cancelled",
-                 {{"request", core::value_of(id)}, {"reason", to_string(told.m_kind)}});
-    const auto listener = each->m_listener;
-    if (each->m_stage == stage::dispatched)
-    {
-        m_recovery->blame().on_finished(each->m_fingerprint, each->m_engine, false, now);
-    }
-    leave_engine(id, *each, 0, now);
-    const bool ran = told.m_execution != core::execution::not_run;
-    const std::uint64_t most =
-        each->m_request->m_prompt_tokens + each->m_request->m_max_output_tokens;
-    finish(id, ran ? most : 0, now);
-    m_callers.post([listener, told] { listener->on_cancelled(told); });
-}
-
 bool completion_flow::run_actions(core::time_point now)
 {
     bool any = false;
--- a/tarragontrail/entry/completion_flow.hpp
+++ b/tarragontrail/entry/completion_flow.hpp
@@ -5,6 +5,7 @@
 #include "tarragontrail/entry/limits_service.hpp"
 #include "tarragontrail/entry/problem.hpp"
 #include "tarragontrail/entry/recovery_service.hpp"
+#include "tarragontrail/entry/refusal_problems.hpp"
 #include "tarragontrail/entry/routing_service.hpp"
 #include "tarragontrail/limits/fair_queue.hpp"
 
@@ -61,12 +62,6 @@
     std::uint64_t m_cached_tokens = 0; ///< Of these, found in its cache.
 };
 
-/// What a caller is told of a refused key.
-problem key_problem(config::key_verdict verdict);
-
-/// What a caller is told of a refusal by limits.
-problem limit_problem(const limits::refused& decision);
-
 /// Takes completions from key check to dispatch and over their retries, on the control thread.
 class completion_flow : public control_service, public routing_listener
 {
--- a/tarragontrail/entry/membership_service.cpp
+++ b/tarragontrail/entry/membership_service.cpp
@@ -6,26 +6,6 @@
 #include <type_traits>
 
 namespace tarragontrail::entry {
-namespace {
-
-const char* name_of(membership::liveness state)
-{
-    switch (state)
-    {
-    case membership::liveness::alive:
-        return "alive";
-    case membership::liveness::suspected:
-        return "suspected";
-    case membership::liveness::left:
-        return "left";
-    case membership::liveness::failed:
-        return "failed";
-    }
-    return "unknown";
-}
-
-} // namespace
-
 membership_service::membership_service(control_context& context,
                                        const membership_settings& settings,
                                        membership_listener& listener, std::uint64_t seed)
@@ -137,7 +117,7 @@
     else if constexpr (std::is_same_v<Action, member_changed>)
     {
         observe::log("member_changed", {{"member", core::value_of(action.m_member)},
-                                        {"state", name_of(action.m_liveness)}});
+                                        {"state", membership::to_string(action.m_liveness)}});
         m_keeper.set_needed(m_planner.needed(current(), m_detector), now);
     }
     else if constexpr (std::is_same_v<Action, item_received>)
--- a/tarragontrail/entry/status_report.cpp
+++ b/tarragontrail/entry/status_report.cpp
@@ -7,22 +7,6 @@
 
 using nlohmann::json;
 
-const char* name_of(membership::liveness state)
-{
-    switch (state)
-    {
-    case membership::liveness::alive:
-        return "alive";
-    case membership::liveness::suspected:
-        return "suspected";
-    case membership::liveness::left:
-        return "left";
-    case membership::liveness::failed:
-        return "failed";
-    }
-    return "unknown";
-}
-
 const char* name_of(config::agent_state state)
 {
     switch (state)
@@ -77,7 +61,8 @@
             {{"name", each.m_name},
              {"region", each.m_region},
              {"failure_domain", each.m_failure_domain},
-             {"state", self ? "self" : name_of(plane.membership().state_of(each.m_id))},
+             {"state",
+              self ? "self" : membership::to_string(plane.membership().state_of(each.m_id))},
              {"draining", each.m_state == membership::member_state::draining}});
     }
     return members;
--- a/tarragontrail/membership/failure_detector.cpp
+++ b/tarragontrail/membership/failure_detector.cpp
@@ -7,6 +7,22 @@
 
 namespace tarragontrail::membership {
 
+const char* to_string(liveness state) noexcept
+{
+    switch (state)
+    {
+    case liveness::alive:
+        return "alive";
+    case liveness::suspected:
+        return "suspected";
+    case liveness::left:
+        return "left";
+    case liveness::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 failure_detector::failure_detector(const failure_detector_settings& settings,
                                    const gossip_buffer_settings& gossip, core::instance_id self,
                                    core::incarnation started, std::uint64_t seed)
--- a/tarragontrail/membership/failure_detector.hpp
+++ b/tarragontrail/membership/failure_detector.hpp
@@ -22,6 +22,9 @@
     failed,    ///< Did not answer or refute in time.
 };
 
+/// Text of a state for logs and operators.
+const char* to_string(liveness state) noexcept;
+
 /// Settings of failure_detector.
 struct failure_detector_settings
 {
