Keep the ends of pauses in order instead of scanning all requests

Cause: after each event the flow looked at every running request for the next pause to end. Ruled out: a timer a request, which costs more than one ordered map. Conclusion: the next end of a pause is the first of a map.

--- a/tarragontrail/config/generated_entry_settings.hpp
+++ b/tarragontrail/config/generated_entry_settings.hpp
@@ -24,9 +24,9 @@
     std::chrono::milliseconds m_drain_timeout{
         30000}; ///< Longest wait for running requests after SIGTERM.
     std::chrono::milliseconds m_platform_timeout{
-        1500};                    ///< Longest wait for one call to the platform.
-    std::string m_operators = ""; ///< Operators as name=digest pairs separated by commas; a digest
-                                  ///< is the SHA-256 of the operator's token in hexadecimal.
+        1500};               ///< Longest wait for one call to the platform.
+    std::string m_operators; ///< Operators as name=digest pairs separated by commas; a digest is
+                             ///< the SHA-256 of the operator's token in hexadecimal.
     std::chrono::milliseconds m_drain_linger{
         3000}; ///< Time after SIGTERM in which new connections are still served, so that answers to
                ///< locate run out.
--- a/tarragontrail/entry/completion_flow.cpp
+++ b/tarragontrail/entry/completion_flow.cpp
@@ -5,6 +5,12 @@
 #include "tarragontrail/observe/log.hpp"
 
 namespace tarragontrail::entry {
+namespace {
+
+/// Pause before a request that met no usable engine is routed again.
+constexpr std::chrono::milliseconds reroute_pause{100};
+
+} // namespace
 completion_flow::completion_flow(control_context& context, net::duty& callers,
                                  const limits::fair_queue_settings& queue_settings)
     : m_context(context), m_callers(callers), m_queue_settings(queue_settings),
@@ -166,8 +172,7 @@
         return;
     case recovery::blame_verdict::hold:
         leave_engine(id, *each, 0, now);
-        each->m_stage = stage::waiting;
-        each->m_wake = now + std::chrono::milliseconds(100);
+        pause(id, *each, now + reroute_pause);
         return;
     case recovery::blame_verdict::allowed:
         break;
@@ -212,8 +217,7 @@
     if (decision.m_reason == routing::unroutable_reason::all_excluded)
     {
         each->m_excluded.clear();
-        each->m_stage = stage::waiting;
-        each->m_wake = core::runtime_clock::now() + std::chrono::milliseconds(100);
+        pause(decision.m_request_id, *each, core::runtime_clock::now() + reroute_pause);
         return;
     }
     refuse(decision.m_request_id,
@@ -221,6 +225,12 @@
             std::chrono::milliseconds(1000)});
 }
 
+void completion_flow::pause(core::request_id id, running& each, core::time_point until)
+{
+    each.m_stage = stage::waiting;
+    m_wakes.emplace(until, id);
+}
+
 void completion_flow::queue(core::request_id id, running& each, core::time_point now)
 {
     each.m_stage = stage::queued;
@@ -314,12 +324,9 @@
     {
         next = earlier(next, queue.next_deadline());
     }
-    for (const auto& [id, each] : m_requests)
+    if (!m_wakes.empty())
     {
-        if (each.m_stage == stage::waiting)
-        {
-            next = earlier(next, each.m_wake);
-        }
+        next = earlier(next, m_wakes.begin()->first);
     }
     return next;
 }
@@ -330,18 +337,16 @@
     {
         queue.on_timer(now);
     }
-    std::vector<core::request_id> due;
-    for (const auto& [id, each] : m_requests)
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now)
     {
-        if (each.m_stage == stage::waiting && now >= each.m_wake)
+        const core::request_id id = m_wakes.begin()->second;
+        m_wakes.erase(m_wakes.begin());
+        running* each = find(id);
+        if (each != nullptr && each->m_stage == stage::waiting)
         {
-            due.push_back(id);
+            start_routing(id, *each, now);
         }
     }
-    for (const core::request_id id : due)
-    {
-        start_routing(id, *find(id), now);
-    }
     if (now >= m_next_recheck)
     {
         recheck_keys(now);
--- a/tarragontrail/entry/completion_flow.hpp
+++ b/tarragontrail/entry/completion_flow.hpp
@@ -132,7 +132,6 @@
         core::execution m_execution = core::execution::not_run; ///< Over all attempts.
         core::time_point m_arrived{};                           ///< Arrival.
         core::time_point m_deadline{};                          ///< Caller's deadline.
-        core::time_point m_wake{};                              ///< End of the pause.
         attempt_failure m_failure;                              ///< Failure that is probed.
         bool m_first_token = false;                             ///< A token has arrived.
     };
@@ -141,6 +140,7 @@
     running& admit(const std::shared_ptr<const completion_request>& request,
                    std::shared_ptr<completion_listener> listener, core::time_point arrived);
     void start_routing(core::request_id id, running& each, core::time_point now);
+    void pause(core::request_id id, running& each, core::time_point until);
     void queue(core::request_id id, running& each, core::time_point now);
     void send(core::request_id id, core::time_point now);
     void probe_engine(core::request_id id, running& each);
@@ -153,17 +153,18 @@
     void cancel(core::request_id id, const problem& told, core::time_point now);
     void log_decision(const running& each, const routing::routed& decision) const;
 
-    control_context& m_context;                               ///< Shared means.
-    net::duty& m_callers;                                     ///< Thread of the sessions.
-    limits::fair_queue_settings m_queue_settings;             ///< For each engine's queue.
-    config_service* m_config = nullptr;                       ///< Keys and bundle.
-    limits_service* m_limits = nullptr;                       ///< Admission.
-    routing_service* m_routing = nullptr;                     ///< Engines.
-    recovery_service* m_recovery = nullptr;                   ///< Blame and retries.
-    net::http_client m_client;                                ///< Connections for probes.
-    std::unordered_map<core::request_id, running> m_requests; ///< All requests.
-    std::map<core::upstream_id, limits::fair_queue> m_queues; ///< By engine.
-    core::time_point m_next_recheck{};                        ///< Next check of all keys.
+    control_context& m_context;                                ///< Shared means.
+    net::duty& m_callers;                                      ///< Thread of the sessions.
+    limits::fair_queue_settings m_queue_settings;              ///< For each engine's queue.
+    config_service* m_config = nullptr;                        ///< Keys and bundle.
+    limits_service* m_limits = nullptr;                        ///< Admission.
+    routing_service* m_routing = nullptr;                      ///< Engines.
+    recovery_service* m_recovery = nullptr;                    ///< Blame and retries.
+    net::http_client m_client;                                 ///< Connections for probes.
+    std::unordered_map<core::request_id, running> m_requests;  ///< All requests.
+    std::map<core::upstream_id, limits::fair_queue> m_queues;  ///< By engine.
+    std::multimap<core::time_point, core::request_id> m_wakes; ///< Ends of pauses.
+    core::time_point m_next_recheck{};                         ///< Next check of all keys.
 };
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/entry/completion_retry.cpp
+++ b/tarragontrail/entry/completion_retry.cpp
@@ -127,8 +127,7 @@
         m_context.m_metrics.count_retry(each.m_failure.m_delivered > 0 ? "resume" : "retry");
         each.m_excluded.push_back(each.m_engine);
         ++each.m_attempt;
-        each.m_stage = stage::waiting;
-        each.m_wake = now + retry->m_after;
+        pause(id, each, now + retry->m_after);
         return;
     }
     const bool begun = each.m_failure.m_delivered > 0;
