Read the platform's list less often in a large fleet and shrink the rings

Cause: worked out for 380 nodes, the list read whole every 2 s is 30.6 KB/s, over the whole budget by itself, and four rings of 65,536 tasks hold 10.5 MB from the start. Ruled out: reading the list by version, which the platform does not offer.

--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Tasks that may wait on a duty; new work may fill half of it.
-constexpr std::size_t ring_capacity = 65'536;
+constexpr std::size_t ring_capacity = 16'384;
 
 constexpr std::chrono::milliseconds drain_poll{50};
 
--- a/tarragontrail/entry/membership_service.cpp
+++ b/tarragontrail/entry/membership_service.cpp
@@ -188,7 +188,9 @@
 
 void membership_service::poll_list(core::time_point now)
 {
-    m_next_list = now + m_settings.m_list_interval;
+    // The list grows with the fleet, so it is read less often there: its cost a second stays.
+    const auto fleets = 1 + current().members().size() / m_settings.m_list_members;
+    m_next_list = now + m_settings.m_list_interval * static_cast<int>(fleets);
     m_context.m_platform.list_instances(
         [this, now](const std::optional<std::vector<membership::listed_instance>>& listed) {
             if (!listed)
--- a/tarragontrail/entry/membership_service.hpp
+++ b/tarragontrail/entry/membership_service.hpp
@@ -46,7 +46,8 @@
 /// Settings of membership_service.
 struct membership_settings
 {
-    std::chrono::milliseconds m_list_interval{2000};  ///< Time between readings of the list.
+    std::chrono::milliseconds m_list_interval{2000}; ///< Time between readings of the list.
+    std::size_t m_list_members = 32; ///< Members for which the interval grows by itself once.
     std::chrono::milliseconds m_plan_interval{500};   ///< Time between looks at the needed view.
     membership::view_keeper_settings m_keeper;        ///< Agreed view.
     membership::failure_detector_settings m_detector; ///< Heartbeats.
--- a/tarragontrail/net/duty.hpp
+++ b/tarragontrail/net/duty.hpp
@@ -47,7 +47,7 @@
     void drain();
 
     std::string m_name;                   ///< Name for logs.
-    std::size_t m_capacity;               ///< Name for logs.
+    std::size_t m_capacity;               ///< Most tasks waiting.
     boost::asio::io_context m_context;    ///< Event loop, run by one thread.
     core::bounded_ring<task> m_ring;      ///< Tasks from other duties.
     std::atomic<bool> m_drain_due{false}; ///< A drain is already scheduled.
