--- a/unit_tests/processes/process_fleet.cpp
+++ b/unit_tests/processes/process_fleet.cpp
@@ -43,10 +43,15 @@
     void on_complete() override
     {
         m_answer->m_whole = true;
+        m_answer->m_ended = true;
         *m_done = true;
     }
 
-    void on_failed(const net::call_failure& /*failure*/) override { *m_done = true; }
+    void on_failed(const net::call_failure& /*failure*/) override
+    {
+        m_answer->m_ended = true;
+        *m_done = true;
+    }
 
 private:
     std::shared_ptr<process_answer> m_answer;           ///< Filled.
@@ -77,6 +82,7 @@
     words.insert(words.end(), flags.begin(), flags.end());
     words.insert(words.end(), {"--", "sh", "-c", "env | grep ^TT_; echo TT_END=; cat"});
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words)
     {
         arguments.push_back(word.data());
@@ -159,7 +165,7 @@
                      const std::string& body, const std::map<std::string, std::string>& headers,
                      std::function<void(const std::string&)> on_piece)
 {
-    const auto answer = std::make_shared<process_answer>();
+    auto answer = std::make_shared<process_answer>();
     net::call_settings settings;
     settings.m_fresh_connection = true;
     m_client.start(
--- a/unit_tests/processes/process_fleet.hpp
+++ b/unit_tests/processes/process_fleet.hpp
@@ -18,6 +18,7 @@
     unsigned m_status = 0;  ///< HTTP status; zero when there was none.
     std::string m_body;     ///< Body as far as it came.
     bool m_whole = false;   ///< The response ended as HTTP says.
+    bool m_ended = false;   ///< It ended, whole or not.
     std::string m_replayed; ///< Idempotent-Replayed header.
 };
 
