Bound the nesting of JSON from outside and find escaped keys

Cause: a completion whose body nested 100,000 levels ended the entry that took it: the body is copied and written anew for the engine, and both take stack for each level. A key written with JSON escapes passed the check of raw bytes and reached the engine unescaped. The stand-ins looked for keys in heads and targets only, so no test could see it. Ruled out: a larger stack (it moves the number) and parsing every body twice (only one with a backslash can hide a key).

--- a/stand_ins/http_support.cpp
+++ b/stand_ins/http_support.cpp
@@ -82,7 +82,8 @@
             return true;
         }
     }
-    return net::target_of(request).find("=tt-") != std::string_view::npos;
+    return net::target_of(request).find("=tt-") != std::string_view::npos ||
+           request.body().find(key_prefix) != std::string::npos;
 }
 
 void answer_errors(const exchange_pointer& exchange, const std::function<void()>& handler)
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/config/bundle_error.hpp"
 #include "tarragontrail/config/setting_checks.hpp"
+#include "tarragontrail/entry/json_input.hpp"
 #include "tarragontrail/entry/status_report.hpp"
 #include "tarragontrail/observe/log.hpp"
 
@@ -48,16 +49,6 @@
     throw request_error({kind, core::execution::not_run, detail, {}});
 }
 
-json parse_object(const std::string& text)
-{
-    json body = json::parse(text, nullptr, false);
-    if (body.is_discarded() || !body.is_object())
-    {
-        refuse(problem_kind::malformed_request, "body is not a JSON object");
-    }
-    return body;
-}
-
 std::uint64_t unsigned_member(const json& body, const char* name)
 {
     const auto found = body.find(name);
@@ -280,6 +271,7 @@
 
 void admin_server::check_bundle(const exchange_pointer& exchange)
 {
+    parse_json_object(exchange->request().body());
     try
     {
         const config::bundle parsed = config::parse_bundle(exchange->request().body());
@@ -297,6 +289,7 @@
 void admin_server::submit_bundle(const exchange_pointer& exchange, const std::string& name)
 {
     const std::string text = exchange->request().body();
+    parse_json_object(text);
     run(exchange, [this, text, name](core::time_point now) {
         return m_plane.config().approvals().submit(name, text, m_plane.config().applied(), now);
     });
@@ -325,7 +318,7 @@
 
 void admin_server::advance_rollout(const exchange_pointer& exchange)
 {
-    const json body = parse_object(exchange->request().body());
+    const json body = parse_json_object(exchange->request().body());
     const std::uint64_t version = unsigned_member(body, "version");
     const std::uint64_t step = unsigned_member(body, "from_step");
     run(exchange, [this, version, step](core::time_point now) {
@@ -335,7 +328,7 @@
 
 void admin_server::withdraw_key(const exchange_pointer& exchange, const std::string& name)
 {
-    const json body = parse_object(exchange->request().body());
+    const json body = parse_json_object(exchange->request().body());
     config::sha256_digest digest{};
     if (!body.contains("digest") || !body["digest"].is_string() ||
         !config::from_hex(body["digest"].get<std::string>(), digest))
--- a/tarragontrail/entry/completion_request.cpp
+++ b/tarragontrail/entry/completion_request.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/entry/completion_request.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/entry/json_input.hpp"
 #include "tarragontrail/entry/problem.hpp"
 #include "tarragontrail/routing/prefix_chain.hpp"
 
@@ -94,20 +95,29 @@
     return prompt;
 }
 
-json parse_body(const std::string& text)
+/// Whether escapes in a body hide the key: an upstream undoes them.
+bool escaped_key_in(const std::string& body, const std::string& key)
 {
-    json body = json::parse(text, nullptr, false);
-    if (body.is_discarded() || !body.is_object())
+    if (net::percent_decode(body).find(key) != std::string::npos)
     {
-        refuse("body is not a JSON object");
+        return true;
+    }
+    if (body.find('\\') == std::string::npos)
+    {
+        return false;
+    }
+    if (nests_too_deep(body))
+    {
+        refuse("body nests too deep");
     }
-    return body;
+    const json tree = json::parse(body, nullptr, false);
+    return !tree.is_discarded() && holds_text(tree, key);
 }
 
 bool contains_key(const net::http_request& request, const std::string& key)
 {
-    if (net::target_of(request).find(key) != std::string_view::npos ||
-        request.body().find(key) != std::string::npos)
+    if (net::percent_decode(net::target_of(request)).find(key) != std::string::npos ||
+        request.body().find(key) != std::string::npos || escaped_key_in(request.body(), key))
     {
         return true;
     }
@@ -171,7 +181,7 @@
     completion_request parsed;
     parsed.m_caller = identify_caller(request);
     parsed.m_path = std::string(net::path_of(net::target_of(request)));
-    parsed.m_body = parse_body(request.body());
+    parsed.m_body = parse_json_object(request.body());
     const json& body = parsed.m_body;
     if (!body.contains("model") || !body["model"].is_string())
     {
--- a/tarragontrail/net/http_types.cpp
+++ b/tarragontrail/net/http_types.cpp
@@ -15,6 +15,8 @@
     return value;
 }
 
+} // namespace
+
 std::string percent_decode(std::string_view text)
 {
     std::string decoded;
@@ -38,8 +40,6 @@
     return decoded;
 }
 
-} // namespace
-
 tcp::endpoint make_endpoint(const std::string& address, std::uint64_t port)
 {
     boost::system::error_code error;
--- a/tarragontrail/net/http_types.hpp
+++ b/tarragontrail/net/http_types.hpp
@@ -41,6 +41,9 @@
 /// Path of a request target, without its query.
 std::string_view path_of(std::string_view target);
 
+/// Text with its percent escapes undone; a plus sign stands for a space.
+std::string percent_decode(std::string_view text);
+
 /// Decoded value of a query parameter; empty when it is absent.
 std::string query_value(std::string_view target, std::string_view name);
 
--- a/unit_tests/entry/request_test.cpp
+++ b/unit_tests/entry/request_test.cpp
@@ -101,6 +101,8 @@
     CPPUNIT_TEST(valid_requests_are_read);
     CPPUNIT_TEST(wrong_bodies_and_headers_are_malformed);
     CPPUNIT_TEST(key_outside_its_header_is_refused);
+    CPPUNIT_TEST(escaped_key_in_a_completion_is_refused);
+    CPPUNIT_TEST(deeply_nested_body_is_refused);
     CPPUNIT_TEST(random_input_is_read_or_refused);
     CPPUNIT_TEST(row_values_survive_the_way_through_text);
     CPPUNIT_TEST(problems_tell_status_and_execution);
@@ -224,6 +226,23 @@
         }
     }
 
+    void escaped_key_in_a_completion_is_refused()
+    {
+        // The body is written anew for the engine, which undoes escapes.
+        std::string body = changed("user", "KEY");
+        body.replace(body.find("KEY"), 3, "\\u0074t-secret-1");
+        CPPUNIT_ASSERT(completion_refusal(request_with(body)) == problem_kind::key_in_request);
+    }
+
+    void deeply_nested_body_is_refused()
+    {
+        // A body is written anew for the engine, which takes stack for each level.
+        constexpr std::size_t levels = 100000;
+        std::string body = changed("user", "NEST");
+        body.replace(body.find("\"NEST\""), 6, std::string(levels, '[') + std::string(levels, ']'));
+        expect_malformed(request_with(body), "nested");
+    }
+
     void random_input_is_read_or_refused()
     {
         const bool passed = rc::check("random bytes never end in another error", [] {
