--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -103,6 +103,7 @@
             self.start_entry(entry)
         for entry in self.entries:
             self.wait(entry["name"], f"{ADDRESS}:{entry['ports'][2]}", "/healthz")
+        self.expect_all_running()
         self.roll(json.dumps(self.bundle()))
         for entry in self.entries:
             self.wait(entry["name"], f"{ADDRESS}:{entry['ports'][2]}", "/readyz")
@@ -111,10 +112,17 @@
         """Waits until a process answers with status 200."""
         give_up = time.monotonic() + seconds
         while call("GET", address, path, timeout=2)[0] != 200:
+            self.expect_all_running()
             if time.monotonic() > give_up:
                 sys.exit(f"{name} is not ready at {address}{path}, see {self.logs}")
             time.sleep(0.1)
 
+    def expect_all_running(self):
+        """Stops when a process has ended, for example as another fleet has its port."""
+        for name, process in self.processes:
+            if process.poll() is not None:
+                sys.exit(f"{name} ended with status {process.returncode}, see {self.logs}")
+
     def bundle(self):
         """Bundle of this deployment."""
         upstreams = []
