Keep engine statuses that come before the bundle, and repeat them

Cause: new_weights_reach_all_engines_under_traffic failed (60 s, engines 1 and 2 never ordered): the watcher's status of both engines reached the planner a second before its first bundle, was dropped as about unknown engines, and gossip does not send the same item again. The planner skips an engine it has not heard of. An instance that starts later never heard of any status at all. Ruled out: the lease (engine 3 was ordered and admitted in 2 s), the planner's minimum of ready engines, and load on the machine (the status was in no log after 05:19:20). Conclusion: statuses wait for their bundle and are repeated every 20 s.

--- a/tarragontrail/entry/engine_directory.cpp
+++ b/tarragontrail/entry/engine_directory.cpp
@@ -39,15 +39,27 @@
             engine.m_reachable = known->m_reachable;
             engine.m_status = known->m_status;
         }
+        else if (m_early.contains(each.m_id))
+        {
+            engine.m_status = m_early.at(each.m_id);
+        }
         engines.emplace(each.m_id, std::move(engine));
     }
     m_engines = std::move(engines);
+    m_early.clear();
 }
 
 bool engine_directory::on_status(core::upstream_id engine, const engine_status& status)
 {
     const auto found = m_engines.find(engine);
-    if (found == m_engines.end() || status.m_order <= found->second.m_status.m_order)
+    if (found == m_engines.end())
+    {
+        // Gossip may come before the bundle that names the engine.
+        engine_status& early = m_early[engine];
+        early = status.m_order > early.m_order ? status : early;
+        return false;
+    }
+    if (status.m_order <= found->second.m_status.m_order)
     {
         return false;
     }
--- a/tarragontrail/entry/engine_directory.hpp
+++ b/tarragontrail/entry/engine_directory.hpp
@@ -70,6 +70,7 @@
 private:
     static bool is_ready(const engine_info& engine) noexcept;
 
+    std::map<core::upstream_id, engine_status> m_early; ///< Of engines that no bundle named yet.
     std::map<core::upstream_id, engine_info> m_engines; ///< By id.
 };
 
--- a/tarragontrail/entry/routing_service.cpp
+++ b/tarragontrail/entry/routing_service.cpp
@@ -199,7 +199,9 @@
     engine_status status = info->m_status;
     status.m_incarnation = report->m_load.m_incarnation;
     status.m_weights_version = report->m_weights_version;
-    if (!status.same_state(info->m_status))
+    // Repeated now and then, for instances that started after the last change.
+    const core::time_point repeat = m_published[engine] + m_settings.m_status_interval;
+    if (!status.same_state(info->m_status) || now >= repeat)
     {
         publish(engine, status, now);
     }
@@ -223,6 +225,7 @@
                                    {"weights", status.m_weights_version},
                                    {"draining", status.m_draining}});
     m_engines.on_status(engine, status);
+    m_published[engine] = now;
     m_membership.spread(gossip_kind::engine_status, core::value_of(engine), status.m_order,
                         entry::serialise(status));
     refresh_router(now);
--- a/tarragontrail/entry/routing_service.hpp
+++ b/tarragontrail/entry/routing_service.hpp
@@ -27,10 +27,11 @@
 /// Settings of routing_service.
 struct routing_service_settings
 {
-    routing::routing_settings m_router;              ///< Decisions.
-    engine_watcher_settings m_watcher;               ///< Watched engines.
-    std::chrono::milliseconds m_hint_interval{5000}; ///< Time between rounds of anchor hints.
-    std::size_t m_hints = 4;                         ///< Anchor hints of one round.
+    routing::routing_settings m_router;                  ///< Decisions.
+    engine_watcher_settings m_watcher;                   ///< Watched engines.
+    std::chrono::milliseconds m_hint_interval{5000};     ///< Time between rounds of anchor hints.
+    std::chrono::milliseconds m_status_interval{20'000}; ///< Time between equal engine statuses.
+    std::size_t m_hints = 4;                             ///< Anchor hints of one round.
 };
 
 /// Routes completions to engines and watches this instance's share of them.
@@ -91,7 +92,8 @@
     engine_directory m_engines;          ///< Engines.
     routing::router m_router;            ///< Decisions.
     std::map<core::upstream_id, std::shared_ptr<engine_watcher>> m_watchers; ///< Watched here.
-    core::time_point m_next_hints{}; ///< Next round of anchor hints.
+    std::map<core::upstream_id, core::time_point> m_published; ///< Last status sent, by engine.
+    core::time_point m_next_hints{};                           ///< Next round of anchor hints.
 };
 
 } // namespace tarragontrail::entry
