Blame requests that crash upstreams in the relay

Cause: a relay ended a lost attempt in the blame at once, so that nothing was in flight any more when the upstream's registration lapsed some 3 s later. Lost attempts now stay in flight for 8 s, until the request runs to its end elsewhere or a refused connection or a lapsed registration tells of the crash. A request whose case is open is held, or refused with the time when the case closes. Ruled out: probing engines after a loss; other requests' connections tell as much. Figures: request_that_crashes_upstreams_is_refused failed with the old ending (200 at the third upstream), passes now.

--- a/tarragontrail/recovery/crash_blame.cpp
+++ b/tarragontrail/recovery/crash_blame.cpp
@@ -17,16 +17,11 @@
     {
         return blame_verdict::quarantined;
     }
-    const auto who = m_suspects.find(fingerprint);
-    if (who == m_suspects.end())
+    if (!is_suspect(fingerprint))
     {
         return blame_verdict::allowed;
     }
-
-    // An open case waits for its co-travellers' outcomes before it costs another engine.
-    const std::vector<std::uint64_t>& crashes = who->second.m_crashes;
-    if (crashes.size() >= m_settings.m_min_crashes &&
-        crash_at(crashes.back()).m_seen + m_settings.m_max_hold > now)
+    if (held_until(fingerprint, now))
     {
         return blame_verdict::hold;
     }
@@ -40,6 +35,20 @@
     return taken ? blame_verdict::hold : blame_verdict::allowed;
 }
 
+std::optional<core::time_point> crash_blame::held_until(std::uint64_t fingerprint,
+                                                        core::time_point now) const
+{
+    // An open case waits for its co-travellers' outcomes before it costs another engine.
+    const auto who = m_suspects.find(fingerprint);
+    if (who == m_suspects.end() || who->second.m_crashes.size() < m_settings.m_min_crashes)
+    {
+        return std::nullopt;
+    }
+    const core::time_point until =
+        crash_at(who->second.m_crashes.back()).m_seen + m_settings.m_max_hold;
+    return until > now ? std::make_optional(until) : std::nullopt;
+}
+
 bool crash_blame::is_suspect(std::uint64_t fingerprint) const
 {
     return m_suspects.contains(fingerprint);
@@ -53,15 +62,13 @@
 void crash_blame::on_finished(std::uint64_t fingerprint, core::upstream_id engine, bool completed,
                               core::time_point now)
 {
-    // After a crash report the engine's list is gone already.
-    std::vector<std::uint64_t>& running = m_in_flight[engine];
-    const auto found = std::find(running.begin(), running.end(), fingerprint);
-    if (found != running.end())
+    drop_in_flight(fingerprint, engine);
+    if (!completed)
     {
-        *found = running.back();
-        running.pop_back();
+        return;
     }
-    if (!completed || !is_suspect(fingerprint))
+    drop_lost(fingerprint);
+    if (!is_suspect(fingerprint))
     {
         return;
     }
@@ -70,10 +77,25 @@
     m_actions.emplace_back(share_exoneration{{{fingerprint}, false}});
 }
 
+void crash_blame::on_lost(std::uint64_t fingerprint, core::upstream_id engine, core::time_point now)
+{
+    if (m_lost.size() >= m_settings.m_max_crash_members)
+    {
+        drop_in_flight(m_lost.front().m_fingerprint, m_lost.front().m_engine);
+        m_lost.pop_front();
+    }
+    m_lost.push_back({fingerprint, engine, now + m_settings.m_lost_memory});
+}
+
 void crash_blame::on_engine_crashed(core::upstream_id engine, core::incarnation started,
                                     core::time_point now)
 {
-    const std::vector<std::uint64_t> running = std::exchange(m_in_flight[engine], {});
+    std::vector<std::uint64_t> running;
+    if (auto at = m_in_flight.extract(engine))
+    {
+        running = std::move(at.mapped());
+    }
+    std::erase_if(m_lost, [&](const lost_attempt& each) { return each.m_engine == engine; });
     add_members(record_crash(engine, started, now), running, now);
     if (!running.empty())
     {
@@ -82,6 +104,18 @@
     }
 }
 
+void crash_blame::on_refused(core::upstream_id engine, core::incarnation started,
+                             core::time_point now)
+{
+    const bool lost = std::any_of(m_lost.begin(), m_lost.end(), [&](const lost_attempt& each) {
+        return each.m_engine == engine;
+    });
+    if (lost)
+    {
+        on_engine_crashed(engine, started, now);
+    }
+}
+
 void crash_blame::on_crash_report(const crash_report& report, core::time_point now)
 {
     add_members(record_crash(report.m_engine, report.m_started, now), report.m_fingerprints, now);
@@ -114,6 +148,11 @@
     {
         drop_oldest_crash();
     }
+    while (!m_lost.empty() && m_lost.front().m_until <= now)
+    {
+        drop_in_flight(m_lost.front().m_fingerprint, m_lost.front().m_engine);
+        m_lost.pop_front();
+    }
     std::erase_if(m_quarantines, [&](const auto& item) { return item.second.m_until <= now; });
     if (m_judge_at && *m_judge_at <= now)
     {
@@ -146,6 +185,10 @@
         const core::time_point lapse = m_crashes.front().m_seen + m_settings.m_suspect_lapse;
         next = next ? std::min(*next, lapse) : lapse;
     }
+    if (!m_lost.empty())
+    {
+        next = next ? std::min(*next, m_lost.front().m_until) : m_lost.front().m_until;
+    }
     return next;
 }
 
@@ -196,14 +239,22 @@
 void crash_blame::add_members(crash& where, const std::vector<std::uint64_t>& fingerprints,
                               core::time_point now)
 {
+    const bool known_cause =
+        std::any_of(fingerprints.begin(), fingerprints.end(),
+                    [this](std::uint64_t each) { return m_quarantines.contains(each); });
+    if (known_cause)
+    {
+        // News of its last crashes comes after the verdict.
+        explain(where);
+    }
     for (const std::uint64_t fingerprint : fingerprints)
     {
         if (where.m_reported >= m_settings.m_max_crash_members)
         {
             break;
         }
-        if (where.m_explained || m_quarantines.contains(fingerprint) ||
-            m_recent.contains(fingerprint) || !where.m_members.insert(fingerprint).second)
+        if (where.m_explained || m_recent.contains(fingerprint) ||
+            !where.m_members.insert(fingerprint).second)
         {
             continue;
         }
@@ -288,6 +339,41 @@
     where.m_members.clear();
 }
 
+void crash_blame::drop_in_flight(std::uint64_t fingerprint, core::upstream_id engine)
+{
+    // After a crash report the engine's list is gone already.
+    const auto at = m_in_flight.find(engine);
+    if (at == m_in_flight.end())
+    {
+        return;
+    }
+    std::vector<std::uint64_t>& running = at->second;
+    const auto found = std::find(running.begin(), running.end(), fingerprint);
+    if (found != running.end())
+    {
+        *found = running.back();
+        running.pop_back();
+    }
+    if (running.empty())
+    {
+        m_in_flight.erase(at);
+    }
+}
+
+/// A request that ran to its end crashes nothing.
+void crash_blame::drop_lost(std::uint64_t fingerprint)
+{
+    for (const lost_attempt& each : m_lost)
+    {
+        if (each.m_fingerprint == fingerprint)
+        {
+            drop_in_flight(fingerprint, each.m_engine);
+        }
+    }
+    std::erase_if(m_lost,
+                  [&](const lost_attempt& each) { return each.m_fingerprint == fingerprint; });
+}
+
 void crash_blame::drop_oldest_crash()
 {
     forget_members(m_crashes.front());
--- a/tarragontrail/recovery/crash_blame.hpp
+++ b/tarragontrail/recovery/crash_blame.hpp
@@ -29,9 +29,12 @@
     std::chrono::milliseconds m_report_settling{500}; ///< Wait for other instances' reports.
     std::chrono::milliseconds m_max_hold{6000};       ///< An open case is held back this long.
     std::chrono::seconds m_clear_memory{5};           ///< A cleared request is no suspect so long.
-    std::size_t m_max_crashes = 128;                  ///< Crashes remembered.
-    std::size_t m_max_crash_members = 512;            ///< Requests remembered of one crash.
-    std::size_t m_max_quarantines = 1024;             ///< Quarantines held at once.
+    /// A lost attempt may have crashed its engine so long; a lapsed registration shows after 3 s,
+    /// and one lost follow of the store delays that by up to 5 s.
+    std::chrono::seconds m_lost_memory{8};
+    std::size_t m_max_crashes = 128;       ///< Crashes remembered.
+    std::size_t m_max_crash_members = 512; ///< Requests remembered of one crash.
+    std::size_t m_max_quarantines = 1024;  ///< Quarantines held at once.
 };
 
 /// Asks the shell to send a crash report to the other instances.
@@ -84,6 +87,10 @@
     blame_verdict check(std::uint64_t fingerprint, core::upstream_id engine,
                         core::time_point now) const;
 
+    /// End of the wait of a request whose case is open; nothing when it need not wait.
+    std::optional<core::time_point> held_until(std::uint64_t fingerprint,
+                                               core::time_point now) const;
+
     /// The request has an unexpired crash on its record and was not cleared.
     bool is_suspect(std::uint64_t fingerprint) const;
 
@@ -94,10 +101,17 @@
     void on_finished(std::uint64_t fingerprint, core::upstream_id engine, bool completed,
                      core::time_point now);
 
+    /// The connection of a dispatched request broke: its engine may have crashed, and the word of
+    /// that is still to come.
+    void on_lost(std::uint64_t fingerprint, core::upstream_id engine, core::time_point now);
+
     /// An engine's incarnation crashed with this instance's requests in flight.
     void on_engine_crashed(core::upstream_id engine, core::incarnation started,
                            core::time_point now);
 
+    /// An engine refused a connection: with an attempt just lost there, it crashed.
+    void on_refused(core::upstream_id engine, core::incarnation started, core::time_point now);
+
     /// Another instance's messages.
     void on_crash_report(const crash_report& report, core::time_point now);
     void on_quarantine_notice(const quarantine_notice& notice, core::time_point now);
@@ -138,6 +152,14 @@
         std::vector<std::uint64_t> m_crashes; ///< Numbers of its crashes, oldest first.
     };
 
+    /// Attempt whose connection broke, still counted as in flight.
+    struct lost_attempt
+    {
+        std::uint64_t m_fingerprint = 0; ///< Request.
+        core::upstream_id m_engine{};    ///< Engine.
+        core::time_point m_until{};      ///< Counted as in flight until then.
+    };
+
     /// Quarantine in force.
     struct quarantine
     {
@@ -163,6 +185,8 @@
     void explain(crash& where);
     void forget_members(crash& where);
     void drop_oldest_crash();
+    void drop_in_flight(std::uint64_t fingerprint, core::upstream_id engine);
+    void drop_lost(std::uint64_t fingerprint);
 
     crash_blame_settings m_settings;                       ///< Settings.
     core::instance_id m_self;                              ///< This instance.
@@ -171,6 +195,7 @@
     std::unordered_map<std::uint64_t, suspect> m_suspects; ///< By fingerprint.
     std::unordered_map<std::uint64_t, quarantine> m_quarantines; ///< By fingerprint.
     std::unordered_map<core::upstream_id, std::vector<std::uint64_t>> m_in_flight; ///< By engine.
+    std::deque<lost_attempt> m_lost;            ///< Oldest first.
     std::optional<core::time_point> m_judge_at; ///< When open cases are judged.
     std::vector<crash_report> m_repeats;        ///< Own reports to share a second time.
     std::vector<std::uint64_t> m_cleared;       ///< Cleared suspects to share a second time.
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -90,12 +90,6 @@
     m_deadline = m_arrived + allowed - m_state.m_session.m_answer_margin;
     m_priority = m_workspace != nullptr && m_workspace->m_priority ? *m_workspace->m_priority
                                                                    : m_route->m_priority;
-    if (m_state.m_blame.check(m_request.m_fingerprint, core::upstream_id{}, m_arrived) ==
-        recovery::blame_verdict::quarantined)
-    {
-        refuse(refusal_reason::quarantined);
-        return;
-    }
     if (!take_limit())
     {
         return;
@@ -217,6 +211,10 @@
 void relay_session::dispatch()
 {
     const core::time_point now = core::runtime_clock::now();
+    if (waits_for_blame(now))
+    {
+        return;
+    }
     const auto chosen =
         m_state.m_selector.choose(m_state.m_upstreams, m_state.m_parts, question(), now);
     if (!chosen)
@@ -232,6 +230,40 @@
     send(*chosen);
 }
 
+/// Whether the request may not be sent now, as upstreams crashed that ran it; ends or delays it.
+bool relay_session::waits_for_blame(core::time_point now)
+{
+    const auto verdict = m_state.m_blame.check(m_request.m_fingerprint, core::upstream_id{}, now);
+    if (verdict == recovery::blame_verdict::allowed)
+    {
+        return false;
+    }
+    const auto until = m_state.m_blame.held_until(m_request.m_fingerprint, now);
+    const bool in_time = until && *until < m_deadline;
+    if (verdict == recovery::blame_verdict::hold && in_time)
+    {
+        arm(m_retry_timer, now + m_state.m_session.m_blame_recheck, &relay_session::dispatch);
+        return true;
+    }
+    observe::log("suspected", {{"request", m_request.m_id},
+                               {"fingerprint", m_request.m_fingerprint},
+                               {"quarantined", verdict == recovery::blame_verdict::quarantined}});
+    if (m_answering)
+    {
+        give_up_stream("quarantined");
+    }
+    else if (m_maybe_run > 0)
+    {
+        refuse(refusal_reason::outcome_unknown);
+    }
+    else
+    {
+        refuse(refusal_reason::quarantined,
+               until ? std::make_optional(*until - now) : std::nullopt);
+    }
+    return true;
+}
+
 /// Whether the upstream chosen can serve the request in time; refuses the request otherwise.
 bool relay_session::admit(const selection& chosen)
 {
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -39,10 +39,19 @@
         piped,     ///< A long answer, passed on as it arrives.
     };
 
+    /// How an attempt at an upstream ended.
+    enum class attempt_end
+    {
+        completed, ///< With a whole answer.
+        cut,       ///< Given up here, rejected there, or never connected.
+        lost,      ///< The connection broke: the upstream may have crashed.
+    };
+
     bool authorise();
     bool take_limit();
     void shape_prompt();
     void dispatch();
+    bool waits_for_blame(core::time_point now);
     selection_request question() const;
     bool admit(const selection& chosen);
     void send(const selection& chosen);
@@ -63,7 +72,7 @@
     void note_first_byte();
     void note_version(const answer_head& answer);
     void forward_events();
-    void leave_upstream(bool completed);
+    void leave_upstream(attempt_end how);
     bool may_repeat() const;
     bool repeat_after_error();
     std::optional<core::duration> ask_retry(core::execution execution, std::uint64_t attempts);
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -126,7 +126,7 @@
     {
         return;
     }
-    leave_upstream(true);
+    leave_upstream(attempt_end::completed);
     if (m_mode == answer_mode::buffered)
     {
         m_first_byte_time = core::runtime_clock::now() - m_arrived;
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -24,7 +24,7 @@
     const core::time_point now = core::runtime_clock::now();
     m_current.m_upstream->m_health.on_failure(now);
     ++m_current.m_upstream->m_failed_untold;
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     observe::log("repeated", {{"request", m_request.m_id}, {"status", m_head.result_int()}});
     arm(m_retry_timer, now + *pause, &relay_session::dispatch);
     return true;
@@ -44,8 +44,13 @@
     // Nothing was sent, so any request may go elsewhere.
     const core::time_point now = core::runtime_clock::now();
     m_current.m_upstream->m_health.on_unreachable(now);
+    if (failure.m_fault == net::call_fault::refused)
+    {
+        const upstream_record& at = m_current.m_upstream->m_record;
+        m_state.m_blame.on_refused(at.m_id, at.m_started, now);
+    }
     ++m_current.m_upstream->m_failed_untold;
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     observe::log("unreachable", {{"request", m_request.m_id},
                                  {"upstream", m_current.m_upstream->m_record.m_name},
                                  {"cause", net::to_string(failure.m_fault)}});
@@ -64,7 +69,7 @@
     const core::time_point now = core::runtime_clock::now();
     upstream& at = *m_current.m_upstream;
     ++m_sends;
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     if (now >= at.m_loading_until && !at.m_leaving_since)
     {
         at.m_health.on_failure(now);
@@ -84,7 +89,7 @@
     ++m_maybe_run;
     at.m_health.on_failure(core::runtime_clock::now());
     ++at.m_failed_untold;
-    leave_upstream(false);
+    leave_upstream(attempt_end::lost);
     observe::log("lost", {{"request", m_request.m_id},
                           {"upstream", at.m_record.m_name},
                           {"cause", cause},
@@ -165,7 +170,7 @@
     m_call->cancel();
     ++m_sends;
     ++m_maybe_run;
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     arm(m_retry_timer, now + *pause, &relay_session::dispatch);
 }
 
@@ -180,7 +185,7 @@
     {
         m_call->cancel();
     }
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     if (m_answering)
     {
         give_up_stream("deadline");
@@ -200,7 +205,7 @@
     {
         m_call->cancel();
     }
-    leave_upstream(false);
+    leave_upstream(attempt_end::cut);
     end(0, "client_gone");
 }
 
@@ -239,7 +244,7 @@
 }
 
 /// The present attempt is no load of its upstream any more.
-void relay_session::leave_upstream(bool completed)
+void relay_session::leave_upstream(attempt_end how)
 {
     if (!m_at_upstream)
     {
@@ -251,7 +256,15 @@
     upstream& at = *m_current.m_upstream;
     at.m_load.on_ended(m_current.m_work, m_first_byte);
     const core::time_point now = core::runtime_clock::now();
-    m_state.m_blame.on_finished(m_request.m_fingerprint, at.m_record.m_id, completed, now);
+    const bool completed = how == attempt_end::completed;
+    if (how == attempt_end::lost)
+    {
+        m_state.m_blame.on_lost(m_request.m_fingerprint, at.m_record.m_id, now);
+    }
+    else
+    {
+        m_state.m_blame.on_finished(m_request.m_fingerprint, at.m_record.m_id, completed, now);
+    }
     if (!completed)
     {
         return;
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -59,6 +59,8 @@
     std::uint64_t m_connect_attempts = 4; ///< Upstreams tried until a connection is made.
     std::uint64_t m_send_attempts = 3;    ///< Upstreams that may get one request.
     std::size_t m_buffer_limit_bytes = std::size_t{256} * 1024; ///< Larger answers are streamed.
+    /// Pause between looks at an open case; half of the blame's settling time.
+    std::chrono::milliseconds m_blame_recheck{250};
     std::chrono::milliseconds m_no_upstream_wait{250}; ///< Pause told when no upstream is there.
     std::chrono::milliseconds m_not_ready_wait{500}; ///< Pause told before the first configuration.
 };
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(unknown_keys_and_routes_are_denied);
     CPPUNIT_TEST(lost_answer_of_an_unsafe_request_is_never_called_unrun);
     CPPUNIT_TEST(lost_answer_of_a_safe_request_is_asked_for_elsewhere);
+    CPPUNIT_TEST(request_that_crashes_upstreams_is_refused);
     CPPUNIT_TEST(rejected_request_goes_elsewhere);
     CPPUNIT_TEST(request_rejected_everywhere_is_told_when_to_return);
     CPPUNIT_TEST(answer_to_another_request_is_not_passed_on);
@@ -207,6 +208,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
     }
 
+    void request_that_crashes_upstreams_is_refused()
+    {
+        // Two upstreams break off whatever they are sent, and their registrations lapse later.
+        configure(relay::request_kind::idempotent);
+        add_upstream([](const std::string&) { return reply{"", true}; });
+        add_upstream([](const std::string&) { return reply{"", true}; });
+        CPPUNIT_ASSERT_EQUAL(502U, send(request()).m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_upstreams[1]->m_requests.size());
+        const core::time_point now = core::runtime_clock::now();
+        for (const char* name : {"u1", "u2"})
+        {
+            const auto id = core::id_of<core::upstream_id>(name);
+            m_state->m_blame.on_engine_crashed(id, core::incarnation{0}, now);
+        }
+
+        // Its case is open; a request that shares nothing with it is served.
+        add_upstream([](const std::string&) { return reply{whole("text")}; });
+        const auto again = send(request());
+        CPPUNIT_ASSERT_EQUAL(503U, again.m_response.result_int());
+        CPPUNIT_ASSERT(again.m_response.count("Retry-After") == 1);
+        net::http_request other = request();
+        other.body() = "another question";
+        other.prepare_payload();
+        CPPUNIT_ASSERT_EQUAL(200U, send(std::move(other)).m_response.result_int());
+    }
+
     void rejected_request_goes_elsewhere()
     {
         configure(relay::request_kind::non_idempotent);
