Trace two tests that failed beside load; log what was dropped in silence

The first now starts its stream until it runs, the second waits until every thread has stopped, and that it runs on. Ruled out: late heartbeats as the cause of the first; keys that cannot be vouched for end no stream.

--- a/tarragontrail/recovery/crash_blame.cpp
+++ b/tarragontrail/recovery/crash_blame.cpp
@@ -40,7 +40,17 @@
 {
     // An open case waits for its co-travellers' outcomes before it costs another engine.
     const auto who = m_suspects.find(fingerprint);
-    if (who == m_suspects.end() || who->second.m_crashes.size() < m_settings.m_min_crashes)
+    if (who == m_suspects.end())
+    {
+        return std::nullopt;
+    }
+    const auto counts = [&](std::uint64_t number) {
+        return !has_common_cause(fingerprint, crash_at(number));
+    };
+    const std::vector<std::uint64_t>& crashes = who->second.m_crashes;
+    const auto counting =
+        static_cast<std::uint64_t>(std::count_if(crashes.begin(), crashes.end(), counts));
+    if (counting < m_settings.m_min_crashes)
     {
         return std::nullopt;
     }
--- a/tarragontrail/recovery/crash_blame.hpp
+++ b/tarragontrail/recovery/crash_blame.hpp
@@ -176,6 +176,7 @@
     std::uint64_t needed_crashes(std::uint64_t fingerprint, const suspect& who) const;
     bool has_rival(std::uint64_t fingerprint, const suspect& who) const;
     bool is_evidence(std::uint64_t fingerprint, std::uint64_t number) const;
+    bool has_common_cause(std::uint64_t fingerprint, const crash& own) const;
     bool is_blamed(std::uint64_t fingerprint, const suspect& who) const;
     /// A second copy of each message covers the loss of the first.
     void repeat_messages();
--- a/tarragontrail/recovery/crash_blame_judge.cpp
+++ b/tarragontrail/recovery/crash_blame_judge.cpp
@@ -60,14 +60,19 @@
         return false;
     }
 
-    // Several engines lost at once, without this request, have a cause in common.
+    return !has_common_cause(fingerprint, own);
+}
+
+/// Several engines lost at once, without this request, have a cause in common.
+bool crash_blame::has_common_cause(std::uint64_t fingerprint, const crash& own) const
+{
     const auto at_once = [&](const crash& other) {
         return std::chrono::abs(other.m_seen - own.m_seen) <= m_settings.m_burst_window &&
                !other.m_explained && !other.m_members.contains(fingerprint);
     };
     const auto others =
         static_cast<std::uint64_t>(std::count_if(m_crashes.begin(), m_crashes.end(), at_once));
-    return others < m_settings.m_burst_others;
+    return others >= m_settings.m_burst_others;
 }
 
 bool crash_blame::is_blamed(std::uint64_t fingerprint, const suspect& who) const
--- a/tarragontrail/relay/fleet_exchange.hpp
+++ b/tarragontrail/relay/fleet_exchange.hpp
@@ -20,6 +20,7 @@
     std::chrono::milliseconds m_urgent{60}; ///< Pause between looks at what must be told at once.
     std::chrono::milliseconds m_least_silence{1'000}; ///< A silent instance is down after this.
     std::uint64_t m_pulses_of_silence = 3;            ///< But not before so many words are missing.
+    std::chrono::seconds m_unsent_report{10}; ///< Pause between lines on messages not taken.
 };
 
 /// What the exchange hands on to its owner.
@@ -81,6 +82,9 @@
     wire::instance_pulse describe(core::time_point now);
     wire::region_digest digest(core::time_point now);
     void send_digests();
+    /// Sends to an instance; a message that its link does not take is counted.
+    void send(core::instance_id peer, const wire::message& message);
+    void report_unsent(core::time_point now);
     void schedule_pulse();
     void schedule_digest();
     void schedule_urgent();
@@ -100,6 +104,8 @@
     std::set<std::string> m_regions;     ///< Other regions.
     std::map<core::instance_id, wire::instance_pulse> m_words; ///< Last words of this region.
     std::size_t m_region_size = 1;                             ///< Instances of this region.
+    core::time_point m_unsent_reported{};                      ///< Last report of these.
+    std::map<core::instance_id, std::uint64_t> m_unsent;       ///< Not taken since the last report.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/fleet_member.hpp
+++ b/tarragontrail/relay/fleet_member.hpp
@@ -6,6 +6,9 @@
 
 namespace tarragontrail::relay {
 
+/// Keys of the rows of entry instances begin with this.
+constexpr std::string_view member_prefix = "member/";
+
 /// Entry instance of the fleet, as its row in the platform's store describes it.
 struct fleet_member
 {
--- /dev/null
+++ b/tarragontrail/relay/fleet_service_news.cpp
@@ -0,0 +1,193 @@
+// What other instances and the store tell.
+#include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/relay/fleet_service.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::relay {
+
+void fleet_service::on_message(core::instance_id from, const wire::message& message)
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (const auto* part = std::get_if<wire::part_notice>(&message))
+    {
+        on_part_notice(from, *part);
+    }
+    else if (const auto* notice = std::get_if<wire::weights_notice>(&message))
+    {
+        on_weights_notice(*notice);
+        m_weights.on_progress(now);
+    }
+    else if (const auto* news = std::get_if<wire::rows_news>(&message))
+    {
+        on_rows_news(*news);
+    }
+    else if (const auto* request = std::get_if<wire::rows_request>(&message))
+    {
+        on_rows_request(from, *request);
+    }
+    else if (const auto* answer = std::get_if<wire::rows_answer>(&message))
+    {
+        on_rows_answer(*answer);
+    }
+    else if (const auto* crash = std::get_if<recovery::crash_report>(&message))
+    {
+        m_state.m_blame.on_crash_report(*crash, now);
+    }
+    else if (const auto* quarantine = std::get_if<recovery::quarantine_notice>(&message))
+    {
+        m_state.m_blame.on_quarantine_notice(*quarantine, now);
+    }
+    else if (const auto* cleared = std::get_if<recovery::exoneration_notice>(&message))
+    {
+        m_state.m_blame.on_exoneration_notice(*cleared, now);
+    }
+}
+
+void fleet_service::on_part_notice(core::instance_id from, const wire::part_notice& notice)
+{
+    const cache_store* store = m_state.m_routes ? m_state.m_routes->store() : nullptr;
+    if (store != nullptr && store->m_id == notice.m_engine)
+    {
+        m_state.m_parts.note(notice.m_part, store->m_id, notice.m_tokens,
+                             store->believed_capacity());
+        return;
+    }
+    const auto engine = m_state.m_upstreams.find(notice.m_engine);
+    const service* of = engine && m_state.m_routes
+                            ? m_state.m_routes->find_service(engine->m_record.m_service)
+                            : nullptr;
+    if (of == nullptr || !of->m_engine)
+    {
+        return;
+    }
+    if (notice.m_work.count() > 0)
+    {
+        // Long prompts fill an engine sooner than the regular words tell of it.
+        engine->m_load.on_peer_sent(from, {notice.m_tokens, notice.m_work},
+                                    core::runtime_clock::now());
+    }
+    const double kept = static_cast<double>(of->m_engine->m_capacity_tokens) *
+                        m_state.m_selector.settings().m_cache_share;
+    m_state.m_parts.note(notice.m_part, notice.m_engine, notice.m_tokens,
+                         static_cast<std::uint64_t>(kept));
+}
+
+void fleet_service::on_rows_request(core::instance_id from, const wire::rows_request& request)
+{
+    if (request.m_table >= followed_table_count)
+    {
+        observe::log("peer_request_refused", {{"table", request.m_table}});
+        return;
+    }
+    const table_mirror& mirror = m_followers[request.m_table]->mirror();
+    if (mirror.is_complete())
+    {
+        m_exchange.tell(from, wire::rows_answer{request.m_table, mirror.newest(), mirror.rows()});
+    }
+}
+
+void fleet_service::on_rows_answer(const wire::rows_answer& answer)
+{
+    if (answer.m_table >= followed_table_count)
+    {
+        observe::log("peer_answer_refused", {{"table", answer.m_table}});
+        return;
+    }
+    observe::log("copy_taken", {{"table", to_string(followed_table{answer.m_table})},
+                                {"version", answer.m_version},
+                                {"rows", answer.m_rows.size()}});
+    m_followers[answer.m_table]->take_copy(answer.m_rows, answer.m_version);
+}
+
+void fleet_service::on_rows_news(const wire::rows_news& news)
+{
+    if (news.m_table >= followed_table_count)
+    {
+        observe::log("peer_news_refused", {{"table", news.m_table}});
+        return;
+    }
+    m_followers[news.m_table]->take_news(news.m_rows);
+}
+
+void fleet_service::on_rows(followed_table table, const std::vector<table_row>& rows,
+                            bool from_store)
+{
+    if (from_store && m_reads)
+    {
+        m_exchange.tell_region(wire::rows_news{static_cast<std::uint64_t>(table), rows});
+    }
+    switch (table)
+    {
+    case followed_table::operators:
+        m_documents.on_operator_rows(rows);
+        return;
+    case followed_table::upstreams:
+        m_documents.on_upstream_rows(rows);
+        return;
+    case followed_table::fleet:
+        on_fleet_rows(rows);
+        return;
+    }
+}
+
+void fleet_service::on_weights_notice(const wire::weights_notice& notice)
+{
+    const auto engine = m_state.m_upstreams.find(notice.m_engine);
+    if (!engine)
+    {
+        return;
+    }
+    const core::time_point now = core::runtime_clock::now();
+    engine->m_loading_until =
+        notice.m_loading ? now + m_settings.m_turn_lapse : core::time_point::min();
+    const placement::weights_version version{notice.m_version};
+    if (notice.m_loading || notice.m_version == 0 || engine->version_of(notice.m_model) == version)
+    {
+        return;
+    }
+    engine->set_version(notice.m_model, version);
+    m_state.m_parts.forget(notice.m_engine);
+}
+
+void fleet_service::on_fleet_rows(const std::vector<table_row>& rows)
+{
+    bool members_changed = false;
+    for (const table_row& row : rows)
+    {
+        const bool is_member = row.m_key.starts_with(member_prefix);
+        if (row.m_deleted)
+        {
+            if (is_member)
+            {
+                m_roster.remove(core::instance_id{
+                    std::strtoull(row.m_key.c_str() + member_prefix.size(), nullptr, 10)});
+                members_changed = true;
+            }
+            continue;
+        }
+        try
+        {
+            const wire::message message = wire::decode(row.m_value);
+            if (const auto* entry = std::get_if<wire::member_entry>(&message); entry && is_member)
+            {
+                members_changed |= m_roster.apply(*entry);
+            }
+            else if (const auto* duty = std::get_if<wire::duty_entry>(&message);
+                     duty && row.m_key == weights_duty::row_key)
+            {
+                m_weights.on_row(duty->m_row, row.m_version);
+            }
+        }
+        catch (const wire::decode_error& failure)
+        {
+            observe::log("fleet_row_refused", {{"key", row.m_key}, {"reason", failure.what()}});
+        }
+    }
+    if (members_changed)
+    {
+        m_exchange.update_members();
+    }
+}
+
+} // namespace tarragontrail::relay
--- /dev/null
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -0,0 +1,305 @@
+// Where a request is sent, and when it may not be sent.
+#include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/relay/cache_salt.hpp"
+#include "tarragontrail/relay/log_times.hpp"
+#include "tarragontrail/relay/relay_session.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::relay {
+
+/// Passes the events of one call on to its session, with the attempt that they belong to.
+class relay_session::attempt_listener : public net::call_listener
+{
+public:
+    attempt_listener(std::shared_ptr<relay_session> session, std::uint64_t attempt)
+        : m_session(std::move(session)), m_attempt(attempt)
+    {}
+
+    void on_head(const net::http_response& head) override { m_session->on_head(m_attempt, head); }
+
+    void on_body(std::string_view piece) override { m_session->on_body(m_attempt, piece); }
+
+    void on_complete() override { m_session->on_complete(m_attempt); }
+
+    void on_failed(const net::call_failure& failure) override
+    {
+        m_session->on_failed(m_attempt, failure);
+    }
+
+private:
+    std::shared_ptr<relay_session> m_session; ///< Session.
+    std::uint64_t m_attempt;                  ///< Attempt.
+};
+
+selection_request relay_session::question() const
+{
+    selection_request asked;
+    asked.m_service = &m_service;
+    asked.m_body_bytes = m_request.m_message.body().size();
+    asked.m_tried = &m_tried;
+    if (!m_prompt)
+    {
+        return asked;
+    }
+    asked.m_prompt = &*m_prompt;
+    const auto wanted = m_state.m_wanted.find(m_prompt->m_model);
+    if (wanted != m_state.m_wanted.end())
+    {
+        asked.m_wanted = &wanted->second;
+    }
+    const service* of = m_routes->find_service(m_service);
+    if (of != nullptr && of->m_engine && of->m_engine->m_link_mbps > 0)
+    {
+        const engine_traits& traits = *of->m_engine;
+        asked.m_engine_capacity = traits.m_capacity_tokens;
+        const double token_bits = static_cast<double>(traits.m_token_bytes) * 8.0;
+        asked.m_token_transfer_us = token_bits / traits.m_link_mbps;
+        const cache_store* store = m_routes->store();
+        if (store != nullptr && m_state.m_store_reached && store->m_link_mbps > 0)
+        {
+            asked.m_store = {store, token_bits / std::min(store->m_link_mbps, traits.m_link_mbps)};
+        }
+    }
+    return asked;
+}
+
+void relay_session::dispatch()
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (waits_for_blame(now))
+    {
+        return;
+    }
+    const auto chosen =
+        m_state.m_selector.choose(m_state.m_upstreams, m_state.m_parts, question(), now);
+    if (!chosen)
+    {
+        refuse(m_maybe_run > 0 ? refusal_reason::outcome_unknown : refusal_reason::no_upstream,
+               m_state.m_session.m_no_upstream_wait);
+        return;
+    }
+    if (!admit(*chosen))
+    {
+        return;
+    }
+    send(*chosen);
+}
+
+/// Whether the request may not be sent now, as upstreams crashed that ran it; ends or delays it.
+bool relay_session::waits_for_blame(core::time_point now)
+{
+    const auto verdict = m_state.m_blame.check(m_request.m_fingerprint, core::upstream_id{}, now);
+    if (verdict == recovery::blame_verdict::allowed)
+    {
+        return false;
+    }
+    const auto until = m_state.m_blame.held_until(m_request.m_fingerprint, now);
+    const bool in_time = until && *until < m_deadline;
+    if (verdict == recovery::blame_verdict::hold && in_time)
+    {
+        arm(m_retry_timer, now + m_state.m_session.m_blame_recheck, &relay_session::dispatch);
+        return true;
+    }
+    observe::log("suspected", {{"request", m_request.m_id},
+                               {"fingerprint", m_request.m_fingerprint},
+                               {"quarantined", verdict == recovery::blame_verdict::quarantined}});
+    if (m_answering)
+    {
+        give_up_stream("quarantined");
+    }
+    else if (m_maybe_run > 0)
+    {
+        refuse(refusal_reason::outcome_unknown);
+    }
+    else
+    {
+        refuse(refusal_reason::quarantined,
+               until ? std::make_optional(*until - now) : std::nullopt);
+    }
+    return true;
+}
+
+/// Whether the upstream chosen can serve the request in time; refuses the request otherwise.
+bool relay_session::admit(const selection& chosen)
+{
+    const core::time_point now = core::runtime_clock::now();
+    admission_question asked;
+    asked.m_first_byte = chosen.m_first_byte;
+    asked.m_queued = chosen.m_queued;
+    asked.m_objective = m_route->m_target_latency - (now - m_arrived);
+    asked.m_left = m_deadline - now;
+    asked.m_priority = m_priority;
+    const admission_decision decision = m_state.m_admission.decide(asked);
+    if (const auto* refused = std::get_if<refuse_request>(&decision))
+    {
+        // A request that was sent before has waited already; it goes on.
+        if (m_sends == 0)
+        {
+            observe::log("refused", {{"request", m_request.m_id},
+                                     {"best", chosen.m_upstream->m_record.m_name},
+                                     {"candidates", chosen.m_candidates},
+                                     {"queued_ms", rounded_milliseconds(chosen.m_queued)},
+                                     {"first_byte_ms", rounded_milliseconds(chosen.m_first_byte)},
+                                     {"objective_ms", rounded_milliseconds(asked.m_objective)},
+                                     {"left_ms", rounded_milliseconds(asked.m_left)},
+                                     {"retry_ms", rounded_milliseconds(refused->m_retry_after)}});
+            refuse(refusal_reason::overloaded, refused->m_retry_after);
+            return false;
+        }
+        return true;
+    }
+    m_priority = std::get<admit_request>(decision).m_priority;
+    return true;
+}
+
+std::string relay_session::salt_of(const selection& chosen) const
+{
+    const bool isolated = m_workspace != nullptr && m_workspace->m_isolated;
+    return to_string(
+        cache_salt{*chosen.m_version, isolated ? core::hash_name(m_workspace->m_name) : 0});
+}
+
+upstream_send relay_session::describe(const selection& chosen) const
+{
+    upstream_send send;
+    send.m_upstream = &chosen.m_upstream->m_record;
+    send.m_time_left = whole_milliseconds(m_deadline - core::runtime_clock::now());
+    if (m_workspace != nullptr)
+    {
+        send.m_workspace = m_workspace->m_name;
+    }
+    send.m_resume_after = m_last_event;
+    if (!chosen.m_version)
+    {
+        return send;
+    }
+    send.m_priority = m_priority;
+    send.m_version = chosen.m_version;
+    send.m_cache_salt = salt_of(chosen);
+    if (chosen.m_fetch_from)
+    {
+        send.m_fetch_from = chosen.m_fetch_from->m_record.m_endpoint;
+    }
+    const cache_store* store = m_routes->store();
+    if (store != nullptr && chosen.m_fetch_from_store)
+    {
+        send.m_fetch_from = store->m_endpoint;
+    }
+    if (store != nullptr && chosen.m_save_to_store)
+    {
+        send.m_save_to = store->m_endpoint;
+    }
+    return send;
+}
+
+void relay_session::send(const selection& chosen)
+{
+    m_current = chosen;
+    m_sent = core::runtime_clock::now();
+    m_mode = answer_mode::none;
+    m_first_byte = false;
+    m_body.clear();
+    m_framer.clear();
+    const std::uint64_t attempt = ++m_attempt;
+    const upstream_record& record = chosen.m_upstream->m_record;
+    m_tried.push_back(record.m_id);
+    chosen.m_upstream->m_load.on_sent(chosen.m_work);
+    m_at_upstream = true;
+    m_state.m_blame.on_dispatched(m_request.m_fingerprint, record.m_id);
+    if (m_sends == 0)
+    {
+        m_state.budget_of(m_service).on_request();
+    }
+    note_parts(chosen);
+
+    const load_sum load = chosen.m_upstream->m_load.total(m_sent);
+    observe::log(
+        "routed",
+        {{"request", m_request.m_id},
+         {"route", m_route->m_name},
+         {"config", m_routes->config().m_version},
+         {"attempt", attempt},
+         {"upstream", record.m_name},
+         {"candidates", chosen.m_candidates},
+         {"in_flight", load.m_in_flight},
+         {"queued_ms", rounded_milliseconds(chosen.m_queued)},
+         {"first_byte_ms", rounded_milliseconds(chosen.m_first_byte)},
+         {"part", m_prompt && !m_prompt->m_shared.empty()
+                      ? fmt::format("{:08x}", m_prompt->m_shared.back() & 0xffffffffU)
+                      : std::string("none")},
+         {"tokens", chosen.m_work.m_tokens},
+         {"cached", chosen.m_cached_tokens},
+         {"fetch", chosen.m_fetch_from ? chosen.m_fetch_from->m_record.m_name
+                                       : std::string(chosen.m_fetch_from_store ? "store" : "none")},
+         {"save", chosen.m_save_to_store},
+         {"weights", chosen.m_version ? static_cast<std::uint64_t>(*chosen.m_version) : 0},
+         {"priority", m_priority}});
+    m_state.m_metrics.count_decision(
+        chosen.m_fetch_from ? "fetch" : (chosen.m_cached_tokens > 0 ? "cached" : "plain"));
+
+    net::call_settings timing;
+    const std::chrono::milliseconds time_left = whole_milliseconds(left());
+    timing.m_connect_timeout = std::min(m_state.m_session.m_connect_timeout, time_left);
+    // The request's own deadline comes first.
+    timing.m_first_byte_timeout = time_left + m_state.m_session.m_connect_timeout;
+    timing.m_idle_timeout = timing.m_first_byte_timeout;
+    timing.m_reuse_limit =
+        may_repeat() ? m_state.m_session.m_reuse_limit : m_state.m_session.m_unsafe_reuse_limit;
+    m_call = m_state.m_client.start(
+        record.m_endpoint, m_state.m_codec.encode(m_request, describe(chosen)), timing,
+        std::make_shared<attempt_listener>(shared_from_this(), attempt));
+
+    const auto factor =
+        std::chrono::duration<double>(chosen.m_first_byte) * m_state.m_session.m_overdue_factor;
+    const auto objective = std::chrono::duration<double>(m_route->m_target_latency) *
+                           m_state.m_session.m_overdue_objective;
+    const auto overdue = std::chrono::duration_cast<core::duration>(std::max(factor, objective));
+    arm(m_overdue_timer, m_sent + overdue, &relay_session::on_overdue);
+}
+
+/// The engine will hold the request's shared parts from now on, here and at the other instances.
+void relay_session::note_parts(const selection& chosen)
+{
+    if (!m_prompt || !chosen.m_version)
+    {
+        return;
+    }
+    const upstream_selector_settings& settings = m_state.m_selector.settings();
+    const core::upstream_id engine = chosen.m_upstream->m_record.m_id;
+    const service* of = m_routes->find_service(m_service);
+    const std::uint64_t capacity =
+        of != nullptr && of->m_engine ? of->m_engine->m_capacity_tokens : 0;
+    const auto kept =
+        static_cast<std::uint64_t>(static_cast<double>(capacity) * settings.m_cache_share);
+    for (std::size_t i = 0; i < m_prompt->m_shared.size(); ++i)
+    {
+        const std::uint64_t tokens = m_prompt->m_shared_tokens[i];
+        if (tokens < settings.m_least_shared_tokens)
+        {
+            continue;
+        }
+        const part_key part = upstream_selector::key_of(m_prompt->m_shared[i], *chosen.m_version);
+        m_state.m_parts.note(part, engine, tokens, kept);
+        // Also when the engine has it already: the others must know that it was used.
+        if (m_state.m_announcer != nullptr)
+        {
+            const bool is_last = i + 1 == m_prompt->m_shared.size();
+            m_state.m_announcer->announce_part(
+                {part, engine, tokens,
+                 is_last ? chosen.m_work.m_before_first_byte : core::duration::zero()});
+        }
+        const cache_store* store = m_routes->store();
+        if (store == nullptr || !(chosen.m_save_to_store || chosen.m_fetch_from_store))
+        {
+            continue;
+        }
+        m_state.m_parts.note(part, store->m_id, tokens, store->believed_capacity());
+        if (m_state.m_announcer != nullptr)
+        {
+            m_state.m_announcer->announce_part({part, store->m_id, tokens, {}});
+        }
+    }
+}
+
+} // namespace tarragontrail::relay
--- a/tarragontrail/relay/upstream_selector.cpp
+++ b/tarragontrail/relay/upstream_selector.cpp
@@ -34,33 +34,6 @@
 
 } // namespace
 
-bool wanted_weights::name(placement::weights_version version, core::time_point now)
-{
-    if (version <= newest())
-    {
-        return false;
-    }
-    m_named.push_back({version, now});
-    if (m_named.size() > most_kept)
-    {
-        m_named.erase(m_named.begin());
-    }
-    return true;
-}
-
-std::optional<core::time_point>
-wanted_weights::stale_since(placement::weights_version version) const
-{
-    for (const named_version& named : m_named)
-    {
-        if (named.m_version > version)
-        {
-            return named.m_at;
-        }
-    }
-    return std::nullopt;
-}
-
 upstream_selector::upstream_selector(upstream_selector_settings settings, locality here,
                                      std::uint64_t seed)
     : m_settings(settings), m_here(std::move(here)), m_random(seed)
@@ -406,8 +379,9 @@
     const std::uint64_t own_score = score(candidate);
     for (const auto& other : table.of_service(*request.m_service))
     {
-        if (other->m_record.m_region == m_here.m_region && !other->m_leaving_since &&
-            score(*other) > own_score)
+        const bool may_own = other->m_record.m_region == m_here.m_region &&
+                             !other->m_leaving_since;
+        if (may_own && score(*other) > own_score)
         {
             return false;
         }
--- a/unit_tests/main.cpp
+++ b/unit_tests/main.cpp
@@ -1,4 +1,5 @@
-// Runs the CppUnit suite named by the first argument and closes on a count line.
+// Runs the CppUnit suite named by the first argument, or one test of it (`SUITE KNOWN_RED TEST`),
+// and closes on a count line.
 #include <cppunit/TestFailure.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
@@ -45,7 +46,9 @@
     CppUnit::TestResult result;
     CppUnit::TestResultCollector collector;
     result.addListener(&collector);
-    CppUnit::TestFactoryRegistry::getRegistry(suite).makeTest()->run(&result);
+    CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry(suite).makeTest();
+    CppUnit::Test* chosen = argc > 3 ? all->findTest(argv[3]) : all;
+    chosen->run(&result);
     CppUnit::TextOutputter(&collector, std::cerr).write();
 
     // Failures that are listed as known are printed and counted apart.
--- a/unit_tests/processes/contention_test.cpp
+++ b/unit_tests/processes/contention_test.cpp
@@ -136,10 +136,13 @@
             std::to_string(admitted * charge) + " tokens, refused " + std::to_string(refused);
         // Each of the three shares may end with less than one charge left.
         CPPUNIT_ASSERT_MESSAGE(counts, (admitted + instances) * charge >= rate * 6);
-        for (const auto& each : others)
+        finish(others);
+        for (std::size_t i = 0; i < others.size(); ++i)
         {
-            m_fleet->run_until([&] { return each->m_ended; });
-            CPPUNIT_ASSERT_MESSAGE(test::seen(*each), test::is_complete(*each));
+            const std::string message = "number " + std::to_string(i) + " of " +
+                                        std::to_string(others.size()) + ": " +
+                                        test::seen(*others[i]);
+            CPPUNIT_ASSERT_MESSAGE(message, test::is_complete(*others[i]));
         }
     }
 };
--- a/unit_tests/processes/failure_test.cpp
+++ b/unit_tests/processes/failure_test.cpp
@@ -1,5 +1,5 @@
 #include "tarragontrail/config/key_digest.hpp"
-#include "unit_tests/processes/process_fleet.hpp"
+#include "unit_tests/processes/fleet_fixture.hpp"
 
 #include <algorithm>
 #include <cppunit/TestAssert.h>
@@ -58,6 +58,24 @@
         return answer;
     }
 
+    /// Starts a stream, again while it is refused for the moment, until its first piece came.
+    std::shared_ptr<test::process_answer> start_running(std::size_t entry, const std::string& body)
+    {
+        for (int i = 0; i < 40; ++i)
+        {
+            const auto stream =
+                m_fleet->start("POST", m_fleet->entry(entry), completions, body, court);
+            m_fleet->run_until([&] { return stream->m_ended || !stream->m_body.empty(); });
+            if (stream->m_status != 429 && stream->m_status != 503)
+            {
+                return stream;
+            }
+            m_fleet->run_for(250ms);
+        }
+        CPPUNIT_FAIL("the stream was refused 40 times");
+        return nullptr;
+    }
+
     std::string reference(const std::string& body)
     {
         const test::process_answer answer = ask(0, body);
@@ -143,10 +161,8 @@
         const auto second_key = with({}, "Authorization", "Bearer tt-court-2");
 
         // A stream of the key runs at another instance while the table is down.
-        bool running = false;
-        const auto stream = m_fleet->start("POST", m_fleet->entry(2), completions, body, court,
-                                           [&](const std::string&) { running = true; });
-        m_fleet->run_until([&] { return running; });
+        const auto stream = start_running(2, body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(test::seen(*stream), 200U, stream->m_status);
         faults(m_fleet->platform(), R"({"table_down":true})");
         const std::string digest =
             "{\"digest\":\"" + config::to_hex(config::sha256("tt-court-1")) + "\"}";
@@ -158,8 +174,9 @@
         // The running stream ends with an error, and no instance takes the key any more.
         m_fleet->run_until([&] { return stream->m_whole; }, 15s);
         const test::streamed_text ended = test::read_stream(stream->m_body);
-        CPPUNIT_ASSERT(!ended.m_has_end);
-        CPPUNIT_ASSERT(ended.m_error.find("key_withdrawn") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(test::seen(*stream), !ended.m_has_end);
+        CPPUNIT_ASSERT_MESSAGE(test::seen(*stream),
+                               ended.m_error.find("key_withdrawn") != std::string::npos);
         for (std::size_t i = 0; i < 3; ++i)
         {
             m_fleet->run_until([&, i] {
--- a/unit_tests/processes/fleet_fixture.cpp
+++ b/unit_tests/processes/fleet_fixture.cpp
@@ -22,7 +22,8 @@
 std::string seen(const process_answer& answer)
 {
     const std::size_t tail = answer.m_body.size() > 400 ? answer.m_body.size() - 400 : 0;
-    return std::to_string(answer.m_status) + (answer.m_whole ? " whole " : " cut ") +
+    return std::to_string(answer.m_status) +
+           (answer.m_whole ? " whole " : " cut (" + answer.m_failure + ") ") +
            answer.m_body.substr(tail);
 }
 
--- a/unit_tests/processes/partition_test.cpp
+++ b/unit_tests/processes/partition_test.cpp
@@ -86,7 +86,7 @@
                 answer = order(entry, key);
                 return answer.m_status != 409 && answer.m_status != 429 && answer.m_status != 503;
             },
-            10s);
+            10s, [&] { return "order " + key + " done, last " + test::seen(answer); });
         return answer;
     }
 
@@ -100,7 +100,7 @@
 
         // Calls wait at the paused instance whose keys run elsewhere meanwhile.
         const auto end = clock_type::now() + 8s;
-        m_fleet->signal("entry-2", SIGSTOP);
+        m_fleet->pause("entry-2");
         answers waiting;
         for (int i = 0; i < 4; ++i)
         {
@@ -115,19 +115,25 @@
         CPPUNIT_ASSERT(!is_located(0, paused));
 
         // After it wakes it takes the withdrawn key no more, and runs nothing again.
-        m_fleet->signal("entry-2", SIGCONT);
+        m_fleet->resume("entry-2");
         const auto woken = clock_type::now();
         bool refused = false;
+        std::string last;
         m_fleet->run_until(
             [&] {
                 const auto begun = clock_type::now();
                 const auto answer = complete(paused, brief, m_second_court);
                 CPPUNIT_ASSERT_MESSAGE(test::seen(answer),
                                        answer.m_status != 200 || begun < woken + 3s);
+                last = test::seen(answer);
                 refused = refused || answer.m_status == 401;
                 return refused && clock_type::now() > woken + 4s;
             },
-            15s);
+            15s,
+            [&] {
+                return "the withdrawn key refused at the woken instance, " +
+                       m_fleet->state("entry-2") + ", last " + last;
+            });
         finish(waiting);
         for (int i = 0; i < 4; ++i)
         {
@@ -137,7 +143,8 @@
             CPPUNIT_ASSERT_EQUAL(retried_order(0, key).m_body, there.m_body);
         }
         expect_single_executions(static_cast<std::uint64_t>(sent));
-        m_fleet->run_until([&] { return is_located(0, paused) && is_located(2, paused); }, 15s);
+        m_fleet->run_until([&] { return is_located(0, paused) && is_located(2, paused); }, 15s,
+                           [] { return "the woken instance among those of the others"; });
         CPPUNIT_ASSERT(test::is_complete(ask(paused, brief, m_court)));
     }
 
--- a/unit_tests/processes/process_fleet.cpp
+++ b/unit_tests/processes/process_fleet.cpp
@@ -1,9 +1,12 @@
 #include "unit_tests/processes/process_fleet.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cppunit/TestAssert.h>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fmt/core.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <spawn.h>
@@ -47,8 +50,10 @@
         *m_done = true;
     }
 
-    void on_failed(const net::call_failure& /*failure*/) override
+    void on_failed(const net::call_failure& failure) override
     {
+        m_answer->m_failure = fmt::format("{} in stage {}", net::to_string(failure.m_fault),
+                                          static_cast<int>(failure.m_stage));
         m_answer->m_ended = true;
         *m_done = true;
     }
@@ -72,6 +77,21 @@
     return request;
 }
 
+/// State of a thread: the letter behind its name, which ends with the last bracket.
+char state_of(const std::filesystem::directory_entry& task)
+{
+    std::ifstream file(task.path() / "stat");
+    std::string line;
+    std::getline(file, line);
+    const std::size_t bracket = line.rfind(')');
+    return bracket != std::string::npos && line.size() > bracket + 2 ? line[bracket + 2] : '?';
+}
+
+bool is_stopped(const std::filesystem::directory_entry& task)
+{
+    return state_of(task) == 'T';
+}
+
 } // namespace
 
 process_fleet::process_fleet(const std::string& sample, const std::vector<std::string>& flags)
@@ -139,17 +159,71 @@
     return items;
 }
 
-void process_fleet::signal(const std::string& name, int number) const
+pid_t process_fleet::process_id(const std::string& name) const
 {
     for (const std::string& item : list("TT_PIDS"))
     {
         if (item.rfind(name + "=", 0) == 0)
         {
-            kill(std::stoi(item.substr(name.size() + 1)), number);
-            return;
+            return std::stoi(item.substr(name.size() + 1));
         }
     }
     CPPUNIT_FAIL("no process " + name);
+    return 0;
+}
+
+void process_fleet::signal(const std::string& name, int number) const
+{
+    kill(process_id(name), number);
+}
+
+std::filesystem::directory_iterator process_fleet::threads(const std::string& name) const
+{
+    return std::filesystem::directory_iterator("/proc/" + std::to_string(process_id(name)) +
+                                               "/task");
+}
+
+std::string process_fleet::state(const std::string& name) const
+{
+    std::string states;
+    for (const auto& task : threads(name))
+    {
+        states += state_of(task);
+    }
+    return states;
+}
+
+void process_fleet::pause(const std::string& name)
+{
+    signal(name, SIGSTOP);
+    run_until(
+        [&] {
+            const auto all = threads(name);
+            return std::all_of(begin(all), end(all), is_stopped);
+        },
+        std::chrono::seconds(30), [&] { return "every thread of " + name + " stopped"; });
+}
+
+void process_fleet::resume(const std::string& name)
+{
+    int sent = 0;
+    run_until(
+        [&] {
+            const auto all = threads(name);
+            if (sent > 0 && std::none_of(begin(all), end(all), is_stopped))
+            {
+                return true;
+            }
+            signal(name, SIGCONT);
+            ++sent;
+            run_for(std::chrono::milliseconds(50));
+            return false;
+        },
+        std::chrono::seconds(30), [&] { return "no thread of " + name + " stopped"; });
+    if (sent > 1)
+    {
+        fmt::print("process_fleet: {} ran on after {} signals\n", name, sent);
+    }
 }
 
 std::string process_fleet::log(const std::string& name) const
@@ -191,7 +265,8 @@
 }
 
 void process_fleet::run_until(const std::function<bool()>& condition,
-                              std::chrono::milliseconds limit)
+                              std::chrono::milliseconds limit,
+                              const std::function<std::string()>& awaited)
 {
     const auto give_up = std::chrono::steady_clock::now() + limit;
     m_context.restart();
@@ -203,7 +278,11 @@
         }
         m_context.run_one_for(std::chrono::milliseconds(20));
     }
-    CPPUNIT_ASSERT_MESSAGE("the condition did not come about in time", condition());
+    if (!condition())
+    {
+        CPPUNIT_FAIL("the condition did not come about in time" +
+                     (awaited ? ": " + awaited() : std::string()));
+    }
 }
 
 void process_fleet::run_for(std::chrono::milliseconds time)
--- a/unit_tests/processes/process_fleet.hpp
+++ b/unit_tests/processes/process_fleet.hpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/net/http_client.hpp"
 
 #include <chrono>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
     bool m_whole = false;   ///< The response ended as HTTP says.
     bool m_ended = false;   ///< It ended, whole or not.
     std::string m_replayed; ///< Idempotent-Replayed header.
+    std::string m_failure;  ///< Stage and fault of a call that did not end as HTTP says.
 };
 
 /// Text of a streamed completion and how far it came.
@@ -54,6 +56,16 @@
     /// Sends a signal to a process of the deployment by its name.
     void signal(const std::string& name, int number) const;
 
+    /// Stops a process and waits until all of its threads have stopped: on a busy machine a thread
+    /// may run on for a while after the signal was sent.
+    void pause(const std::string& name);
+
+    /// Lets a paused process run on, and waits until none of its threads is stopped any more.
+    void resume(const std::string& name);
+
+    /// States of a process's threads as the kernel gives them, one letter each.
+    std::string state(const std::string& name) const;
+
     /// Log of a process.
     std::string log(const std::string& name) const;
 
@@ -69,15 +81,20 @@
                                           const std::map<std::string, std::string>& headers,
                                           std::function<void(const std::string&)> on_piece = {});
 
-    /// Runs calls until a condition holds; fails the test when it does not in time.
+    /// Runs calls until a condition holds; fails the test, naming what was awaited, when it does
+    /// not in time.
     void run_until(const std::function<bool()>& condition,
-                   std::chrono::milliseconds limit = std::chrono::seconds(30));
+                   std::chrono::milliseconds limit = std::chrono::seconds(30),
+                   const std::function<std::string()>& awaited = {});
 
     /// Lets calls run for a time.
     void run_for(std::chrono::milliseconds time);
 
 private:
     std::vector<std::string> list(const std::string& name) const;
+    pid_t process_id(const std::string& name) const;
+    /// Threads of a process, as the kernel lists them.
+    std::filesystem::directory_iterator threads(const std::string& name) const;
 
     boost::asio::io_context m_context;              ///< Loop of the test's own calls.
     net::http_client m_client;                      ///< Connections of the test.
--- a/unit_tests/recovery/crash_blame_test.cpp
+++ b/unit_tests/recovery/crash_blame_test.cpp
@@ -284,6 +284,7 @@
     CPPUNIT_TEST(poison_is_found_from_late_news);
     CPPUNIT_TEST(attempt_lost_before_a_whole_run_blames_nobody);
     CPPUNIT_TEST(refused_connection_after_a_loss_is_a_crash);
+    CPPUNIT_TEST(engines_lost_at_once_hold_nobody_back);
     CPPUNIT_TEST(operator_clears_a_quarantine_everywhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -327,6 +328,24 @@
         CPPUNIT_ASSERT(!blame.is_suspect(6));
     }
 
+    void engines_lost_at_once_hold_nobody_back()
+    {
+        // The request was lost at two of six engines that went dark together.
+        const core::time_point now{};
+        crash_blame blame({}, core::instance_id{1});
+        for (std::uint64_t engine = 1; engine <= 2; ++engine)
+        {
+            blame.on_dispatched(5, core::upstream_id{engine});
+            blame.on_lost(5, core::upstream_id{engine}, now);
+        }
+        for (std::uint64_t engine = 1; engine <= 6; ++engine)
+        {
+            blame.on_engine_crashed(core::upstream_id{engine}, core::incarnation{1}, now + 3s);
+        }
+        CPPUNIT_ASSERT(blame.is_suspect(5));
+        CPPUNIT_ASSERT(blame.check(5, core::upstream_id{7}, now + 3s) == blame_verdict::allowed);
+    }
+
     void operator_clears_a_quarantine_everywhere()
     {
         const core::time_point now{};
