--- a/tarragontrail/relay/upstream_selector.cpp
+++ b/tarragontrail/relay/upstream_selector.cpp
@@ -379,8 +379,7 @@
     const std::uint64_t own_score = score(candidate);
     for (const auto& other : table.of_service(*request.m_service))
     {
-        const bool may_own = other->m_record.m_region == m_here.m_region &&
-                             !other->m_leaving_since;
+        const bool may_own = other->m_record.m_region == m_here.m_region && !other->m_leaving_since;
         if (may_own && score(*other) > own_score)
         {
             return false;
