Take late in a drain only what it can finish

Cause: a leaving instance took every request for 0.7 of its grace period. From 3 s after SIGTERM on, by when callers have learned of it, a request whose deadline lies behind the drain's end is now refused at once and may go elsewhere. Ruled out: a slow end of the process (it gave up 0.6 s before the end of the period, as built).

--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -65,6 +65,11 @@
     m_deadline = m_arrived + allowed - m_state.m_session.m_answer_margin;
     m_priority = m_workspace != nullptr && m_workspace->m_priority ? *m_workspace->m_priority
                                                                    : m_route->m_priority;
+    if (m_state.m_drain && !m_state.m_drain->admits(m_arrived, m_deadline))
+    {
+        refuse(refusal_reason::leaving, core::duration::zero());
+        return;
+    }
     if (!take_limit())
     {
         return;
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -7,6 +7,7 @@
 #include "tarragontrail/recovery/crash_blame.hpp"
 #include "tarragontrail/recovery/retry_budget.hpp"
 #include "tarragontrail/relay/admission_policy.hpp"
+#include "tarragontrail/relay/drain_window.hpp"
 #include "tarragontrail/relay/route_table.hpp"
 #include "tarragontrail/relay/upstream_selector.hpp"
 #include "tarragontrail/relay/wire_codec.hpp"
@@ -94,6 +95,7 @@
     recovery::retry_budget_settings m_budget_settings; ///< Of each service.
     std::map<std::string, recovery::retry_budget> m_budgets; ///< By service.
     std::uint64_t m_instances = 1;                           ///< Live instances of the fleet.
+    std::optional<drain_window> m_drain;                     ///< Set once this instance leaves.
     std::map<std::string, wanted_weights> m_wanted; ///< Weights that operators named, by model.
     std::set<std::shared_ptr<relay_session>> m_sessions; ///< Requests under way.
     bool m_store_reached = false;                        ///< The store of cached parts answers.
--- a/tarragontrail/relay/wire_codec.cpp
+++ b/tarragontrail/relay/wire_codec.cpp
@@ -20,6 +20,8 @@
         return "overloaded";
     case refusal_reason::no_upstream:
         return "no_upstream";
+    case refusal_reason::leaving:
+        return "leaving";
     case refusal_reason::quarantined:
         return "quarantined";
     case refusal_reason::not_run_in_time:
@@ -40,6 +42,7 @@
     case refusal_reason::over_limit:
     case refusal_reason::overloaded:
     case refusal_reason::no_upstream:
+    case refusal_reason::leaving:
     case refusal_reason::quarantined:
     case refusal_reason::not_run_in_time:
         return true;
--- a/tarragontrail/relay/wire_codec.hpp
+++ b/tarragontrail/relay/wire_codec.hpp
@@ -45,6 +45,7 @@
     over_limit,      ///< The workspace's rate and burst are used up.
     overloaded,      ///< It cannot be served in time.
     no_upstream,     ///< No upstream may take it now.
+    leaving,         ///< This instance ends before it could be served.
     quarantined,     ///< It crashed the upstreams that ran it.
     not_run_in_time, ///< Its time is over and it was not run.
     outcome_unknown, ///< It was sent, and its answer was lost.
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(lost_answer_of_an_unsafe_request_is_never_called_unrun);
     CPPUNIT_TEST(lost_answer_of_a_safe_request_is_asked_for_elsewhere);
     CPPUNIT_TEST(request_that_crashes_upstreams_is_refused);
+    CPPUNIT_TEST(request_that_may_outlast_a_drain_is_refused);
     CPPUNIT_TEST(rejected_request_goes_elsewhere);
     CPPUNIT_TEST(request_rejected_everywhere_is_told_when_to_return);
     CPPUNIT_TEST(answer_to_another_request_is_not_passed_on);
@@ -234,6 +235,23 @@
         CPPUNIT_ASSERT_EQUAL(200U, send(std::move(other)).m_response.result_int());
     }
 
+    void request_that_may_outlast_a_drain_is_refused()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) { return reply{whole("text")}; });
+        const core::time_point now = core::runtime_clock::now();
+        // The route's timeout is 900 ms.
+        m_state->m_drain = relay::drain_window{now + 60s, now + 61s};
+        CPPUNIT_ASSERT_EQUAL(200U, send(request()).m_response.result_int());
+        m_state->m_drain = relay::drain_window{now - 1s, now + 500ms};
+        const auto refused = send(request());
+        CPPUNIT_ASSERT_EQUAL(503U, refused.m_response.result_int());
+        CPPUNIT_ASSERT(refused.m_response.count("Retry-After") == 1);
+        m_state->m_drain = relay::drain_window{now - 1s, now + 60s};
+        CPPUNIT_ASSERT_EQUAL(200U, send(request()).m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_upstreams.front()->m_requests.size());
+    }
+
     void rejected_request_goes_elsewhere()
     {
         configure(relay::request_kind::non_idempotent);
