--- a/unit_tests/processes/failure_test.cpp
+++ b/unit_tests/processes/failure_test.cpp
@@ -63,8 +63,7 @@
     {
         for (int i = 0; i < 40; ++i)
         {
-            const auto stream =
-                m_fleet->start("POST", m_fleet->entry(entry), completions, body, court);
+            auto stream = m_fleet->start("POST", m_fleet->entry(entry), completions, body, court);
             m_fleet->run_until([&] { return stream->m_ended || !stream->m_body.empty(); });
             if (stream->m_status != 429 && stream->m_status != 503)
             {
