End a request without an upstream in one place

Cause: five places said what becomes of a request that no upstream will answer. Two of them, no candidate left and no connection made, did not ask whether an answer had begun: a broken stream was cut only as its connection object was destroyed, and log and metrics told of a 502 or 503 that never went out. Ruled out: a caller left waiting; the old code also broke the connection, at once. Conclusion: end_unserved decides for all but the deadline. A 502 from these two places carries no Retry-After any more, as none did from the others.

--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -79,6 +79,7 @@
     void retry_or_end(core::execution execution, refusal_reason reason);
     void arm(net::timer& timer, core::time_point at, void (relay_session::*handler)());
     void refuse(refusal_reason reason, std::optional<core::duration> retry_after = std::nullopt);
+    void end_unserved(refusal_reason reason, std::optional<core::duration> retry_after);
     void give_up_stream(const char* cause);
     void end(unsigned status, const char* outcome);
     core::duration left() const;
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -56,8 +56,7 @@
                                  {"cause", net::to_string(failure.m_fault)}});
     if (++m_connect_failures >= m_state.m_session.m_connect_attempts)
     {
-        refuse(m_maybe_run > 0 ? refusal_reason::outcome_unknown : refusal_reason::no_upstream,
-               m_state.m_session.m_no_upstream_wait);
+        end_unserved(refusal_reason::no_upstream, m_state.m_session.m_no_upstream_wait);
         return;
     }
     dispatch();
@@ -115,6 +114,12 @@
         }
     }
 
+    end_unserved(reason, m_state.m_admission.retry_after(m_current.m_queued, left()));
+}
+
+/// No upstream will answer: breaks an answer off that has begun, else says what is known.
+void relay_session::end_unserved(refusal_reason reason, std::optional<core::duration> retry_after)
+{
     if (m_answering)
     {
         give_up_stream("no_retry");
@@ -125,7 +130,7 @@
         refuse(refusal_reason::outcome_unknown);
         return;
     }
-    refuse(reason, m_state.m_admission.retry_after(m_current.m_queued, left()));
+    refuse(reason, retry_after);
 }
 
 /// Takes a retry from the fleet's budget; returns the pause before it, or nothing.
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -75,8 +75,7 @@
         m_state.m_selector.choose(m_state.m_upstreams, m_state.m_parts, question(), now);
     if (!chosen)
     {
-        refuse(m_maybe_run > 0 ? refusal_reason::outcome_unknown : refusal_reason::no_upstream,
-               m_state.m_session.m_no_upstream_wait);
+        end_unserved(refusal_reason::no_upstream, m_state.m_session.m_no_upstream_wait);
         return;
     }
     if (!admit(*chosen))
@@ -104,19 +103,8 @@
     observe::log("suspected", {{"request", m_request.m_id},
                                {"fingerprint", m_request.m_fingerprint},
                                {"quarantined", verdict == recovery::blame_verdict::quarantined}});
-    if (m_answering)
-    {
-        give_up_stream("quarantined");
-    }
-    else if (m_maybe_run > 0)
-    {
-        refuse(refusal_reason::outcome_unknown);
-    }
-    else
-    {
-        refuse(refusal_reason::quarantined,
-               until ? std::make_optional(*until - now) : std::nullopt);
-    }
+    end_unserved(refusal_reason::quarantined,
+                 until ? std::make_optional(*until - now) : std::nullopt);
     return true;
 }
 
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <prometheus/text_serializer.h>
 
 using namespace tarragontrail;
 using namespace std::chrono_literals;
@@ -63,6 +64,7 @@
     CPPUNIT_TEST(answer_to_another_request_is_not_passed_on);
     CPPUNIT_TEST(broken_stream_does_not_look_complete);
     CPPUNIT_TEST(resumable_stream_goes_on_after_its_last_event);
+    CPPUNIT_TEST(resumable_stream_that_cannot_go_on_is_broken_off);
     CPPUNIT_TEST(upstream_is_told_when_the_caller_leaves);
     CPPUNIT_TEST(silence_until_the_timeout_ends_with_an_answer);
     CPPUNIT_TEST(early_answer_to_a_long_body_ends_the_connection);
@@ -304,6 +306,22 @@
         CPPUNIT_ASSERT(head.find("Last-Event-Id: 2\r\n") != std::string::npos);
     }
 
+    void resumable_stream_that_cannot_go_on_is_broken_off()
+    {
+        configure(relay::request_kind::stream, true);
+        add_upstream([](const std::string&) { return reply{events(1, 2), true}; });
+        add_upstream([](const std::string&) { return reply{}; });
+        m_upstreams.back()->stop();
+        m_state->m_session.m_connect_attempts = 1;
+        CPPUNIT_ASSERT(!send(request()).m_ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_relay->in_flight());
+        // What the log and the metrics say is what the caller saw: no status went out.
+        const auto counted =
+            prometheus::TextSerializer().Serialize(m_state->m_metrics.registry()->Collect());
+        CPPUNIT_ASSERT(counted.find("no_upstream") == std::string::npos);
+        CPPUNIT_ASSERT(counted.find("outcome_unknown") == std::string::npos);
+    }
+
     void upstream_is_told_when_the_caller_leaves()
     {
         configure(relay::request_kind::idempotent);
--- a/unit_tests/platform/scripted_upstream.hpp
+++ b/unit_tests/platform/scripted_upstream.hpp
@@ -34,6 +34,9 @@
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
+    /// Refuses connections from now on.
+    void stop() { m_acceptor.close(); }
+
     std::vector<std::string> m_requests; ///< Heads of the requests that arrived.
     int m_connections = 0;               ///< Connections accepted.
     int m_closed_by_client = 0;          ///< Connections that the other side closed.
