--- a/stand_ins/http_support.cpp
+++ b/stand_ins/http_support.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/http_support.hpp"
 
+#include "tarragontrail/core/number_text.hpp"
 #include "tarragontrail/net/timer.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -46,14 +47,12 @@
 
 std::uint64_t parse_number(std::string_view text)
 {
-    std::uint64_t value = 0;
-    const char* last = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), last, value);
-    if (text.empty() || result.ec != std::errc() || result.ptr != last)
+    const auto value = core::read_number(text);
+    if (!value)
     {
         throw bad_request("not a number: " + std::string(text));
     }
-    return value;
+    return *value;
 }
 
 nlohmann::json parse_body(const net::http_request& request)
--- a/tarragontrail/core/clock.hpp
+++ b/tarragontrail/core/clock.hpp
@@ -39,4 +39,10 @@
 /// Reading of the runtime clock.
 using time_point = runtime_clock::time_point;
 
+/// A length of time multiplied by a factor.
+inline duration scaled(duration time, double factor)
+{
+    return std::chrono::duration_cast<duration>(time * factor);
+}
+
 } // namespace tarragontrail::core
--- a/tarragontrail/ctl/command.cpp
+++ b/tarragontrail/ctl/command.cpp
@@ -1,11 +1,11 @@
 #include "tarragontrail/ctl/command.hpp"
 
+#include "tarragontrail/core/number_text.hpp"
 #include "tarragontrail/ctl/command_handlers.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <fmt/core.h>
 
 namespace tarragontrail::ctl {
@@ -95,14 +95,12 @@
 
 std::uint64_t number_argument(const std::string& text, const char* meaning)
 {
-    std::uint64_t number = 0;
-    const char* const end = text.data() + text.size();
-    const auto read = std::from_chars(text.data(), end, number);
-    if (text.empty() || read.ec != std::errc() || read.ptr != end)
+    const auto number = core::read_number(text);
+    if (!number)
     {
         throw usage_error(fmt::format("{} '{}' is not a whole number", meaning, text));
     }
-    return number;
+    return *number;
 }
 
 const std::string& path_argument(const std::string& text, const char* meaning)
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -2,11 +2,11 @@
 
 #include "tarragontrail/config/bundle_error.hpp"
 #include "tarragontrail/config/setting_checks.hpp"
+#include "tarragontrail/core/number_text.hpp"
 #include "tarragontrail/entry/json_input.hpp"
 #include "tarragontrail/entry/status_report.hpp"
 #include "tarragontrail/observe/log.hpp"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace tarragontrail::entry {
@@ -370,14 +370,12 @@
 void admin_server::clear_quarantine(const exchange_pointer& exchange,
                                     const std::string& fingerprint)
 {
-    std::uint64_t number = 0;
-    const char* end = fingerprint.data() + fingerprint.size();
-    const auto [stop, error] = std::from_chars(fingerprint.data(), end, number);
-    if (error != std::errc() || stop != end)
+    const auto number = core::read_number(fingerprint);
+    if (!number)
     {
         refuse(problem_kind::malformed_request, "a fingerprint is a whole number");
     }
-    ask(exchange, [this, number] {
+    ask(exchange, [this, number = *number] {
         const bool cleared = m_plane.recovery().blame().clear(number, core::runtime_clock::now());
         m_plane.pump();
         return ok({{"cleared", cleared}});
--- a/tarragontrail/entry/completion_request.cpp
+++ b/tarragontrail/entry/completion_request.cpp
@@ -1,12 +1,11 @@
 #include "tarragontrail/entry/completion_request.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/core/number_text.hpp"
 #include "tarragontrail/entry/json_input.hpp"
 #include "tarragontrail/entry/problem.hpp"
 #include "tarragontrail/routing/prefix_chain.hpp"
 
-#include <charconv>
-
 namespace tarragontrail::entry {
 namespace {
 
@@ -28,9 +27,8 @@
     {
         return std::nullopt;
     }
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size())
+    const auto value = core::read_number(text);
+    if (!value)
     {
         refuse(std::string(name) + " is not a whole number");
     }
--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -167,13 +167,9 @@
         return;
     }
     m_armed = wake;
-    m_timer.expires_at(wake);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-        {
-            m_armed.reset();
-            on_timer();
-        }
+    net::run_at(m_timer, wake, [this] {
+        m_armed.reset();
+        on_timer();
     });
 }
 
--- a/tarragontrail/entry/engine_directory.cpp
+++ b/tarragontrail/entry/engine_directory.cpp
@@ -1,10 +1,9 @@
 #include "tarragontrail/entry/engine_directory.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/core/number_text.hpp"
 #include "tarragontrail/wire/cbor_fields.hpp"
 
-#include <charconv>
-
 namespace tarragontrail::entry {
 
 bool engine_status::same_state(const engine_status& other) const noexcept
@@ -138,10 +137,7 @@
 
 std::uint64_t weights_number(const std::string& name)
 {
-    std::uint64_t number = 0;
-    const char* end = name.data() + name.size();
-    const auto [stop, error] = std::from_chars(name.data(), end, number);
-    return error == std::errc() && stop == end ? number : core::hash_name(name);
+    return core::read_number(name).value_or(core::hash_name(name));
 }
 
 std::string serialise(const engine_status& status)
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -161,13 +161,7 @@
         finish(m_caller_server.sessions() == 0);
         return;
     }
-    m_timer.expires_after(drain_poll);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-        {
-            check_drained();
-        }
-    });
+    net::run_after(m_timer, drain_poll, [this] { check_drained(); });
 }
 
 void entry_process::finish(bool cut_nothing)
--- a/tarragontrail/idempotency/call_guard.cpp
+++ b/tarragontrail/idempotency/call_guard.cpp
@@ -130,8 +130,7 @@
     if (entry->m_attempts < m_settings.m_max_attempts)
     {
         const core::duration pause = m_settings.m_attempt_pause;
-        entry->m_due =
-            now + std::chrono::duration_cast<core::duration>(pause * (0.5 + 0.5 * m_random.unit()));
+        entry->m_due = now + core::scaled(pause, 0.5 + 0.5 * m_random.unit());
         finish_event(now);
         return;
     }
--- a/tarragontrail/idempotency/call_guard_rows.cpp
+++ b/tarragontrail/idempotency/call_guard_rows.cpp
@@ -202,8 +202,7 @@
     entry.m_pause = entry.m_pause == core::duration::zero()
                         ? first
                         : std::min<core::duration>(entry.m_pause * 2, limit);
-    entry.m_due = now + std::chrono::duration_cast<core::duration>(entry.m_pause *
-                                                                   (0.5 + 0.5 * m_random.unit()));
+    entry.m_due = now + core::scaled(entry.m_pause, 0.5 + 0.5 * m_random.unit());
 }
 
 void call_guard::on_store_read(std::uint64_t operation, const read_result& result,
--- a/tarragontrail/load/load_call.cpp
+++ b/tarragontrail/load/load_call.cpp
@@ -224,13 +224,7 @@
 
 void load_call::retry_after(std::chrono::milliseconds delay)
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error)
-        {
-            self->send();
-        }
-    });
+    net::run_after(m_timer, delay, [self = shared_from_this()] { self->send(); });
 }
 
 void load_call::end(const std::string& failure)
--- a/tarragontrail/load/load_run.cpp
+++ b/tarragontrail/load/load_run.cpp
@@ -245,13 +245,7 @@
                               {"planned", m_plan.requests().size()},
                               {"active", m_active},
                               {"ended", m_report.ended()}});
-    m_progress_timer.expires_after(progress_interval);
-    m_progress_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-        {
-            show_progress();
-        }
-    });
+    net::run_after(m_progress_timer, progress_interval, [this] { show_progress(); });
 }
 
 void load_run::finish()
--- a/tarragontrail/net/timer.hpp
+++ b/tarragontrail/net/timer.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <utility>
 
 namespace tarragontrail::net {
 
@@ -27,4 +28,25 @@
 /// Asio timer on the runtime clock, which tests pause and advance.
 using timer = boost::asio::basic_waitable_timer<core::runtime_clock, runtime_wait_traits>;
 
+/// Calls a handler at a time, unless the timer is set anew or cancelled before.
+template <class Handler>
+void run_at(timer& waits, core::time_point at, Handler handler)
+{
+    waits.expires_at(at);
+    waits.async_wait(
+        [handler = std::move(handler)](const boost::system::error_code& error) mutable {
+            if (!error)
+            {
+                handler();
+            }
+        });
+}
+
+/// Calls a handler after a pause, unless the timer is set anew or cancelled before.
+template <class Handler>
+void run_after(timer& waits, core::duration pause, Handler handler)
+{
+    run_at(waits, core::runtime_clock::now() + pause, std::move(handler));
+}
+
 } // namespace tarragontrail::net
--- a/tarragontrail/recovery/connection_health.cpp
+++ b/tarragontrail/recovery/connection_health.cpp
@@ -206,8 +206,7 @@
     const std::chrono::milliseconds longest =
         std::min(m_settings.m_open_first * (std::int64_t{1} << doublings), m_settings.m_open_limit);
     ++state.m_openings;
-    state.m_due =
-        now + std::chrono::duration_cast<core::duration>(longest * (0.5 + 0.5 * m_random.unit()));
+    state.m_due = now + core::scaled(longest, 0.5 + 0.5 * m_random.unit());
     set_state(upstream, circuit_state::open);
 }
 
--- a/tarragontrail/recovery/retry_budget.cpp
+++ b/tarragontrail/recovery/retry_budget.cpp
@@ -37,7 +37,7 @@
     const std::uint64_t doublings = std::min<std::uint64_t>(attempt.m_attempt, 16) - 1;
     const std::chrono::milliseconds longest = std::min(
         m_settings.m_backoff_first * (std::int64_t{1} << doublings), m_settings.m_backoff_limit);
-    const auto pause = std::chrono::duration_cast<core::duration>(longest * m_random.unit());
+    const auto pause = core::scaled(longest, m_random.unit());
     if (now + pause + attempt.m_expected > attempt.m_deadline)
     {
         return give_up{give_up_reason::deadline};
--- a/tarragontrail/relay/admission_policy.cpp
+++ b/tarragontrail/relay/admission_policy.cpp
@@ -3,22 +3,14 @@
 #include <algorithm>
 
 namespace tarragontrail::relay {
-namespace {
-
-core::duration scaled(core::duration time, double factor)
-{
-    return std::chrono::duration_cast<core::duration>(time * factor);
-}
-
-} // namespace
 
 admission_decision admission_policy::decide(const admission_question& question) const
 {
-    if (question.m_first_byte > scaled(question.m_left, m_settings.m_hopeless_share))
+    if (question.m_first_byte > core::scaled(question.m_left, m_settings.m_hopeless_share))
     {
         return refuse_request{retry_after(question.m_queued, question.m_left)};
     }
-    const core::duration objective = scaled(question.m_objective, m_settings.m_late_factor);
+    const core::duration objective = core::scaled(question.m_objective, m_settings.m_late_factor);
     if (question.m_first_byte <= objective)
     {
         return admit_request{question.m_priority, false};
--- a/tarragontrail/relay/cache_watch.cpp
+++ b/tarragontrail/relay/cache_watch.cpp
@@ -22,7 +22,7 @@
 
 void cache_watch::ask()
 {
-    const cache_store* store = m_state.m_routes ? m_state.m_routes->store() : nullptr;
+    const cache_store* store = m_state.store();
     if (store == nullptr || !is_watcher(store->m_calls_at_once))
     {
         m_state.m_store_reached = store != nullptr;
@@ -36,7 +36,7 @@
 
 void cache_watch::on_events(const std::optional<cache_events>& events)
 {
-    const cache_store* store = m_state.m_routes ? m_state.m_routes->store() : nullptr;
+    const cache_store* store = m_state.store();
     if (!events || store == nullptr)
     {
         if (m_failures++ == 0)
@@ -81,13 +81,7 @@
 
 void cache_watch::later(std::chrono::milliseconds pause)
 {
-    m_timer.expires_after(pause);
-    m_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
-        {
-            ask();
-        }
-    });
+    net::run_after(m_timer, pause, [this] { ask(); });
 }
 
 bool cache_watch::is_watcher(std::uint64_t calls_at_once) const
--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -243,26 +243,17 @@
         m_settings.m_least_silence,
         pause * static_cast<std::int64_t>(m_settings.m_pulses_of_silence));
     m_roster.set_silence(std::max(silence, m_regions.empty() ? silence : m_settings.m_digest * 3));
-    m_pulse_timer.expires_after(pause);
-    m_pulse_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
-        {
-            speak();
-            report_unsent(core::runtime_clock::now());
-            schedule_pulse();
-        }
+    net::run_after(m_pulse_timer, pause, [this] {
+        speak();
+        report_unsent(core::runtime_clock::now());
+        schedule_pulse();
     });
 }
 
 /// A flood uses a workspace's burst up faster than the regular words tell of it.
 void fleet_exchange::schedule_urgent()
 {
-    m_urgent_timer.expires_after(m_settings.m_urgent);
-    m_urgent_timer.async_wait([this](const boost::system::error_code& error) {
-        if (error)
-        {
-            return;
-        }
+    net::run_after(m_urgent_timer, m_settings.m_urgent, [this] {
         if (m_state.m_limits.is_word_due())
         {
             speak();
@@ -277,13 +268,9 @@
 
 void fleet_exchange::schedule_digest()
 {
-    m_digest_timer.expires_after(m_settings.m_digest);
-    m_digest_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
-        {
-            send_digests();
-            schedule_digest();
-        }
+    net::run_after(m_digest_timer, m_settings.m_digest, [this] {
+        send_digests();
+        schedule_digest();
     });
 }
 
--- a/tarragontrail/relay/fleet_exchange.hpp
+++ b/tarragontrail/relay/fleet_exchange.hpp
@@ -79,6 +79,7 @@
     void take_state(const wire::member_state& state, core::time_point now);
     void take_loads(core::instance_id from, const std::vector<wire::upstream_pulse>& loads,
                     core::time_point now);
+    wire::instance_pulse own_word(core::time_point now);
     wire::instance_pulse describe(core::time_point now);
     wire::region_digest digest(core::time_point now);
     void send_digests();
--- a/tarragontrail/relay/fleet_exchange_words.cpp
+++ b/tarragontrail/relay/fleet_exchange_words.cpp
@@ -46,13 +46,20 @@
 
 } // namespace
 
-wire::instance_pulse fleet_exchange::describe(core::time_point now)
+/// State and demands of this instance, without its loads.
+wire::instance_pulse fleet_exchange::own_word(core::time_point now)
 {
     wire::instance_pulse word;
     word.m_state.m_instance = m_self.m_instance;
     word.m_state.m_started = m_self.m_started;
     m_listener.describe(word, now);
     word.m_demands = m_state.m_limits.demands(now);
+    return word;
+}
+
+wire::instance_pulse fleet_exchange::describe(core::time_point now)
+{
+    wire::instance_pulse word = own_word(now);
     for (const auto& [id, known] : m_state.m_upstreams.all())
     {
         const load_sum& own = known->m_load.own();
@@ -73,12 +80,7 @@
 /// Sums over the instances of this region that are heard.
 wire::region_digest fleet_exchange::digest(core::time_point now)
 {
-    wire::instance_pulse own;
-    own.m_state.m_instance = m_self.m_instance;
-    own.m_state.m_started = m_self.m_started;
-    m_listener.describe(own, now);
-    own.m_demands = m_state.m_limits.demands(now);
-
+    const wire::instance_pulse own = own_word(now);
     wire::region_digest told;
     told.m_region = m_self.m_region;
     told.m_versions = own.m_versions;
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -86,13 +86,7 @@
         {
             return;
         }
-        m_register_timer.expires_after(m_settings.m_register_retry);
-        m_register_timer.async_wait([this](const boost::system::error_code& error) {
-            if (!error)
-            {
-                register_self();
-            }
-        });
+        net::run_after(m_register_timer, m_settings.m_register_retry, [this] { register_self(); });
     });
 }
 
@@ -120,13 +114,7 @@
     follow_by_turns(now);
     m_state.m_blame.on_timer(now);
     share_blame();
-    m_look_timer.expires_after(m_settings.m_look);
-    m_look_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
-        {
-            look();
-        }
-    });
+    net::run_after(m_look_timer, m_settings.m_look, [this] { look(); });
 }
 
 /// A few instances of each region follow the store; the others get its news from them.
--- a/tarragontrail/relay/fleet_service_news.cpp
+++ b/tarragontrail/relay/fleet_service_news.cpp
@@ -46,7 +46,7 @@
 
 void fleet_service::on_part_notice(core::instance_id from, const wire::part_notice& notice)
 {
-    const cache_store* store = m_state.m_routes ? m_state.m_routes->store() : nullptr;
+    const cache_store* store = m_state.store();
     if (store != nullptr && store->m_id == notice.m_engine)
     {
         m_state.m_parts.note(notice.m_part, store->m_id, notice.m_tokens,
@@ -67,10 +67,8 @@
         engine->m_load.on_peer_sent(from, {notice.m_tokens, notice.m_work},
                                     core::runtime_clock::now());
     }
-    const double kept = static_cast<double>(of->m_engine->m_capacity_tokens) *
-                        m_state.m_selector.settings().m_cache_share;
     m_state.m_parts.note(notice.m_part, notice.m_engine, notice.m_tokens,
-                         static_cast<std::uint64_t>(kept));
+                         m_state.m_selector.part_room(*of->m_engine));
 }
 
 void fleet_service::on_rows_request(core::instance_id from, const wire::rows_request& request)
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -108,8 +108,8 @@
     {
         m_units = static_cast<double>(m_request.m_tokens.value_or(m_workspace->m_plain_tokens));
     }
-    const auto wait = m_state.m_limits.take(core::id_of<core::workspace_id>(m_workspace->m_name),
-                                            m_units, m_arrived);
+    const auto workspace = core::id_of<core::workspace_id>(m_workspace->m_name);
+    const auto wait = m_state.m_limits.take(workspace, m_units, m_arrived);
     if (wait)
     {
         observe::log(
@@ -117,10 +117,7 @@
             {{"request", m_request.m_id},
              {"workspace", m_workspace->m_name},
              {"units", m_units},
-             {"share",
-              fmt::format("{:.3f}",
-                          m_state.m_limits.share_of(
-                              core::id_of<core::workspace_id>(m_workspace->m_name), m_arrived))},
+             {"share", fmt::format("{:.3f}", m_state.m_limits.share_of(workspace, m_arrived))},
              {"wait_ms", rounded_milliseconds(*wait)}});
         m_units = 0;
         const core::duration told = std::max<core::duration>(*wait, std::chrono::milliseconds(50));
@@ -130,6 +127,13 @@
     return true;
 }
 
+/// Tells the cached parts of an isolated workspace from all others; zero for those that share.
+std::uint64_t relay_session::cache_wall() const
+{
+    const bool isolated = m_workspace != nullptr && m_workspace->m_isolated;
+    return isolated ? core::hash_name(m_workspace->m_name) : 0;
+}
+
 /// Parts as the engines tell them apart: an isolated workspace shares none of them.
 void relay_session::shape_prompt()
 {
@@ -138,9 +142,7 @@
         return;
     }
     const prompt_outline& outline = *m_request.m_prompt;
-    const std::uint64_t wall = m_workspace != nullptr && m_workspace->m_isolated
-                                   ? core::hash_name(m_workspace->m_name)
-                                   : 0;
+    const std::uint64_t wall = cache_wall();
     m_prompt.emplace();
     m_prompt->m_model = outline.m_model;
     m_prompt->m_output_tokens = outline.m_output_tokens;
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -56,7 +56,7 @@
     bool admit(const selection& chosen);
     void send(const selection& chosen);
     upstream_send describe(const selection& chosen) const;
-    std::string salt_of(const selection& chosen) const;
+    std::uint64_t cache_wall() const;
     void note_parts(const selection& chosen);
 
     void on_head(std::uint64_t attempt, const net::http_response& head);
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -277,8 +277,7 @@
     ++at.m_served_untold;
     constexpr double newest_weight = 0.1;
     const core::duration held = now - m_sent;
-    at.m_hold_mean +=
-        std::chrono::duration_cast<core::duration>((held - at.m_hold_mean) * newest_weight);
+    at.m_hold_mean += core::scaled(held - at.m_hold_mean, newest_weight);
 }
 
 bool relay_session::is_resumable_stream() const
@@ -299,10 +298,9 @@
 
 void relay_session::arm(net::timer& timer, core::time_point at, void (relay_session::*handler)())
 {
-    timer.expires_at(at);
-    timer.async_wait([weak = weak_from_this(), handler](const boost::system::error_code& error) {
+    net::run_at(timer, at, [weak = weak_from_this(), handler] {
         const auto self = weak.lock();
-        if (!error && self && !self->m_ended)
+        if (self && !self->m_ended)
         {
             (self.get()->*handler)();
         }
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -141,13 +141,6 @@
     return true;
 }
 
-std::string relay_session::salt_of(const selection& chosen) const
-{
-    const bool isolated = m_workspace != nullptr && m_workspace->m_isolated;
-    return to_string(
-        cache_salt{*chosen.m_version, isolated ? core::hash_name(m_workspace->m_name) : 0});
-}
-
 upstream_send relay_session::describe(const selection& chosen) const
 {
     upstream_send send;
@@ -164,7 +157,7 @@
     }
     send.m_priority = m_priority;
     send.m_version = chosen.m_version;
-    send.m_cache_salt = salt_of(chosen);
+    send.m_cache_salt = to_string(cache_salt{*chosen.m_version, cache_wall()});
     if (chosen.m_fetch_from)
     {
         send.m_fetch_from = chosen.m_fetch_from->m_record.m_endpoint;
@@ -253,17 +246,15 @@
     {
         return;
     }
-    const upstream_selector_settings& settings = m_state.m_selector.settings();
+    const std::uint64_t least = m_state.m_selector.settings().m_least_shared_tokens;
     const core::upstream_id engine = chosen.m_upstream->m_record.m_id;
     const service* of = m_routes->find_service(m_service);
-    const std::uint64_t capacity =
-        of != nullptr && of->m_engine ? of->m_engine->m_capacity_tokens : 0;
-    const auto kept =
-        static_cast<std::uint64_t>(static_cast<double>(capacity) * settings.m_cache_share);
+    const std::uint64_t kept =
+        of != nullptr && of->m_engine ? m_state.m_selector.part_room(*of->m_engine) : 0;
     for (std::size_t i = 0; i < m_prompt->m_shared.size(); ++i)
     {
         const std::uint64_t tokens = m_prompt->m_shared_tokens[i];
-        if (tokens < settings.m_least_shared_tokens)
+        if (tokens < least)
         {
             continue;
         }
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -76,6 +76,9 @@
           m_selector(selector, here, seed), m_limits(self), m_blame({}, self), m_random(seed)
     {}
 
+    /// Store of cached parts that the configuration in force names; null when there is none.
+    const cache_store* store() const { return m_routes ? m_routes->store() : nullptr; }
+
     /// Retry budget of a service.
     recovery::retry_budget& budget_of(const std::string& service);
 
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -141,13 +141,7 @@
 
 void table_follower::later(std::chrono::milliseconds pause, void (table_follower::*step)())
 {
-    m_timer.expires_after(pause);
-    m_timer.async_wait([this, step](const boost::system::error_code& error) {
-        if (!error)
-        {
-            (this->*step)();
-        }
-    });
+    net::run_after(m_timer, pause, [this, step] { (this->*step)(); });
 }
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/upstream_selector.cpp
+++ b/tarragontrail/relay/upstream_selector.cpp
@@ -10,11 +10,6 @@
 /// Longest difference that is drawn by lot, so that instances with the same view do not herd.
 constexpr std::chrono::microseconds tie_spread{2'000};
 
-core::duration scaled(core::duration time, double factor)
-{
-    return std::chrono::duration_cast<core::duration>(time * factor);
-}
-
 /// Time of a transfer of cached parts, against one within a failure domain.
 template <class From>
 double transfer_factor(const From& from, const upstream_record& to)
@@ -141,11 +136,12 @@
     }
 
     const upstream_health& health = candidate->m_health;
-    weighed.m_selection.m_first_byte = scaled(weighed.m_selection.m_first_byte, health.pace(now));
+    weighed.m_selection.m_first_byte =
+        core::scaled(weighed.m_selection.m_first_byte, health.pace(now));
     weighed.m_cost += weighed.m_selection.m_first_byte;
     weighed.m_cost += cost_of_way(*candidate, request.m_body_bytes);
-    weighed.m_cost += scaled(m_settings.m_failure_cost, health.failure_rate(now));
-    weighed.m_cost += scaled(tie_spread, m_random.unit());
+    weighed.m_cost += core::scaled(m_settings.m_failure_cost, health.failure_rate(now));
+    weighed.m_cost += core::scaled(tie_spread, m_random.unit());
     return weighed;
 }
 
@@ -175,17 +171,17 @@
     {
         const double rounds =
             static_cast<double>(load.m_in_flight - slots + 1) / static_cast<double>(slots);
-        chosen.m_queued += scaled(candidate.m_hold_mean, rounds);
+        chosen.m_queued += core::scaled(candidate.m_hold_mean, rounds);
     }
     const std::uint64_t needed = load.m_tokens + chosen.m_work.m_tokens;
     if (request.m_engine_capacity > 0 && needed > request.m_engine_capacity)
     {
         const double excess = static_cast<double>(needed - request.m_engine_capacity) /
                               static_cast<double>(request.m_engine_capacity);
-        chosen.m_queued += scaled(candidate.m_hold_mean, excess + 1.0);
+        chosen.m_queued += core::scaled(candidate.m_hold_mean, excess + 1.0);
     }
     // An engine answers its streams between the pieces of the prompts that it reads.
-    weighed.m_cost += scaled(chosen.m_queued, m_settings.m_shared_step_cost);
+    weighed.m_cost += core::scaled(chosen.m_queued, m_settings.m_shared_step_cost);
     chosen.m_first_byte = chosen.m_queued + reading + m_settings.m_first_event;
 
     const auto stale = stale_since(request, chosen.m_version);
@@ -206,12 +202,12 @@
     {
         const double rounds =
             static_cast<double>(load.m_in_flight - slots + 1) / static_cast<double>(slots);
-        chosen.m_queued = scaled(candidate.m_hold_mean, rounds);
+        chosen.m_queued = core::scaled(candidate.m_hold_mean, rounds);
     }
     chosen.m_first_byte = chosen.m_queued + candidate.m_hold_mean;
     chosen.m_work.m_before_first_byte = candidate.m_hold_mean;
     // Between upstreams with free slots the emptier one is preferred a little.
-    weighed.m_cost += scaled(candidate.m_hold_mean, 0.25 * std::min(busy, 1.0));
+    weighed.m_cost += core::scaled(candidate.m_hold_mean, 0.25 * std::min(busy, 1.0));
 }
 
 core::duration upstream_selector::missing_parts(option& weighed, const upstream_table& table,
@@ -311,7 +307,7 @@
     {
         const double filled = static_cast<double>(parts.tokens_of(candidate.m_record.m_id)) /
                               static_cast<double>(request.m_engine_capacity);
-        weighed.m_cost += scaled(m_settings.m_crowding_cost, filled);
+        weighed.m_cost += core::scaled(m_settings.m_crowding_cost, filled);
     }
     if (is_held)
     {
--- a/tarragontrail/relay/upstream_selector.hpp
+++ b/tarragontrail/relay/upstream_selector.hpp
@@ -109,6 +109,13 @@
     /// Identity of a shared part under a version of the weights.
     static part_key key_of(std::uint64_t part, placement::weights_version version) noexcept;
 
+    /// Tokens of shared parts that an engine is believed to keep.
+    std::uint64_t part_room(const engine_traits& engine) const
+    {
+        return static_cast<std::uint64_t>(static_cast<double>(engine.m_capacity_tokens) *
+                                          m_settings.m_cache_share);
+    }
+
     /// Settings.
     const upstream_selector_settings& settings() const noexcept { return m_settings; }
 
--- a/tarragontrail/relay/weights_duty.cpp
+++ b/tarragontrail/relay/weights_duty.cpp
@@ -19,9 +19,8 @@
 
 void weights_duty::start()
 {
-    m_timer.expires_after(m_settings.m_tick);
-    m_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error && !m_stopped)
+    net::run_after(m_timer, m_settings.m_tick, [this] {
+        if (!m_stopped)
         {
             tick();
             start();
