--- a/tarragontrail/relay/fleet_service_news.cpp
+++ b/tarragontrail/relay/fleet_service_news.cpp
@@ -176,6 +176,11 @@
             {
                 m_weights.on_row(duty->m_row, row.m_version);
             }
+            else
+            {
+                observe::log("fleet_row_refused",
+                             {{"key", row.m_key}, {"reason", "not what the key names"}});
+            }
         }
         catch (const wire::decode_error& failure)
         {
