Say why a connection to a caller was closed

Callers had requests on kept connections that ended without an answer, and no log or metric told why: each close ended as client_gone, whether the caller, a timeout or the request's own handler closed it, and failures to accept left no line.

A close now has a cause. No decision changes.

--- a/stand_ins/engine_events.cpp
+++ b/stand_ins/engine_events.cpp
@@ -16,8 +16,9 @@
     exchange->begin_stream(std::move(head));
     exchange->write(": connected\n\n");
     m_subscribers.push_back(exchange);
-    exchange->on_client_gone(
-        [this, gone = std::weak_ptr(exchange)] { std::erase(m_subscribers, gone.lock()); });
+    exchange->on_client_gone([this, gone = std::weak_ptr(exchange)](net::close_cause) {
+        std::erase(m_subscribers, gone.lock());
+    });
 }
 
 void engine_events::publish(const cache_change& change)
--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -124,7 +124,7 @@
         m_context, std::move(request), chat_response(exchange, m_orders.weights_version()));
     const std::string& text = m_settings.m_crash_on;
     job->m_poisonous = text != "none" && exchange->request().body().find(text) != std::string::npos;
-    exchange->on_client_gone([this, weak = std::weak_ptr(job)] {
+    exchange->on_client_gone([this, weak = std::weak_ptr(job)](net::close_cause) {
         if (const auto gone = weak.lock())
         {
             gone->m_client_gone = true;
--- a/tarragontrail/entry/call_session.cpp
+++ b/tarragontrail/entry/call_session.cpp
@@ -1,5 +1,7 @@
 #include "tarragontrail/entry/call_session.hpp"
 
+#include "tarragontrail/observe/log.hpp"
+
 namespace tarragontrail::entry {
 namespace {
 
@@ -22,9 +24,11 @@
 void call_session::start(std::function<void()> on_closed)
 {
     m_on_closed = std::move(on_closed);
-    m_exchange->on_client_gone([weak = weak_from_this()] {
+    m_exchange->on_client_gone([weak = weak_from_this()](net::close_cause cause) {
         if (const auto self = weak.lock())
         {
+            observe::log("caller_left", {{"request", core::value_of(self->m_request->m_id)},
+                                         {"cause", net::to_string(cause)}});
             self->m_control.call_abandoned(self->m_request->m_id);
         }
     });
--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -115,10 +115,11 @@
 void completion_session::start(std::function<void()> on_closed)
 {
     m_on_closed = std::move(on_closed);
-    m_exchange->on_client_gone([weak = weak_from_this()] {
+    m_exchange->on_client_gone([weak = weak_from_this()](net::close_cause cause) {
         if (const auto self = weak.lock())
         {
-            observe::log("caller_left", {{"request", core::value_of(self->m_request->m_id)}});
+            observe::log("caller_left", {{"request", core::value_of(self->m_request->m_id)},
+                                         {"cause", net::to_string(cause)}});
             self->close(false);
         }
     });
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -28,6 +28,7 @@
     http_server::fault_handler m_on_fault;     ///< Words the refusal of a bad request.
     bool m_stopping = false;                   ///< No request after the current one.
     std::size_t m_connections = 0;             ///< Open connections.
+    std::size_t m_busy = 0; ///< Connections with a request or a response under way.
 };
 
 namespace {
@@ -63,7 +64,11 @@
         prepare_socket(m_socket);
     }
 
-    ~server_connection() override { --m_shared->m_connections; }
+    ~server_connection() override
+    {
+        set_busy(false);
+        --m_shared->m_connections;
+    }
 
     void read_request()
     {
@@ -119,7 +124,7 @@
         }
         if (m_backlog_bytes > m_shared->m_settings.m_write_backlog_bytes)
         {
-            abort();
+            drop(close_cause::backlog_full);
             return;
         }
         enqueue(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
@@ -135,14 +140,9 @@
         enqueue("0\r\n\r\n");
     }
 
-    void abort() override
-    {
-        m_complete = true;
-        m_keep_alive = false;
-        close();
-    }
+    void abort() override { drop(close_cause::aborted); }
 
-    void on_client_gone(std::function<void()> handler) override { m_on_gone = std::move(handler); }
+    void on_client_gone(close_handler handler) override { m_on_gone = std::move(handler); }
 
 private:
     void on_head(error_code error)
@@ -184,6 +184,7 @@
         m_answered = false;
         m_complete = false;
         m_on_gone = nullptr;
+        set_busy(true);
         watch_for_close();
         m_shared->m_on_request(shared_from_this());
     }
@@ -212,7 +213,7 @@
             refuse(request_fault::malformed);
             return;
         }
-        close();
+        close(close_cause::client_closed);
     }
 
     void refuse(request_fault fault)
@@ -251,7 +252,7 @@
         const bool idle = m_reading && m_buffer.size() == 0 && m_requests > 0;
         if (!m_reading || idle || m_writing)
         {
-            abort();
+            drop(timeout_cause());
             return;
         }
         m_timed_out = true;
@@ -259,6 +260,15 @@
         m_socket.cancel(ignored);
     }
 
+    close_cause timeout_cause() const
+    {
+        if (m_writing)
+        {
+            return close_cause::write_timeout;
+        }
+        return m_reading || m_is_busy ? close_cause::idle_timeout : close_cause::finished;
+    }
+
     /// A readable socket with nothing to read means that the client closed it.
     void watch_for_close()
     {
@@ -283,7 +293,7 @@
         m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
         if (error && error != boost::asio::error::would_block)
         {
-            close();
+            close(close_cause::client_closed);
         }
     }
 
@@ -326,7 +336,7 @@
         }
         if (error)
         {
-            close();
+            close(close_cause::client_closed);
             return;
         }
         if (!m_pending.empty())
@@ -343,6 +353,7 @@
     void on_response_sent()
     {
         m_on_gone = nullptr;
+        set_busy(false);
         if (!m_keep_alive)
         {
             // Only our side closes first, so that the client reads the whole answer.
@@ -365,25 +376,53 @@
                                  [self = shared_from_this()](error_code error, std::size_t) {
                                      if (error)
                                      {
-                                         self->close();
+                                         self->close(close_cause::finished);
                                          return;
                                      }
                                      self->linger();
                                  });
     }
 
-    void close()
+    /// Closes the connection before its response is complete.
+    void drop(close_cause cause)
+    {
+        m_keep_alive = false;
+        close(cause);
+        m_complete = true;
+    }
+
+    void close(close_cause cause)
     {
         m_timer.cancel();
+        // The request's own last line tells of a client that left.
+        if (m_socket.is_open() && m_is_busy && cause != close_cause::client_closed)
+        {
+            observe::log("connection_cut", {{"cause", to_string(cause)},
+                                            {"requests", m_requests},
+                                            {"answered", m_answered},
+                                            {"complete", m_complete},
+                                            {"unsent_bytes", m_backlog_bytes}});
+        }
+        set_busy(false);
         error_code ignored;
         m_socket.close(ignored);
         const auto handler = std::exchange(m_on_gone, nullptr);
         if (handler)
         {
-            handler();
+            handler(cause);
         }
     }
 
+    void set_busy(bool busy)
+    {
+        if (m_is_busy == busy)
+        {
+            return;
+        }
+        m_is_busy = busy;
+        m_shared->m_busy += busy ? 1 : -1;
+    }
+
     static constexpr std::chrono::milliseconds linger_timeout{500};
 
     tcp::socket m_socket;                    ///< Connection to the client.
@@ -392,12 +431,13 @@
     boost::beast::flat_buffer m_buffer;      ///< Bytes read and not parsed.
     std::optional<http::request_parser<http::string_body>> m_parser; ///< Current request's parser.
     http_request m_request;                                          ///< Current request.
-    std::function<void()> m_on_gone;    ///< Told when the client leaves.
+    close_handler m_on_gone;            ///< Told when the connection closes too soon.
     std::string m_pending;              ///< Bytes to write next.
     std::string m_in_flight;            ///< Bytes being written.
     std::size_t m_backlog_bytes = 0;    ///< Unsent bytes.
     std::array<char, 4096> m_discard{}; ///< Bytes read while lingering.
     std::uint64_t m_requests = 0;       ///< Requests taken on this connection.
+    bool m_is_busy = false;             ///< A request or its response is under way.
     bool m_reading = false;             ///< A request is arriving.
     bool m_writing = false;             ///< A write is pending.
     bool m_keep_alive = false;          ///< Connection serves another request.
@@ -427,7 +467,11 @@
             {
                 return;
             }
-            if (!error)
+            if (error)
+            {
+                observe::log("accept_failed", {{"reason", error.message()}});
+            }
+            else
             {
                 self->take(std::move(socket));
             }
@@ -492,4 +536,31 @@
     return m_listener->m_shared->m_connections;
 }
 
+std::size_t http_server::busy_count() const
+{
+    return m_listener->m_shared->m_busy;
+}
+
+const char* to_string(close_cause cause) noexcept
+{
+    switch (cause)
+    {
+    case close_cause::client_closed:
+        return "client_closed";
+    case close_cause::idle_timeout:
+        return "idle_timeout";
+    case close_cause::read_timeout:
+        return "read_timeout";
+    case close_cause::write_timeout:
+        return "write_timeout";
+    case close_cause::backlog_full:
+        return "backlog_full";
+    case close_cause::aborted:
+        return "aborted";
+    case close_cause::finished:
+        return "finished";
+    }
+    return "unknown";
+}
+
 } // namespace tarragontrail::net
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -32,10 +32,28 @@
     too_slow,       ///< Not whole within the read timeout.
 };
 
+/// Why the server closed a connection.
+enum class close_cause
+{
+    client_closed, ///< The client closed it, or it broke.
+    idle_timeout,  ///< No request began within the keep-alive timeout.
+    read_timeout,  ///< A request did not arrive within the read timeout.
+    write_timeout, ///< The client took no piece within the write timeout.
+    backlog_full,  ///< The client left too many bytes of a stream unread.
+    aborted,       ///< The handler of the request dropped the connection.
+    finished,      ///< The last response was sent.
+};
+
+/// Name of a cause in logs and metrics.
+const char* to_string(close_cause cause) noexcept;
+
 /// One request and the means to answer it; stays on the server's thread.
 class http_exchange
 {
 public:
+    /// Told why the connection closed before the response was complete.
+    using close_handler = std::function<void(close_cause)>;
+
     virtual ~http_exchange() = default;
 
     /// The request; its body is whole.
@@ -56,8 +74,8 @@
     /// Drops the connection so that the client sees a broken response.
     virtual void abort() = 0;
 
-    /// Calls `handler` once when the client leaves before the response is complete.
-    virtual void on_client_gone(std::function<void()> handler) = 0;
+    /// Calls `handler` once when the connection closes before the response is complete.
+    virtual void on_client_gone(close_handler handler) = 0;
 
     /// Bytes of a chunked response that the client has not taken yet.
     virtual std::size_t unsent_bytes() const = 0;
@@ -93,6 +111,9 @@
     /// Connections open now.
     std::size_t connection_count() const;
 
+    /// Connections whose request is not answered, or whose response is not written whole.
+    std::size_t busy_count() const;
+
 private:
     struct listener;
     std::shared_ptr<listener> m_listener; ///< Shared with its pending accept.
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -25,6 +25,13 @@
     /// Number of requests in progress.
     std::size_t in_flight() const noexcept { return m_state.m_sessions.size(); }
 
+    /// Number of responses that are ended and not yet written whole.
+    std::size_t unsent_responses() const
+    {
+        const std::size_t busy = m_server.busy_count();
+        return busy > in_flight() ? busy - in_flight() : 0;
+    }
+
 private:
     void on_request(const std::shared_ptr<net::http_exchange>& exchange);
 
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -36,10 +36,10 @@
 void relay_session::start()
 {
     m_state.m_sessions.insert(shared_from_this());
-    m_exchange->on_client_gone([weak = weak_from_this()] {
+    m_exchange->on_client_gone([weak = weak_from_this()](net::close_cause cause) {
         if (const auto self = weak.lock())
         {
-            self->on_client_gone();
+            self->on_client_gone(cause);
         }
     });
     m_routes = m_state.m_routes;
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -68,7 +68,7 @@
     void on_connection_lost(const char* cause);
     void on_overdue();
     void on_deadline();
-    void on_client_gone();
+    void on_client_gone(net::close_cause cause);
 
     void on_first_byte();
     void record_weights_version(const response_metadata& metadata);
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -206,7 +206,7 @@
                                                     : refusal_reason::not_run_in_time);
 }
 
-void relay_session::on_client_gone()
+void relay_session::on_client_gone(net::close_cause cause)
 {
     if (m_ended)
     {
@@ -217,7 +217,7 @@
         m_call->cancel();
     }
     release_upstream(attempt_outcome::abandoned);
-    end(0, "client_gone");
+    end(0, cause == net::close_cause::client_closed ? "client_gone" : net::to_string(cause));
 }
 
 void relay_session::on_first_byte()
--- a/unit_tests/net/http_test.cpp
+++ b/unit_tests/net/http_test.cpp
@@ -41,7 +41,7 @@
         if (path == "/hold")
         {
             m_held = exchange;
-            exchange->on_client_gone([this] { m_client_gone = true; });
+            exchange->on_client_gone([this](net::close_cause) { m_client_gone = true; });
             return;
         }
         if (path != "/stream")
