Drop handlers of timers that were cancelled, set anew or destroyed

Callers lost requests on kept connections: handed on to an upstream, then the connection closed without an answer. Cause: Asio queues the handler of an expired timer and neither cancel nor expires_after takes it back. When the loop had been busy, throttled or stopped past an idle timeout with a request in the socket, the request was read and handed on, and then the idle timer's handler found a connection that was not reading and closed it. Class: a handler that is due acts on a later state of its object. run_at promised otherwise and had the same fault, for every user.

net::timer is now a class that numbers its settings and drops a handler of an earlier one, also when the timer is gone; it has no other way to wait, so each of its 20 users in net, relay, entry, load, ctl, platform and the stand-ins has the fix.

--- a/stand_ins/engine_events.cpp
+++ b/stand_ins/engine_events.cpp
@@ -63,12 +63,7 @@
 
 void engine_events::send_keep_alive()
 {
-    m_keep_alive_timer.expires_after(keep_alive_interval);
-    m_keep_alive_timer.async_wait([this](boost::system::error_code error) {
-        if (error)
-        {
-            return;
-        }
+    m_keep_alive_timer.run_after(keep_alive_interval, [this] {
         const std::vector<exchange_pointer> subscribers = m_subscribers;
         for (const exchange_pointer& subscriber : subscribers)
         {
--- a/stand_ins/engine_scheduler.cpp
+++ b/stand_ins/engine_scheduler.cpp
@@ -167,9 +167,8 @@
     job->m_uncached_tokens = request.m_prompt_tokens + request.m_resume_from - job->m_cached_tokens;
     count_recomputed(job, cached);
     job->m_phase_start = core::runtime_clock::now();
-    job->m_timer.expires_after(prefill_time(*job));
-    job->m_timer.async_wait([this, job](boost::system::error_code error) {
-        if (!error && m_prefill == job)
+    job->m_timer.run_after(prefill_time(*job), [this, job] {
+        if (m_prefill == job)
         {
             finish_prefill(job);
         }
@@ -219,9 +218,8 @@
         }
     }
     const core::duration step = seconds_of(1 / m_speed.m_decode_tokens_per_s);
-    job->m_timer.expires_after(std::max<core::duration>(step, shortest_decode_step));
-    job->m_timer.async_wait([this, job](boost::system::error_code error) {
-        if (!error && m_decoding.contains(job))
+    job->m_timer.run_after(std::max<core::duration>(step, shortest_decode_step), [this, job] {
+        if (m_decoding.contains(job))
         {
             decode(job);
         }
--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -248,13 +248,7 @@
     {
         m_samples.pop_front();
     }
-    m_sample_timer.expires_after(sample_interval);
-    m_sample_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-        {
-            sample_load();
-        }
-    });
+    m_sample_timer.run_after(sample_interval, [this] { sample_load(); });
 }
 
 json engine_server::lagged_load_report() const
--- a/stand_ins/http_support.cpp
+++ b/stand_ins/http_support.cpp
@@ -126,13 +126,7 @@
         return;
     }
     auto timer = std::make_shared<net::timer>(context);
-    timer->expires_after(delay);
-    timer->async_wait([timer, work = std::move(work)](boost::system::error_code error) {
-        if (!error)
-        {
-            work();
-        }
-    });
+    timer->run_after(delay, [timer, work = std::move(work)] { work(); });
 }
 
 void run_until_signal(boost::asio::io_context& context)
--- a/stand_ins/platform_weights.cpp
+++ b/stand_ins/platform_weights.cpp
@@ -46,12 +46,7 @@
         shortest_s = std::min(shortest_s, running.m_remaining_s);
     }
     const std::chrono::duration<double> wait(std::max(0.0, shortest_s) / rate());
-    m_timer.expires_after(std::chrono::ceil<std::chrono::milliseconds>(wait));
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (error)
-        {
-            return;
-        }
+    m_timer.run_after(std::chrono::ceil<std::chrono::milliseconds>(wait), [this] {
         advance();
         std::list<load> finished;
         for (auto it = m_loads.begin(); it != m_loads.end();)
--- a/tarragontrail/ctl/admin_client.cpp
+++ b/tarragontrail/ctl/admin_client.cpp
@@ -200,8 +200,7 @@
 {
     bool over = false;
     net::timer timer(m_context);
-    timer.expires_after(time);
-    timer.async_wait([&over](boost::system::error_code /*error*/) { over = true; });
+    timer.run_after(time, [&over] { over = true; });
     m_context.restart();
     while (!over)
     {
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -358,13 +358,9 @@
         respond(exchange, ok({{"withdrawn", true}, {"reach", name_of(reach)}}));
         return;
     }
-    const auto again = std::make_shared<net::timer>(m_control.context(), withdrawal_poll);
-    again->async_wait([this, exchange, give_up, again](boost::system::error_code error) {
-        if (!error)
-        {
-            report_withdrawal(exchange, give_up);
-        }
-    });
+    const auto again = std::make_shared<net::timer>(m_control.context());
+    again->run_after(withdrawal_poll,
+                     [this, exchange, give_up, again] { report_withdrawal(exchange, give_up); });
 }
 
 void admin_server::clear_quarantine(const exchange_pointer& exchange,
--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -396,10 +396,9 @@
         m_timer.cancel();
         return;
     }
-    m_timer.expires_at(*deadline);
-    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    m_timer.run_at(*deadline, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (error || !self || self->m_closed)
+        if (!self || self->m_closed)
         {
             return;
         }
--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -167,7 +167,7 @@
         return;
     }
     m_armed = wake;
-    net::run_at(m_timer, wake, [this] {
+    m_timer.run_at(wake, [this] {
         m_armed.reset();
         on_timer();
     });
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -161,7 +161,7 @@
         finish(m_caller_server.sessions() == 0);
         return;
     }
-    net::run_after(m_timer, drain_poll, [this] { check_drained(); });
+    m_timer.run_after(drain_poll, [this] { check_drained(); });
 }
 
 void entry_process::finish(bool cut_nothing)
--- a/tarragontrail/entry/recovery_service.cpp
+++ b/tarragontrail/entry/recovery_service.cpp
@@ -129,13 +129,10 @@
     }
     // A connection alone is the probe: a request might have an effect at a plain service.
     auto socket = std::make_shared<net::tcp::socket>(m_context.m_control.context());
-    auto limit = std::make_shared<net::timer>(m_context.m_control.context(), probe_timeout);
-    limit->async_wait([socket](boost::system::error_code error) {
-        if (!error)
-        {
-            boost::system::error_code ignored;
-            socket->close(ignored);
-        }
+    auto limit = std::make_shared<net::timer>(m_context.m_control.context());
+    limit->run_after(probe_timeout, [socket] {
+        boost::system::error_code ignored;
+        socket->close(ignored);
     });
     socket->async_connect(
         found->second, [this, socket, limit, upstream](boost::system::error_code error) {
--- a/tarragontrail/load/load_call.cpp
+++ b/tarragontrail/load/load_call.cpp
@@ -224,7 +224,7 @@
 
 void load_call::retry_after(std::chrono::milliseconds delay)
 {
-    net::run_after(m_timer, delay, [self = shared_from_this()] { self->send(); });
+    m_timer.run_after(delay, [self = shared_from_this()] { self->send(); });
 }
 
 void load_call::end(const std::string& failure)
--- a/tarragontrail/load/load_run.cpp
+++ b/tarragontrail/load/load_run.cpp
@@ -161,10 +161,10 @@
         send(requests[m_next++]);
     }
     const bool all_sent = m_next == requests.size();
-    m_send_timer.expires_at(all_sent ? core::runtime_clock::now() + m_settings.m_drain_timeout
-                                     : m_started + requests[m_next].m_at);
-    m_send_timer.async_wait([this, all_sent](boost::system::error_code error) {
-        if (error || m_finishing)
+    const core::time_point next = all_sent ? core::runtime_clock::now() + m_settings.m_drain_timeout
+                                           : m_started + requests[m_next].m_at;
+    m_send_timer.run_at(next, [this, all_sent] {
+        if (m_finishing)
         {
             return;
         }
@@ -245,7 +245,7 @@
                               {"planned", m_plan.requests().size()},
                               {"active", m_active},
                               {"ended", m_report.ended()}});
-    net::run_after(m_progress_timer, progress_interval, [this] { show_progress(); });
+    m_progress_timer.run_after(progress_interval, [this] { show_progress(); });
 }
 
 void load_run::finish()
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -315,10 +315,9 @@
 
     void arm(std::chrono::milliseconds timeout)
     {
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([weak = this->weak_from_this()](error_code error) {
+        m_timer.run_after(timeout, [weak = this->weak_from_this()] {
             const auto self = weak.lock();
-            if (error || !self || !self->m_connection)
+            if (!self || !self->m_connection)
             {
                 return;
             }
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -237,10 +237,8 @@
 
     void arm_timer(std::chrono::milliseconds timeout)
     {
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([weak = weak_from_this()](error_code error) {
-            const auto self = weak.lock();
-            if (!error && self)
+        m_timer.run_after(timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
             {
                 self->on_timeout();
             }
--- a/tarragontrail/net/peer_link.cpp
+++ b/tarragontrail/net/peer_link.cpp
@@ -168,11 +168,10 @@
 
 void peer_link::schedule_check()
 {
-    m_timer.expires_after(m_codec.is_open() ? m_settings.m_heartbeat_interval
-                                            : m_settings.m_connect_timeout);
-    m_timer.async_wait([weak = weak_from_this()](error_code error) {
-        const auto self = weak.lock();
-        if (!error && self)
+    const auto delay =
+        m_codec.is_open() ? m_settings.m_heartbeat_interval : m_settings.m_connect_timeout;
+    m_timer.run_after(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
         {
             self->check();
         }
--- a/tarragontrail/relay/cache_event_follower.cpp
+++ b/tarragontrail/relay/cache_event_follower.cpp
@@ -84,7 +84,7 @@
 
 void cache_event_follower::schedule(std::chrono::milliseconds delay)
 {
-    net::run_after(m_timer, delay, [this] { poll(); });
+    m_timer.run_after(delay, [this] { poll(); });
 }
 
 bool cache_event_follower::follows_cache_store(std::uint64_t max_concurrent_calls) const
--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -248,7 +248,7 @@
         interval * static_cast<std::int64_t>(m_settings.m_missed_heartbeats));
     m_registry.set_peer_timeout(
         std::max(timeout, m_regions.empty() ? timeout : m_settings.m_digest_interval * 3));
-    net::run_after(m_heartbeat_timer, interval, [this] {
+    m_heartbeat_timer.run_after(interval, [this] {
         broadcast_heartbeat();
         report_unsent(core::runtime_clock::now());
         schedule_heartbeat();
@@ -259,7 +259,7 @@
 /// report it.
 void fleet_exchange::schedule_urgent()
 {
-    net::run_after(m_urgent_timer, m_settings.m_urgent_check_interval, [this] {
+    m_urgent_timer.run_after(m_settings.m_urgent_check_interval, [this] {
         if (m_state.m_limits.is_demand_report_due())
         {
             broadcast_heartbeat();
@@ -274,7 +274,7 @@
 
 void fleet_exchange::schedule_digest()
 {
-    net::run_after(m_digest_timer, m_settings.m_digest_interval, [this] {
+    m_digest_timer.run_after(m_settings.m_digest_interval, [this] {
         send_digests();
         schedule_digest();
     });
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -87,8 +87,8 @@
         {
             return;
         }
-        net::run_after(m_register_timer, m_settings.m_registration_retry_delay,
-                       [this] { register_self(); });
+        m_register_timer.run_after(m_settings.m_registration_retry_delay,
+                                   [this] { register_self(); });
     });
 }
 
@@ -117,7 +117,7 @@
     update_store_reader(now);
     m_state.m_crash_attribution.on_timer(now);
     share_crash_reports();
-    net::run_after(m_check_timer, m_settings.m_check_interval, [this] { run_periodic_checks(); });
+    m_check_timer.run_after(m_settings.m_check_interval, [this] { run_periodic_checks(); });
 }
 
 /// Few instances of each region read the table store; the others receive changes from them.
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -309,7 +309,7 @@
 void relay_session::start_timer(net::timer& timer, core::time_point when,
                                 void (relay_session::*handler)())
 {
-    net::run_at(timer, when, [weak = weak_from_this(), handler] {
+    timer.run_at(when, [weak = weak_from_this(), handler] {
         const auto self = weak.lock();
         if (self && !self->m_ended)
         {
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -144,7 +144,7 @@
 
 void table_follower::schedule(std::chrono::milliseconds delay, void (table_follower::*step)())
 {
-    net::run_after(m_timer, delay, [this, step] { (this->*step)(); });
+    m_timer.run_after(delay, [this, step] { (this->*step)(); });
 }
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/weights_rollout_coordinator.cpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.cpp
@@ -20,7 +20,7 @@
 
 void weights_rollout_coordinator::start()
 {
-    net::run_after(m_timer, m_settings.m_check_interval, [this] {
+    m_timer.run_after(m_settings.m_check_interval, [this] {
         if (!m_stopped)
         {
             check_work();
--- a/unit_tests/net/expired_timer_test.cpp
+++ b/unit_tests/net/expired_timer_test.cpp
@@ -277,8 +277,8 @@
         net::timer second(m_context);
         int early = 0;
         int renewed = 0;
-        net::run_after(first, 10ms, [&] { net::run_after(second, 1s, [&renewed] { ++renewed; }); });
-        net::run_after(second, 11ms, [&early] { ++early; });
+        first.run_after(10ms, [&] { second.run_after(1s, [&renewed] { ++renewed; }); });
+        second.run_after(11ms, [&early] { ++early; });
         core::runtime_clock::advance(20ms);
         run_what_is_due();
         CPPUNIT_ASSERT_EQUAL(0, early);
@@ -292,8 +292,8 @@
         net::timer first(m_context);
         net::timer second(m_context);
         int called = 0;
-        net::run_after(first, 10ms, [&second] { second.cancel(); });
-        net::run_after(second, 11ms, [&called] { ++called; });
+        first.run_after(10ms, [&second] { second.cancel(); });
+        second.run_after(11ms, [&called] { ++called; });
         core::runtime_clock::advance(20ms);
         run_what_is_due();
         CPPUNIT_ASSERT_EQUAL(0, called);
@@ -304,8 +304,8 @@
         net::timer first(m_context);
         auto second = std::make_unique<net::timer>(m_context);
         int called = 0;
-        net::run_after(first, 10ms, [&second] { second.reset(); });
-        net::run_after(*second, 11ms, [&called] { ++called; });
+        first.run_after(10ms, [&second] { second.reset(); });
+        second->run_after(11ms, [&called] { ++called; });
         core::runtime_clock::advance(20ms);
         run_what_is_due();
         CPPUNIT_ASSERT_EQUAL(0, called);
