Refuse a body that stalls on a kept connection instead of closing it

A caller whose request stalled on a kept connection past the read timeout saw the connection close and got no 408; one whose request began late in the idle time was refused although it had just begun. Cause: one timer handler served four deadlines and guessed from the empty buffer which one it was; the buffer is also empty between the head and the body, and the idle deadline went on while a head arrived.

Each deadline of a caller's connection now has a handler of its own, and the read timeout begins with the first byte. An idle timeout that finds bytes in the socket leaves them to the handler that is due.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -76,11 +76,13 @@
         m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
         m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
         m_reading = true;
-        arm_timer(m_buffer.size() == 0 && m_requests > 0 ? m_shared->m_settings.m_keep_alive_timeout
-                                                         : m_shared->m_settings.m_read_timeout);
-        http::async_read_header(
-            m_socket, m_buffer, *m_parser,
-            [self = shared_from_this()](error_code error, std::size_t) { self->on_head(error); });
+        m_timed_out = false;
+        if (m_requests > 0 && m_buffer.size() == 0)
+        {
+            wait_for_request();
+            return;
+        }
+        read_head();
     }
 
     const http_request& request() const override { return m_request; }
@@ -145,6 +147,28 @@
     void on_client_gone(close_handler handler) override { m_on_gone = std::move(handler); }
 
 private:
+    /// Waits for the first byte of the next request on a kept connection.
+    void wait_for_request()
+    {
+        arm_timer(m_shared->m_settings.m_keep_alive_timeout, &server_connection::on_idle_timeout);
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+            if (error)
+            {
+                self->close(close_cause::client_closed);
+                return;
+            }
+            self->read_head();
+        });
+    }
+
+    void read_head()
+    {
+        arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
+        http::async_read_header(
+            m_socket, m_buffer, *m_parser,
+            [self = shared_from_this()](error_code error, std::size_t) { self->on_head(error); });
+    }
+
     void on_head(error_code error)
     {
         if (error)
@@ -158,7 +182,7 @@
             refuse(request_fault::malformed);
             return;
         }
-        arm_timer(m_shared->m_settings.m_read_timeout);
+        arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
         if (m_parser->get()[http::field::expect] == "100-continue")
         {
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
@@ -235,37 +259,38 @@
         response.keep_alive(m_keep_alive);
     }
 
-    void arm_timer(std::chrono::milliseconds timeout)
+    /// Each deadline has a handler of its own, so that none has to guess what it was set for.
+    void arm_timer(std::chrono::milliseconds timeout, void (server_connection::*on_expiry)())
     {
-        m_timer.run_after(timeout, [weak = weak_from_this()] {
+        m_timer.run_after(timeout, [weak = weak_from_this(), on_expiry] {
             if (const auto self = weak.lock())
             {
-                self->on_timeout();
+                (self.get()->*on_expiry)();
             }
         });
     }
 
-    void on_timeout()
+    void on_idle_timeout()
     {
-        const bool idle = m_reading && m_buffer.size() == 0 && m_requests > 0;
-        if (!m_reading || idle || m_writing)
+        error_code ignored;
+        if (m_socket.available(ignored) > 0)
         {
-            drop(timeout_cause());
+            // A request has arrived, and the handler that reads it is due.
             return;
         }
+        close(close_cause::idle_timeout);
+    }
+
+    void on_read_timeout()
+    {
         m_timed_out = true;
         error_code ignored;
         m_socket.cancel(ignored);
     }
 
-    close_cause timeout_cause() const
-    {
-        if (m_writing)
-        {
-            return close_cause::write_timeout;
-        }
-        return m_reading || m_is_busy ? close_cause::idle_timeout : close_cause::finished;
-    }
+    void on_write_timeout() { drop(close_cause::write_timeout); }
+
+    void on_linger_timeout() { close(close_cause::finished); }
 
     /// A readable socket with nothing to read means that the client closed it.
     void watch_for_close()
@@ -316,7 +341,7 @@
         m_in_flight.swap(m_pending);
         if (!m_reading)
         {
-            arm_timer(m_shared->m_settings.m_write_timeout);
+            arm_timer(m_shared->m_settings.m_write_timeout, &server_connection::on_write_timeout);
         }
         boost::asio::async_write(m_socket, boost::asio::buffer(m_in_flight),
                                  [self = shared_from_this()](error_code error, std::size_t) {
@@ -369,7 +394,7 @@
     void linger()
     {
         m_reading = false;
-        arm_timer(linger_timeout);
+        arm_timer(linger_timeout, &server_connection::on_linger_timeout);
         m_socket.async_read_some(boost::asio::buffer(m_discard),
                                  [self = shared_from_this()](error_code error, std::size_t) {
                                      if (error)
@@ -547,8 +572,6 @@
         return "client_closed";
     case close_cause::idle_timeout:
         return "idle_timeout";
-    case close_cause::read_timeout:
-        return "read_timeout";
     case close_cause::write_timeout:
         return "write_timeout";
     case close_cause::backlog_full:
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -37,7 +37,6 @@
 {
     client_closed, ///< The client closed it, or it broke.
     idle_timeout,  ///< No request began within the keep-alive timeout.
-    read_timeout,  ///< A request did not arrive within the read timeout.
     write_timeout, ///< The client took no piece within the write timeout.
     backlog_full,  ///< The client left too many bytes of a stream unread.
     aborted,       ///< The handler of the request dropped the connection.
--- a/unit_tests/net/expired_timer_test.cpp
+++ b/unit_tests/net/expired_timer_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(requests_of_many_kept_connections_survive_a_stopped_loop);
     CPPUNIT_TEST(request_whose_end_arrives_as_the_read_timeout_passes_is_answered);
     CPPUNIT_TEST(stalled_body_on_a_kept_connection_is_refused);
+    CPPUNIT_TEST(request_that_begins_late_in_the_idle_time_is_not_refused);
     CPPUNIT_TEST(connection_that_is_made_as_its_timeout_passes_is_used);
     CPPUNIT_TEST(answer_that_arrives_as_its_timeout_passes_is_taken);
     CPPUNIT_TEST(handler_of_a_timer_that_was_set_anew_is_not_called);
@@ -64,7 +65,7 @@
         // While the clock is paused the kernel wakes the loop for its timers once a millisecond.
         std::this_thread::sleep_for(5 * net::runtime_wait_traits::paused_poll);
         m_context.restart();
-        while (m_context.poll() > 0)
+        while (m_context.run_one_for(5ms) > 0)
         {}
     }
 
@@ -235,6 +236,24 @@
                                client->m_received.starts_with("HTTP/1.1 403"));
     }
 
+    void request_that_begins_late_in_the_idle_time_is_not_refused()
+    {
+        const auto client = kept_connection();
+        const std::string text = request_text("POST", "x");
+        core::runtime_clock::advance(keep_alive - 10ms);
+        run_what_is_due();
+        client->send(text.substr(0, 20));
+        run_what_is_due();
+        core::runtime_clock::advance(50ms);
+        run_what_is_due();
+        CPPUNIT_ASSERT_EQUAL(std::string(), client->m_received);
+        client->send(text.substr(20));
+        run_until([&] { return client->m_closed || !m_waiting.empty(); });
+        answer_waiting();
+        run_until([&client] { return client->m_closed || !client->m_received.empty(); });
+        CPPUNIT_ASSERT(client->m_received.starts_with("HTTP/1.1 200"));
+    }
+
     void connection_that_is_made_as_its_timeout_passes_is_used()
     {
         net::http_client client(m_context);
