Close a refused connection after the linger timeout however much its caller sends

A caller that was refused and kept sending held its connection, as each piece that was read set the linger timeout anew. It is now set once. The test fails with the timeout set for each piece.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -382,7 +382,8 @@
             // Only our side closes first, so that the client reads the whole answer.
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-            linger();
+            arm_timer(linger_timeout, &server_connection::on_linger_timeout);
+            discard_input();
             return;
         }
         error_code ignored;
@@ -390,11 +391,9 @@
         read_request();
     }
 
-    /// Reads until the client closes, or a short time is over.
-    void linger()
+    /// Reads until the client closes or the linger timeout is over, however much the client sends.
+    void discard_input()
     {
-        m_reading = false;
-        arm_timer(linger_timeout, &server_connection::on_linger_timeout);
         m_socket.async_read_some(boost::asio::buffer(m_discard),
                                  [self = shared_from_this()](error_code error, std::size_t) {
                                      if (error)
@@ -402,7 +401,7 @@
                                          self->close(close_cause::finished);
                                          return;
                                      }
-                                     self->linger();
+                                     self->discard_input();
                                  });
     }
 
--- a/unit_tests/net/expired_timer_test.cpp
+++ b/unit_tests/net/expired_timer_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(request_whose_end_arrives_as_the_read_timeout_passes_is_answered);
     CPPUNIT_TEST(stalled_body_on_a_kept_connection_is_refused);
     CPPUNIT_TEST(request_that_begins_late_in_the_idle_time_is_not_refused);
+    CPPUNIT_TEST(caller_that_sends_without_end_after_its_answer_is_left);
     CPPUNIT_TEST(connection_that_is_made_as_its_timeout_passes_is_used);
     CPPUNIT_TEST(answer_that_arrives_as_its_timeout_passes_is_taken);
     CPPUNIT_TEST(handler_of_a_timer_that_was_set_anew_is_not_called);
@@ -254,6 +255,22 @@
         CPPUNIT_ASSERT(client->m_received.starts_with("HTTP/1.1 200"));
     }
 
+    void caller_that_sends_without_end_after_its_answer_is_left()
+    {
+        const auto client = connect();
+        client->send("no http at all\r\n\r\n");
+        run_until([&client] { return !client->m_received.empty(); });
+        for (int i = 0; i < 8; ++i)
+        {
+            boost::system::error_code ignored;
+            boost::asio::write(client->m_socket, boost::asio::buffer(std::string(100, 'x')),
+                               ignored);
+            run_what_is_due();
+            core::runtime_clock::advance(100ms);
+        }
+        run_until([this] { return m_server->connection_count() == 0; });
+    }
+
     void connection_that_is_made_as_its_timeout_passes_is_used()
     {
         net::http_client client(m_context);
