--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -62,6 +62,11 @@
     m_seen = m_state.m_routes;
 }
 
+bool relay_service::is_idle() const
+{
+    return in_flight() == 0 && m_server.busy_count() == 0;
+}
+
 void relay_service::on_request(const std::shared_ptr<net::http_exchange>& exchange)
 {
     if (m_state.m_routes != m_seen)
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -25,6 +25,9 @@
     /// Number of requests in progress.
     std::size_t in_flight() const noexcept { return m_state.m_sessions.size(); }
 
+    /// True when the process can end without losing a response.
+    bool is_idle() const;
+
     /// Number of responses that are ended and not yet written whole.
     std::size_t unsent_responses() const
     {
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -3,6 +3,7 @@
 #include "unit_tests/platform/scripted_upstream.hpp"
 #include "unit_tests/stand_ins/loop_client.hpp"
 
+#include <boost/asio/read.hpp>
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -69,6 +70,7 @@
     CPPUNIT_TEST(silence_until_the_timeout_ends_with_an_answer);
     CPPUNIT_TEST(early_answer_to_a_long_body_ends_the_connection);
     CPPUNIT_TEST(ambiguous_framing_is_refused);
+    CPPUNIT_TEST(relay_is_busy_until_the_response_is_written);
     CPPUNIT_TEST_SUITE_END();
 
     test::loop_client m_loop;
@@ -81,14 +83,19 @@
     void add_upstream(const scripted_upstream::script& answer)
     {
         m_upstreams.push_back(std::make_unique<scripted_upstream>(m_loop.m_context, answer));
+        register_upstream(fmt::format("u{}", m_upstreams.size()), m_upstreams.back()->port());
+    }
+
+    void register_upstream(const std::string& name, std::uint16_t port)
+    {
         relay::upstream_record record;
-        record.m_name = fmt::format("u{}", m_upstreams.size());
+        record.m_name = name;
         record.m_id = core::id_of<core::upstream_id>(record.m_name);
         record.m_service = "s";
-        record.m_endpoint = net::make_endpoint("127.0.0.1", m_upstreams.back()->port());
+        record.m_endpoint = net::make_endpoint("127.0.0.1", port);
         record.m_region = "r";
         // The second one is farther, so the first one is asked first.
-        record.m_failure_domain = m_upstreams.size() == 1 ? "here" : "there";
+        record.m_failure_domain = name == "u1" ? "here" : "there";
         record.m_slots = 16;
         m_state->m_upstreams.apply(record, core::runtime_clock::now());
     }
@@ -384,6 +391,46 @@
         }
         CPPUNIT_ASSERT(m_upstreams.front()->m_requests.empty());
     }
+
+    /// A drain that ends with the session cuts the response of a caller that reads slowly.
+    void relay_is_busy_until_the_response_is_written()
+    {
+        constexpr std::size_t body_bytes = 8'000'000;
+        configure(relay::request_kind::idempotent);
+        m_state->m_session_settings.m_buffer_limit_bytes = 2 * body_bytes;
+        int answered = 0;
+        const net::http_server upstream(
+            m_loop.m_context, {boost::asio::ip::address_v4::loopback(), 0}, {},
+            [&answered](const std::shared_ptr<net::http_exchange>& exchange) {
+                net::http_response response;
+                response.set("X-Request-Id", "r1");
+                response.set("X-Response-Seal", "s");
+                response.body().resize(body_bytes, 'x');
+                exchange->respond(std::move(response));
+                ++answered;
+            },
+            [](net::request_fault) { return net::make_json_response(400, "{}"); });
+        register_upstream("u1", upstream.port());
+        net::tcp::socket socket(m_loop.m_context);
+        socket.open(net::tcp::v4());
+        socket.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+        socket.connect(net::make_endpoint("127.0.0.1", m_port));
+        CPPUNIT_ASSERT(m_relay->is_idle());
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string("GET /a/ HTTP/1.1\r\nHost: one.example\r\n"
+                                                    "X-Request-Id: r1\r\nAuthorization: Token "
+                                                    "k\r\n\r\n")));
+        m_loop.run_until([&] { return answered == 1 && m_relay->in_flight() == 0; });
+        CPPUNIT_ASSERT(!m_relay->is_idle());
+        std::string received(body_bytes, '\0');
+        std::size_t size = 0;
+        boost::asio::async_read(
+            socket, boost::asio::buffer(received),
+            [&size](boost::system::error_code, std::size_t read) { size = read; });
+        m_loop.run_until([&] { return size > 0 && m_relay->is_idle(); });
+        CPPUNIT_ASSERT(received.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(body_bytes, size);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(relay_path_test, "platform");
