Send nothing for a call that is cancelled before it starts

A call starts in a later turn of the loop than the one that asks for it. When its caller's connection closed or its deadline passed in between, cancel found nothing to close, and the request was sent to the upstream all the same, with nobody left to take the answer.

A call that has lost its listener by its turn does not start.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -141,6 +141,11 @@
 
     void start()
     {
+        if (!m_listener)
+        {
+            // Cancelled before its turn came.
+            return;
+        }
         if (!m_settings.m_fresh_connection)
         {
             m_connection = m_pool->take(m_endpoint, m_settings.m_reuse_limit);
