Give each request of a connection its own exchange

The exchange of a request was its connection. A handler that answered, aborted or let go of an earlier request late did so to the next one on a kept connection: its caller got the wrong answer, lost its connection, or left unnoticed. No handler of the relay is known to come late; nothing kept one from it.

An exchange is now an object of one request. It keeps its request and forwards to its connection only while that request's response is under way. The stand-in engine closed its connections through exchanges it had seen; it now uses http_server::abort_connections.

--- a/stand_ins/engine_server.cpp
+++ b/stand_ins/engine_server.cpp
@@ -30,8 +30,6 @@
 void engine_server::handle(const exchange_pointer& exchange)
 {
     const std::string_view path = net::path_of(net::target_of(exchange->request()));
-    std::erase_if(m_connections, [](const auto& connection) { return connection.expired(); });
-    m_connections.push_back(exchange);
     if (serve_control(exchange, path))
     {
         return;
@@ -228,12 +226,9 @@
     m_samples.clear();
     m_scheduler.set_paused(false);
     m_held.clear();
-    for (const auto& connection : std::exchange(m_connections, {}))
+    if (m_server)
     {
-        if (const exchange_pointer open = connection.lock())
-        {
-            open->abort();
-        }
+        m_server->abort_connections();
     }
     observe::log("serving", {{"incarnation", m_incarnation},
                              {"region", m_settings.m_region},
--- a/stand_ins/engine_server.hpp
+++ b/stand_ins/engine_server.hpp
@@ -42,21 +42,20 @@
 
     static constexpr std::chrono::milliseconds sample_interval{25};
 
-    boost::asio::io_context& m_context;   ///< Event loop.
-    config::engine_settings m_settings;   ///< Settings.
-    block_cache m_cache;                  ///< Prefix cache.
-    engine_events m_events;               ///< Cache events.
-    engine_scheduler m_scheduler;         ///< Requests.
-    engine_orders m_orders;               ///< Loaded weights and role.
-    net::timer m_sample_timer;            ///< Next load sample.
-    std::deque<load_sample> m_samples;    ///< Load reports not older than the lag.
-    std::uint64_t m_incarnation = 0;      ///< Start time; higher after each restart.
-    std::uint64_t m_keys_seen = 0;        ///< Requests that carried a caller's key.
-    std::uint64_t m_crashes = 0;          ///< Restarts within this process.
-    bool m_hung = false;                  ///< Accepts and never answers.
-    std::vector<exchange_pointer> m_held; ///< Requests accepted while hung.
-    std::vector<std::weak_ptr<net::http_exchange>> m_connections; ///< Connections seen.
-    std::unique_ptr<net::http_server> m_server;                   ///< Listener.
+    boost::asio::io_context& m_context;         ///< Event loop.
+    config::engine_settings m_settings;         ///< Settings.
+    block_cache m_cache;                        ///< Prefix cache.
+    engine_events m_events;                     ///< Cache events.
+    engine_scheduler m_scheduler;               ///< Requests.
+    engine_orders m_orders;                     ///< Loaded weights and role.
+    net::timer m_sample_timer;                  ///< Next load sample.
+    std::deque<load_sample> m_samples;          ///< Load reports not older than the lag.
+    std::uint64_t m_incarnation = 0;            ///< Start time; higher after each restart.
+    std::uint64_t m_keys_seen = 0;              ///< Requests that carried a caller's key.
+    std::uint64_t m_crashes = 0;                ///< Restarts within this process.
+    bool m_hung = false;                        ///< Accepts and never answers.
+    std::vector<exchange_pointer> m_held;       ///< Requests accepted while hung.
+    std::unique_ptr<net::http_server> m_server; ///< Listener.
 };
 
 } // namespace tarragontrail::stand_ins
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -13,21 +13,29 @@
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 #include <optional>
+#include <set>
 #include <sstream>
+#include <vector>
 
 namespace tarragontrail::net {
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+namespace {
+
+class server_connection;
+
+} // namespace
+
 /// State that all connections of one listener share.
 struct server_shared
 {
-    http_server_settings m_settings;           ///< Bounds.
-    http_server::request_handler m_on_request; ///< Receives whole requests.
-    http_server::fault_handler m_on_fault;     ///< Words the refusal of a bad request.
-    bool m_stopping = false;                   ///< No request after the current one.
-    std::size_t m_connections = 0;             ///< Open connections.
+    http_server_settings m_settings;            ///< Bounds.
+    http_server::request_handler m_on_request;  ///< Receives whole requests.
+    http_server::fault_handler m_on_fault;      ///< Words the refusal of a bad request.
+    bool m_stopping = false;                    ///< No request after the current one.
+    std::set<server_connection*> m_connections; ///< Open connections.
     std::size_t m_busy = 0; ///< Connections with a request or a response under way.
 };
 
@@ -52,22 +60,21 @@
             boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
 }
 
-/// One accepted connection; also the exchange of its current request.
-class server_connection : public http_exchange,
-                          public std::enable_shared_from_this<server_connection>
+/// One accepted connection.
+class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
         : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_shared(std::move(shared))
     {
-        ++m_shared->m_connections;
+        m_shared->m_connections.insert(this);
         prepare_socket(m_socket);
     }
 
-    ~server_connection() override
+    ~server_connection()
     {
         set_busy(false);
-        --m_shared->m_connections;
+        m_shared->m_connections.erase(this);
     }
 
     void read_request()
@@ -85,9 +92,13 @@
         read_head();
     }
 
-    const http_request& request() const override { return m_request; }
+    /// Whether a request's response is under way; `number` counts the connection's requests.
+    bool is_current(std::uint64_t number) const noexcept
+    {
+        return m_is_busy && m_requests == number;
+    }
 
-    void respond(http_response response) override
+    void respond(http_response response)
     {
         if (m_answered)
         {
@@ -102,9 +113,9 @@
         enqueue(text.str());
     }
 
-    std::size_t unsent_bytes() const override { return m_backlog_bytes; }
+    std::size_t unsent_bytes() const noexcept { return m_backlog_bytes; }
 
-    void begin_stream(http_response head) override
+    void begin_stream(http_response head)
     {
         if (m_answered)
         {
@@ -118,7 +129,7 @@
         enqueue(text.str());
     }
 
-    void write(std::string_view piece) override
+    void write(std::string_view piece)
     {
         if (piece.empty() || m_complete)
         {
@@ -132,7 +143,7 @@
         enqueue(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
     }
 
-    void end_stream() override
+    void end_stream()
     {
         if (m_complete)
         {
@@ -142,9 +153,9 @@
         enqueue("0\r\n\r\n");
     }
 
-    void abort() override { drop(close_cause::aborted); }
+    void abort() { drop(close_cause::aborted); }
 
-    void on_client_gone(close_handler handler) override { m_on_gone = std::move(handler); }
+    void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
 
 private:
     /// Waits for the first byte of the next request on a kept connection.
@@ -193,25 +204,7 @@
                          });
     }
 
-    void on_body(error_code error)
-    {
-        if (error)
-        {
-            on_read_error(error);
-            return;
-        }
-        m_reading = false;
-        m_timer.cancel();
-        ++m_requests;
-        m_request = m_parser->release();
-        m_keep_alive = m_request.keep_alive();
-        m_answered = false;
-        m_complete = false;
-        m_on_gone = nullptr;
-        set_busy(true);
-        watch_for_close();
-        m_shared->m_on_request(shared_from_this());
-    }
+    void on_body(error_code error);
 
     void on_read_error(error_code error)
     {
@@ -452,22 +445,115 @@
     std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
     boost::beast::flat_buffer m_buffer;      ///< Bytes read and not parsed.
     std::optional<http::request_parser<http::string_body>> m_parser; ///< Current request's parser.
-    http_request m_request;                                          ///< Current request.
-    close_handler m_on_gone;            ///< Told when the connection closes too soon.
-    std::string m_pending;              ///< Bytes to write next.
-    std::string m_in_flight;            ///< Bytes being written.
-    std::size_t m_backlog_bytes = 0;    ///< Unsent bytes.
-    std::array<char, 4096> m_discard{}; ///< Bytes read while lingering.
-    std::uint64_t m_requests = 0;       ///< Requests taken on this connection.
-    bool m_is_busy = false;             ///< A request or its response is under way.
-    bool m_reading = false;             ///< A request is arriving.
-    bool m_writing = false;             ///< A write is pending.
-    bool m_keep_alive = false;          ///< Connection serves another request.
-    bool m_answered = false;            ///< Response has begun.
-    bool m_complete = false;            ///< Response is whole.
-    bool m_timed_out = false;           ///< Read deadline has passed.
+    http_exchange::close_handler m_on_gone; ///< Told when the connection closes too soon.
+    std::string m_pending;                  ///< Bytes to write next.
+    std::string m_in_flight;                ///< Bytes being written.
+    std::size_t m_backlog_bytes = 0;        ///< Unsent bytes.
+    std::array<char, 4096> m_discard{};     ///< Bytes read while lingering.
+    std::uint64_t m_requests = 0;           ///< Requests taken on this connection.
+    bool m_is_busy = false;                 ///< A request or its response is under way.
+    bool m_reading = false;                 ///< A request is arriving.
+    bool m_writing = false;                 ///< A write is pending.
+    bool m_keep_alive = false;              ///< Connection serves another request.
+    bool m_answered = false;                ///< Response has begun.
+    bool m_complete = false;                ///< Response is whole.
+    bool m_timed_out = false;               ///< Read deadline has passed.
+};
+
+/// One request of a connection. Calls that come when its response is over do nothing, as the
+/// connection serves another request by then.
+class server_exchange : public http_exchange
+{
+public:
+    server_exchange(std::shared_ptr<server_connection> connection, std::uint64_t number,
+                    http_request request)
+        : m_connection(std::move(connection)), m_number(number), m_request(std::move(request))
+    {}
+
+    const http_request& request() const override { return m_request; }
+
+    void respond(http_response response) override
+    {
+        if (is_current())
+        {
+            m_connection->respond(std::move(response));
+        }
+    }
+
+    void begin_stream(http_response head) override
+    {
+        if (is_current())
+        {
+            m_connection->begin_stream(std::move(head));
+        }
+    }
+
+    void write(std::string_view piece) override
+    {
+        if (is_current())
+        {
+            m_connection->write(piece);
+        }
+    }
+
+    void end_stream() override
+    {
+        if (is_current())
+        {
+            m_connection->end_stream();
+        }
+    }
+
+    void abort() override
+    {
+        if (is_current())
+        {
+            m_connection->abort();
+        }
+    }
+
+    void on_client_gone(close_handler handler) override
+    {
+        if (is_current())
+        {
+            m_connection->on_client_gone(std::move(handler));
+        }
+    }
+
+    std::size_t unsent_bytes() const override
+    {
+        return is_current() ? m_connection->unsent_bytes() : 0;
+    }
+
+private:
+    bool is_current() const noexcept { return m_connection->is_current(m_number); }
+
+    std::shared_ptr<server_connection> m_connection; ///< Kept open while a request is handled.
+    std::uint64_t m_number;                          ///< Count of the connection's requests.
+    http_request m_request;                          ///< Request.
 };
 
+void server_connection::on_body(error_code error)
+{
+    if (error)
+    {
+        on_read_error(error);
+        return;
+    }
+    m_reading = false;
+    m_timer.cancel();
+    ++m_requests;
+    http_request request = m_parser->release();
+    m_keep_alive = request.keep_alive();
+    m_answered = false;
+    m_complete = false;
+    m_on_gone = nullptr;
+    set_busy(true);
+    watch_for_close();
+    m_shared->m_on_request(
+        std::make_shared<server_exchange>(shared_from_this(), m_requests, std::move(request)));
+}
+
 } // namespace
 
 /// Accepts connections until told to stop.
@@ -503,7 +589,7 @@
 
     void take(tcp::socket socket)
     {
-        if (m_shared->m_connections >= m_shared->m_settings.m_connection_limit)
+        if (m_shared->m_connections.size() >= m_shared->m_settings.m_connection_limit)
         {
             observe::log("connection_refused", {{"reason", "connection_limit"}});
             return;
@@ -548,6 +634,19 @@
     m_listener->m_shared->m_stopping = true;
 }
 
+void http_server::abort_connections()
+{
+    std::vector<std::shared_ptr<server_connection>> open;
+    for (server_connection* connection : m_listener->m_shared->m_connections)
+    {
+        open.push_back(connection->shared_from_this());
+    }
+    for (const auto& connection : open)
+    {
+        connection->abort();
+    }
+}
+
 void http_server::update(const http_server_settings& settings)
 {
     m_listener->m_shared->m_settings = settings;
@@ -555,7 +654,7 @@
 
 std::size_t http_server::connection_count() const
 {
-    return m_listener->m_shared->m_connections;
+    return m_listener->m_shared->m_connections.size();
 }
 
 std::size_t http_server::busy_count() const
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -104,6 +104,9 @@
     /// Keeps accepting, but asks each client to leave after its next response.
     void announce_leaving();
 
+    /// Closes every open connection at once, whatever its request has come to.
+    void abort_connections();
+
     /// Replaces the bounds; requests that have begun to arrive keep the earlier ones.
     void update(const http_server_settings& settings);
 
--- a/unit_tests/net/late_handler_test.cpp
+++ b/unit_tests/net/late_handler_test.cpp
@@ -20,6 +20,9 @@
 {
     CPPUNIT_TEST_SUITE(late_handler_test);
     CPPUNIT_TEST(call_that_is_cancelled_before_it_starts_sends_nothing);
+    CPPUNIT_TEST(late_answer_to_an_earlier_request_does_not_answer_the_next);
+    CPPUNIT_TEST(late_abort_of_an_earlier_request_leaves_the_next_alone);
+    CPPUNIT_TEST(late_call_of_an_earlier_request_does_not_hide_that_the_caller_left);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds read_timeout = 200ms;
@@ -124,6 +127,40 @@
         CPPUNIT_ASSERT(m_taken.empty());
         CPPUNIT_ASSERT(!recorder->m_ended && !recorder->m_failed);
     }
+
+    void late_answer_to_an_earlier_request_does_not_answer_the_next()
+    {
+        net::tcp::socket socket(m_context);
+        begin_second_request(socket);
+        answer(*m_taken[0], "late");
+        m_taken[0]->begin_stream(net::make_json_response(200, ""));
+        m_taken[0]->write("late");
+        m_taken[0]->end_stream();
+        CPPUNIT_ASSERT_EQUAL(std::string(), receive(socket));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), m_taken[1]->request().body());
+        answer(*m_taken[1], "second");
+        CPPUNIT_ASSERT(receive(socket).ends_with("second"));
+    }
+
+    void late_abort_of_an_earlier_request_leaves_the_next_alone()
+    {
+        net::tcp::socket socket(m_context);
+        begin_second_request(socket);
+        m_taken[0]->abort();
+        CPPUNIT_ASSERT_EQUAL(std::string(), receive(socket));
+        answer(*m_taken[1], "second");
+        CPPUNIT_ASSERT(receive(socket).ends_with("second"));
+    }
+
+    void late_call_of_an_earlier_request_does_not_hide_that_the_caller_left()
+    {
+        net::tcp::socket socket(m_context);
+        begin_second_request(socket);
+        m_taken[0]->on_client_gone(nullptr);
+        socket.close();
+        run_what_is_due();
+        CPPUNIT_ASSERT_EQUAL(1, m_callers_gone);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_handler_test, "net");
