Refuse a slow request also when its timeout falls between two reads

A read timeout cancels the read that waits.

The timeout is repeated until the request is whole or refused.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -193,6 +193,7 @@
             refuse(request_fault::malformed);
             return;
         }
+        m_timed_out = false;
         arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
         if (m_parser->get()[http::field::expect] == "100-continue")
         {
@@ -279,6 +280,8 @@
         m_timed_out = true;
         error_code ignored;
         m_socket.cancel(ignored);
+        // A piece that has been read and not handled yet is followed by another read.
+        arm_timer(cancel_interval, &server_connection::on_read_timeout);
     }
 
     void on_write_timeout() { drop(close_cause::write_timeout); }
@@ -440,6 +443,9 @@
 
     static constexpr std::chrono::milliseconds linger_timeout{500};
 
+    /// Time between attempts to end the reading of a request that is too slow.
+    static constexpr std::chrono::milliseconds cancel_interval{10};
+
     tcp::socket m_socket;                    ///< Connection to the client.
     timer m_timer;                           ///< Read, write or idle deadline.
     std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
--- a/unit_tests/net/late_handler_test.cpp
+++ b/unit_tests/net/late_handler_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(late_answer_to_an_earlier_request_does_not_answer_the_next);
     CPPUNIT_TEST(late_abort_of_an_earlier_request_leaves_the_next_alone);
     CPPUNIT_TEST(late_call_of_an_earlier_request_does_not_hide_that_the_caller_left);
+    CPPUNIT_TEST(request_whose_bytes_arrive_as_its_timeout_passes_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds read_timeout = 200ms;
@@ -161,6 +162,24 @@
         run_what_is_due();
         CPPUNIT_ASSERT_EQUAL(1, m_callers_gone);
     }
+
+    /// The timeout passes between two pieces that have both arrived, when no read is waiting.
+    void request_whose_bytes_arrive_as_its_timeout_passes_is_refused()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        const std::string text = request_text(std::string(1'000'000, 'x'));
+        boost::asio::write(socket, boost::asio::buffer(text.substr(0, 100)));
+        run_what_is_due();
+        boost::asio::write(socket, boost::asio::buffer(text.substr(100, 200'000)));
+        std::string received;
+        for (int i = 0; i < 5 && received.empty(); ++i)
+        {
+            core::runtime_clock::advance(read_timeout + 1ms);
+            received = receive(socket);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 403"), received.substr(0, 12));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_handler_test, "net");
