Notice that a caller left behind a second request

The end of a caller's connection was looked for once: bytes of a next request in the socket ended the watch, and its request went on at the upstream with nobody to take the answer.

What arrives while a request is under way is now kept for the next one, up to a limit, so that the end behind it is seen.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -288,9 +288,14 @@
 
     void on_linger_timeout() { close(close_cause::finished); }
 
-    /// A readable socket with nothing to read means that the client closed it.
+    /// A readable socket with nothing to read means that the client closed it. What it sends
+    /// before is kept for the next request, so that the end behind it is seen.
     void watch_for_close()
     {
+        if (m_buffer.size() >= read_ahead_limit_bytes)
+        {
+            return;
+        }
         m_socket.async_wait(tcp::socket::wait_read, [weak = weak_from_this()](error_code error) {
             const auto self = weak.lock();
             if (!error && self)
@@ -306,14 +311,16 @@
         {
             return;
         }
-        char byte = 0;
         error_code error;
         m_socket.non_blocking(true, error);
-        m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        const auto space = m_buffer.prepare(read_ahead_limit_bytes);
+        m_buffer.commit(m_socket.receive(space, 0, error));
         if (error && error != boost::asio::error::would_block)
         {
             close(close_cause::client_closed);
+            return;
         }
+        watch_for_close();
     }
 
     void enqueue(const std::string& bytes)
@@ -446,6 +453,9 @@
     /// Time between attempts to end the reading of a request that is too slow.
     static constexpr std::chrono::milliseconds cancel_interval{10};
 
+    /// Bytes of the next request from which on no more is read while one is under way.
+    static constexpr std::size_t read_ahead_limit_bytes = std::size_t{16} * 1024;
+
     tcp::socket m_socket;                    ///< Connection to the client.
     timer m_timer;                           ///< Read, write or idle deadline.
     std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
--- a/unit_tests/net/late_handler_test.cpp
+++ b/unit_tests/net/late_handler_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(late_abort_of_an_earlier_request_leaves_the_next_alone);
     CPPUNIT_TEST(late_call_of_an_earlier_request_does_not_hide_that_the_caller_left);
     CPPUNIT_TEST(request_whose_bytes_arrive_as_its_timeout_passes_is_refused);
+    CPPUNIT_TEST(caller_that_leaves_behind_a_second_request_is_noticed);
+    CPPUNIT_TEST(requests_sent_together_are_answered_in_order);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds read_timeout = 200ms;
@@ -180,6 +182,33 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 403"), received.substr(0, 12));
     }
+
+    void caller_that_leaves_behind_a_second_request_is_noticed()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        send(socket, request_text("one") + request_text("two"), 1);
+        boost::asio::write(socket, boost::asio::buffer(request_text("three")));
+        run_what_is_due();
+        socket.close();
+        run_what_is_due();
+        CPPUNIT_ASSERT_EQUAL(1, m_callers_gone);
+    }
+
+    void requests_sent_together_are_answered_in_order()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        send(socket, request_text("one") + request_text("two"), 1);
+        boost::asio::write(socket, boost::asio::buffer(request_text("three")));
+        run_what_is_due();
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            m_loop.run_until([this, i] { return m_taken.size() == i + 1; });
+            answer(*m_taken[i], m_taken[i]->request().body());
+            CPPUNIT_ASSERT(receive(socket).ends_with(i == 0 ? "one" : (i == 1 ? "two" : "three")));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_handler_test, "net");
