Wait before the next accept after one that failed

Without a free descriptor an accept fails at once and its connection stays in the queue, so the server tried again in every turn of the loop, with a log line each, and took the time of the requests that could have freed one. It now waits 100 ms.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -576,7 +576,7 @@
 struct http_server::listener : std::enable_shared_from_this<http_server::listener>
 {
     listener(boost::asio::io_context& context, const tcp::endpoint& endpoint)
-        : m_acceptor(context), m_shared(std::make_shared<server_shared>())
+        : m_acceptor(context), m_retry_timer(context), m_shared(std::make_shared<server_shared>())
     {
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -594,12 +594,23 @@
             if (error)
             {
                 observe::log("accept_failed", {{"reason", error.message()}});
+                self->accept_later();
+                return;
             }
-            else
+            self->take(std::move(socket));
+            self->accept();
+        });
+    }
+
+    /// A connection that cannot be accepted stays in the queue, so a try at once fails as well.
+    void accept_later()
+    {
+        m_retry_timer.run_after(accept_retry_delay, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && self->m_acceptor.is_open())
             {
-                self->take(std::move(socket));
+                self->accept();
             }
-            self->accept();
         });
     }
 
@@ -613,7 +624,10 @@
         std::make_shared<server_connection>(std::move(socket), m_shared)->read_request();
     }
 
+    static constexpr std::chrono::milliseconds accept_retry_delay{100};
+
     tcp::acceptor m_acceptor;                ///< Listening socket.
+    timer m_retry_timer;                     ///< Next accept after one that failed.
     std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
 };
 
--- a/unit_tests/net/late_handler_test.cpp
+++ b/unit_tests/net/late_handler_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(request_whose_bytes_arrive_as_its_timeout_passes_is_refused);
     CPPUNIT_TEST(caller_that_leaves_behind_a_second_request_is_noticed);
     CPPUNIT_TEST(requests_sent_together_are_answered_in_order);
+    CPPUNIT_TEST(accept_waits_while_descriptors_are_used_up);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds read_timeout = 200ms;
@@ -209,6 +210,26 @@
             CPPUNIT_ASSERT(receive(socket).ends_with(i == 0 ? "one" : (i == 1 ? "two" : "three")));
         }
     }
+
+    void accept_waits_while_descriptors_are_used_up()
+    {
+        net::tcp::socket socket(m_context);
+        socket.open(net::tcp::v4());
+        std::vector<int> used;
+        for (int copy = dup(STDIN_FILENO); copy >= 0; copy = dup(STDIN_FILENO))
+        {
+            used.push_back(copy);
+        }
+        connect(socket);
+        const std::size_t handled = run_what_is_due();
+        for (const int copy : used)
+        {
+            close(copy);
+        }
+        CPPUNIT_ASSERT_MESSAGE("accepts are repeated without a delay", handled < 10);
+        core::runtime_clock::advance(1s);
+        send(socket, request_text("one"), 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_handler_test, "net");
