Pass on the answer behind an interim response

An upstream may send interim responses (status 1xx but 101) before its answer. The client took the first one for the answer: the caller received the interim status as the end of its request and waited on a kept connection for an answer that never came, while the real one was left on the upstream's connection.

The client now reads on within the same deadline until the final head.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -221,6 +221,12 @@
             fail(fault_of(error));
             return;
         }
+        if (is_interim(m_parser->get().result_int()))
+        {
+            // Within the same deadline as the first head.
+            read_head();
+            return;
+        }
         m_stage = call_stage::receiving;
         http_response head;
         head.base() = m_parser->get().base();
@@ -342,6 +348,13 @@
         }
     }
 
+    /// Whether the final response is still to come.
+    static bool is_interim(unsigned status)
+    {
+        constexpr unsigned switching_protocols = 101;
+        return status / 100 == 1 && status != switching_protocols;
+    }
+
     static call_fault fault_of(error_code error)
     {
         const bool from_parser =
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(upstream_is_told_when_the_caller_leaves);
     CPPUNIT_TEST(silence_until_the_timeout_ends_with_an_answer);
     CPPUNIT_TEST(early_answer_to_a_long_body_ends_the_connection);
+    CPPUNIT_TEST(answer_behind_an_interim_response_is_passed_on);
     CPPUNIT_TEST(ambiguous_framing_is_refused);
     CPPUNIT_TEST(relay_is_busy_until_the_response_is_written);
     CPPUNIT_TEST_SUITE_END();
@@ -365,6 +366,17 @@
         CPPUNIT_ASSERT_EQUAL(2, m_upstreams.front()->m_connections);
     }
 
+    void answer_behind_an_interim_response_is_passed_on()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) {
+            return reply{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + whole("text")};
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT_EQUAL(200U, result.m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
+    }
+
     void ambiguous_framing_is_refused()
     {
         configure(relay::request_kind::idempotent);
