Test bytes without end and answers that end with their connection

An upstream in trouble may send without end, behind its answer too, and may answer with neither a length nor chunks. scripted_upstream can now send a piece each millisecond until the other side closes, with a bound that the tests read as a failure, and can reset a connection.

--- /dev/null
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -0,0 +1,231 @@
+#include "unit_tests/platform/relay_fixture.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace tarragontrail;
+using namespace tarragontrail::test;
+
+namespace {
+
+/// Text again and again, 64 KB and more.
+std::string many(const std::string& text)
+{
+    constexpr std::size_t least_bytes = std::size_t{64} * 1024;
+    std::string repeated;
+    while (repeated.size() < least_bytes)
+    {
+        repeated += text;
+    }
+    return repeated;
+}
+
+/// Bytes again and again until the connection is closed.
+reply endless(const std::string& begin, const std::string& piece)
+{
+    reply wanted{begin};
+    wanted.m_endless = piece;
+    return wanted;
+}
+
+std::string head_with(const std::string& fields)
+{
+    return "HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n" + fields + "\r\n";
+}
+
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+const std::string event_stream = "Content-Type: text/event-stream\r\n";
+const std::string chunked_rejection =
+    "HTTP/1.1 503 X\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string plain_events(int from, int to)
+{
+    std::string text;
+    for (int id = from; id <= to; ++id)
+    {
+        text += fmt::format("id: {}\ndata: t{}\n\n", id, id);
+    }
+    return text;
+}
+
+} // namespace
+
+/// Upstreams whose bytes have no end, or whose answers end with their connection.
+class endless_bytes_test : public relay_fixture
+{
+    CPPUNIT_TEST_SUITE(endless_bytes_test);
+    CPPUNIT_TEST(status_line_without_end_is_malformed);
+    CPPUNIT_TEST(header_lines_without_end_are_malformed);
+    CPPUNIT_TEST(header_lines_that_arrive_one_by_one_without_end_are_malformed);
+    CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
+    CPPUNIT_TEST(junk_behind_an_answer_is_not_the_next_answer);
+    CPPUNIT_TEST(junk_without_end_behind_an_answer_closes_its_connection);
+    CPPUNIT_TEST(unframed_answer_is_whole_when_its_connection_ends);
+    CPPUNIT_TEST(unframed_answer_of_an_old_version_is_whole_when_its_connection_ends);
+    CPPUNIT_TEST(unframed_answer_that_is_reset_is_not_whole);
+    CPPUNIT_TEST(unframed_answer_that_is_reset_is_asked_for_elsewhere);
+    CPPUNIT_TEST(long_unframed_answer_that_is_reset_does_not_look_complete);
+    CPPUNIT_TEST(unframed_stream_that_ends_after_an_event_is_whole);
+    CPPUNIT_TEST(unframed_stream_that_is_reset_does_not_look_complete);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Status that a caller of an unsafe request sees when the first upstream answers so; the
+    /// upstream sees its connection closed before the bound of its bytes.
+    unsigned status_of_unsafe(const reply& wanted)
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([wanted](const std::string&) { return wanted; });
+        const auto result = send(request());
+        wait_until_closed();
+        return result.m_ok ? result.m_response.result_int() : 0;
+    }
+
+    void wait_until_closed()
+    {
+        const scripted_upstream& first = *m_upstreams.front();
+        m_loop.run_until([&first] { return first.m_closed_by_client > 0 || first.m_overrun; });
+        CPPUNIT_ASSERT(!first.m_overrun);
+    }
+
+    void check_goes_elsewhere(const reply& wanted, relay::request_kind kind)
+    {
+        configure(kind);
+        add_upstream([wanted](const std::string&) { return wanted; });
+        add_upstream([](const std::string&) { return reply{whole("text")}; });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(result.m_ok);
+        CPPUNIT_ASSERT_EQUAL(200U, result.m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
+    }
+
+public:
+    void status_line_without_end_is_malformed()
+    {
+        CPPUNIT_ASSERT_EQUAL(502U, status_of_unsafe(endless("HTTP/1.1 200 ", many("x"))));
+    }
+
+    void header_lines_without_end_are_malformed()
+    {
+        const std::string line = "X-Junk: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n";
+        CPPUNIT_ASSERT_EQUAL(502U, status_of_unsafe(endless("HTTP/1.1 200 X\r\n", many(line))));
+    }
+
+    void header_lines_that_arrive_one_by_one_without_end_are_malformed()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            502U, status_of_unsafe(
+                      endless("HTTP/1.1 200 X\r\n", "X-Junk: " + std::string(128, 'y') + "\r\n")));
+    }
+
+    void rejection_with_a_short_body_keeps_its_connection()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([this](const std::string&) {
+            return m_upstreams.front()->m_requests.size() > 1
+                       ? reply{whole("text")}
+                       : reply{chunked_rejection + "5\r\nabcde\r\n" + end_of_chunks};
+        });
+        send(request());
+        CPPUNIT_ASSERT_EQUAL(200U, send(request()).m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
+    }
+
+    void junk_behind_an_answer_is_not_the_next_answer()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string& head) {
+            return head.find("/a/one") == std::string::npos ? reply{whole("two")}
+                                                            : reply{whole("one") + whole("junk")};
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), send(request("/a/one")).m_response.body());
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), send(request("/a/two")).m_response.body());
+        CPPUNIT_ASSERT_EQUAL(2, m_upstreams.front()->m_connections);
+    }
+
+    void junk_without_end_behind_an_answer_closes_its_connection()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) { return endless(whole("one"), many("junk")); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), send(request()).m_response.body());
+        wait_until_closed();
+    }
+
+    void unframed_answer_is_whole_when_its_connection_ends()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) { return reply{head_with("") + "text", true}; });
+        const auto result = send(request());
+        CPPUNIT_ASSERT_EQUAL(200U, result.m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
+    }
+
+    void unframed_answer_of_an_old_version_is_whole_when_its_connection_ends()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) {
+            std::string head = head_with("");
+            head.replace(head.find("1.1"), 3, "1.0");
+            return reply{head + "text", true};
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT_EQUAL(200U, result.m_response.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
+    }
+
+    void unframed_answer_that_is_reset_is_not_whole()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) {
+            reply wanted{head_with("") + "text"};
+            wanted.m_reset = true;
+            return wanted;
+        });
+        CPPUNIT_ASSERT_EQUAL(502U, send(request()).m_response.result_int());
+    }
+
+    void unframed_answer_that_is_reset_is_asked_for_elsewhere()
+    {
+        reply wanted{head_with("") + "te"};
+        wanted.m_reset = true;
+        check_goes_elsewhere(wanted, relay::request_kind::idempotent);
+    }
+
+    /// Longer than what is gathered before it is passed on.
+    void long_unframed_answer_that_is_reset_does_not_look_complete()
+    {
+        configure(relay::request_kind::non_idempotent);
+        m_state->m_session_settings.m_buffer_limit_bytes = 1'000;
+        add_upstream([](const std::string&) {
+            reply wanted{head_with("") + std::string(20'000, 'x')};
+            wanted.m_reset = true;
+            return wanted;
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(!result.m_ok || result.m_response.result_int() == 502);
+    }
+
+    void unframed_stream_that_ends_after_an_event_is_whole()
+    {
+        configure(relay::request_kind::stream);
+        add_upstream([](const std::string&) {
+            return reply{head_with(event_stream) + plain_events(1, 3), true};
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(result.m_ok);
+        CPPUNIT_ASSERT_EQUAL(plain_events(1, 3), result.m_response.body());
+    }
+
+    void unframed_stream_that_is_reset_does_not_look_complete()
+    {
+        configure(relay::request_kind::stream);
+        add_upstream([](const std::string&) {
+            reply wanted{head_with(event_stream) + plain_events(1, 2)};
+            wanted.m_reset = true;
+            return wanted;
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(!result.m_ok || result.m_response.result_int() == 502);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(endless_bytes_test, "platform");
--- a/unit_tests/platform/scripted_upstream.hpp
+++ b/unit_tests/platform/scripted_upstream.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
@@ -21,6 +22,9 @@
         std::string m_bytes;  ///< Sent at once.
         bool m_close = false; ///< The connection is closed behind them.
         bool m_hold = false;  ///< Nothing more is read from the connection.
+        bool m_reset = false; ///< The connection is reset behind them.
+        std::string m_endless =
+            {}; ///< Sent behind them, each millisecond, until the other side closes.
     };
 
     using script = std::function<reply(const std::string& head)>;
@@ -40,14 +44,23 @@
     std::vector<std::string> m_requests; ///< Heads of the requests that arrived.
     int m_connections = 0;               ///< Connections accepted.
     int m_closed_by_client = 0;          ///< Connections that the other side closed.
+    bool m_overrun = false; ///< An endless answer came to the bound before the other side closed.
+
+    /// Most bytes sent of one endless answer.
+    static constexpr std::size_t endless_bound_bytes = std::size_t{16} * 1024 * 1024;
 
 private:
     struct connection
     {
-        explicit connection(boost::asio::ip::tcp::socket socket) : m_socket(std::move(socket)) {}
+        explicit connection(boost::asio::ip::tcp::socket socket)
+            : m_socket(std::move(socket)), m_pace(m_socket.get_executor())
+        {}
 
         boost::asio::ip::tcp::socket m_socket;
         boost::asio::streambuf m_input;
+        boost::asio::steady_timer m_pace; ///< Until the next piece of an endless answer.
+        std::string m_endless;            ///< Piece of an endless answer.
+        std::size_t m_sent_bytes = 0;     ///< Of the endless answer.
     };
 
     void accept()
@@ -79,7 +92,17 @@
                 const reply wanted = m_answer(m_requests.back());
                 boost::system::error_code ignored;
                 boost::asio::write(peer->m_socket, boost::asio::buffer(wanted.m_bytes), ignored);
-                if (wanted.m_hold)
+                if (!wanted.m_endless.empty())
+                {
+                    peer->m_endless = wanted.m_endless;
+                    send_endless(peer);
+                }
+                else if (wanted.m_reset)
+                {
+                    peer->m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+                    peer->m_socket.close(ignored);
+                }
+                else if (wanted.m_hold)
                 {
                     m_held.push_back(peer);
                 }
@@ -90,6 +113,28 @@
             });
     }
 
+    void send_endless(const std::shared_ptr<connection>& peer)
+    {
+        boost::asio::async_write(
+            peer->m_socket, boost::asio::buffer(peer->m_endless),
+            [this, peer](boost::system::error_code error, std::size_t size) {
+                if (error)
+                {
+                    ++m_closed_by_client;
+                    return;
+                }
+                peer->m_sent_bytes += size;
+                if (peer->m_sent_bytes > endless_bound_bytes)
+                {
+                    m_overrun = true;
+                    return;
+                }
+                peer->m_pace.expires_after(std::chrono::milliseconds(1));
+                peer->m_pace.async_wait(
+                    [this, peer](boost::system::error_code) { send_endless(peer); });
+            });
+    }
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     script m_answer;
     std::vector<std::shared_ptr<connection>> m_held;
