Read past interim answers, and bound them with the head

An upstream that sent 100 or 102 before its answer had that passed on as the answer: the caller saw status 102, and the real answer was dropped. Interim heads are now read past; together with the final one they must fit into m_head_limit_bytes, so interim heads without end close the connection and the outcome is unknown, 502. 101 is malformed. A response over a bound is told from one that is not HTTP by the cause `oversized` in the log.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -203,19 +203,38 @@
         }
         m_parser.emplace();
         m_parser->body_limit(m_settings.m_body_limit_bytes);
-        http::async_read_header(m_connection->m_socket, m_connection->m_buffer, *m_parser,
-                                [self = this->shared_from_this()](error_code error, std::size_t) {
-                                    self->on_head(error);
-                                });
+        m_parser->header_limit(m_settings.m_head_limit_bytes - m_interim_bytes);
+        http::async_read_header(
+            m_connection->m_socket, m_connection->m_buffer, *m_parser,
+            [self = this->shared_from_this()](error_code error, std::size_t size) {
+                self->on_head(error, size);
+            });
     }
 
-    void on_head(error_code error)
+    void on_head(error_code error, std::size_t size)
     {
         if (error)
         {
             fail(fault_of(error));
             return;
         }
+        if (m_parser->get().result() == http::status::switching_protocols)
+        {
+            // No call asks for another protocol.
+            fail(call_fault::malformed);
+            return;
+        }
+        if (http::to_status_class(m_parser->get().result()) == http::status_class::informational)
+        {
+            m_interim_bytes += static_cast<std::uint32_t>(size);
+            if (m_interim_bytes >= m_settings.m_head_limit_bytes)
+            {
+                fail(call_fault::oversized);
+                return;
+            }
+            read_head();
+            return;
+        }
         m_stage = call_stage::receiving;
         http_response head;
         head.base() = m_parser->get().base();
@@ -339,6 +358,10 @@
 
     static call_fault fault_of(error_code error)
     {
+        if (error == http::error::header_limit || error == http::error::body_limit)
+        {
+            return call_fault::oversized;
+        }
         const bool from_parser =
             error.category() == http::make_error_code(http::error::bad_version).category();
         if (from_parser && error != http::error::end_of_stream &&
@@ -361,6 +384,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser; ///< Response being read.
     std::array<char, piece_bytes> m_piece{};     ///< Room for one piece of the body.
     call_stage m_stage = call_stage::connecting; ///< How far the call has come.
+    std::uint32_t m_interim_bytes = 0;           ///< Of heads before the final one.
     bool m_timed_out = false;                    ///< A deadline closed the connection.
     bool m_sent = false;                         ///< The whole request is written.
 };
@@ -377,6 +401,8 @@
         return "lost";
     case call_fault::malformed:
         return "malformed";
+    case call_fault::oversized:
+        return "oversized";
     case call_fault::cancelled:
         return "cancelled";
     }
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -24,7 +24,8 @@
     refused,   ///< The connection was not made.
     timed_out, ///< A deadline of the call passed.
     lost,      ///< The connection broke.
-    malformed, ///< The response is not HTTP or is too large.
+    malformed, ///< The response is not HTTP.
+    oversized, ///< The response exceeds a bound of the call.
     cancelled, ///< The caller of the call gave it up.
 };
 
@@ -49,6 +50,8 @@
     std::chrono::milliseconds m_reuse_limit{
         60'000}; ///< A connection that was idle for longer is not used again.
     std::uint64_t m_body_limit_bytes = std::uint64_t{64} * 1024 * 1024; ///< Largest response body.
+    std::uint32_t m_head_limit_bytes =
+        std::uint32_t{8} * 1024;     ///< Largest head, with its interim ones.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(status_line_without_end_is_malformed);
     CPPUNIT_TEST(header_lines_without_end_are_malformed);
     CPPUNIT_TEST(header_lines_that_arrive_one_by_one_without_end_are_malformed);
+    CPPUNIT_TEST(interim_answers_without_end_are_malformed);
+    CPPUNIT_TEST(interim_answer_is_not_passed_on_as_the_answer);
     CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
     CPPUNIT_TEST(junk_behind_an_answer_is_not_the_next_answer);
     CPPUNIT_TEST(junk_without_end_behind_an_answer_closes_its_connection);
@@ -117,6 +119,28 @@
                       endless("HTTP/1.1 200 X\r\n", "X-Junk: " + std::string(128, 'y') + "\r\n")));
     }
 
+    void interim_answers_without_end_are_malformed()
+    {
+        const std::string interim = "HTTP/1.1 102 X\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(502U, status_of_unsafe(endless("", many(interim))));
+    }
+
+    void interim_answer_is_not_passed_on_as_the_answer()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) {
+            return reply{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 X\r\n\r\n" + whole("text")};
+        });
+        for (int i = 0; i < 2; ++i)
+        {
+            const auto result = send(request());
+            CPPUNIT_ASSERT(result.m_ok);
+            CPPUNIT_ASSERT_EQUAL(200U, result.m_response.result_int());
+            CPPUNIT_ASSERT_EQUAL(std::string("text"), result.m_response.body());
+        }
+        CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
+    }
+
     void rejection_with_a_short_body_keeps_its_connection()
     {
         configure(relay::request_kind::non_idempotent);
