Bound the bytes read ahead between chunks

Beast gathers a chunk extension or a trailer whole and has no bound for either, so one without end was read into memory until the request's deadline, as fast as it came. The buffer of a connection is now bounded by m_head_limit_bytes; past it the connection is closed and the outcome is unknown.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -204,6 +204,8 @@
         m_parser.emplace();
         m_parser->body_limit(m_settings.m_body_limit_bytes);
         m_parser->header_limit(m_settings.m_head_limit_bytes - m_interim_bytes);
+        // The parser has no bound of its own for chunk extensions and trailers.
+        m_connection->m_buffer.max_size(m_settings.m_head_limit_bytes);
         http::async_read_header(
             m_connection->m_socket, m_connection->m_buffer, *m_parser,
             [self = this->shared_from_this()](error_code error, std::size_t size) {
@@ -358,7 +360,8 @@
 
     static call_fault fault_of(error_code error)
     {
-        if (error == http::error::header_limit || error == http::error::body_limit)
+        if (error == http::error::header_limit || error == http::error::body_limit ||
+            error == http::error::buffer_overflow)
         {
             return call_fault::oversized;
         }
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -51,7 +51,8 @@
         60'000}; ///< A connection that was idle for longer is not used again.
     std::uint64_t m_body_limit_bytes = std::uint64_t{64} * 1024 * 1024; ///< Largest response body.
     std::uint32_t m_head_limit_bytes =
-        std::uint32_t{8} * 1024;     ///< Largest head, with its interim ones.
+        std::uint32_t{8} * 1024; ///< Largest head with its interim ones, and largest line between
+                                 ///< chunks or trailer.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -59,7 +59,11 @@
     CPPUNIT_TEST(header_lines_that_arrive_one_by_one_without_end_are_malformed);
     CPPUNIT_TEST(interim_answers_without_end_are_malformed);
     CPPUNIT_TEST(interim_answer_is_not_passed_on_as_the_answer);
+    CPPUNIT_TEST(chunk_extension_without_end_is_malformed);
+    CPPUNIT_TEST(trailer_without_end_is_malformed);
+    CPPUNIT_TEST(malformed_answer_of_a_safe_request_is_asked_for_elsewhere);
     CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
+    CPPUNIT_TEST(other_requests_go_on_beside_bytes_without_end);
     CPPUNIT_TEST(junk_behind_an_answer_is_not_the_next_answer);
     CPPUNIT_TEST(junk_without_end_behind_an_answer_closes_its_connection);
     CPPUNIT_TEST(unframed_answer_is_whole_when_its_connection_ends);
@@ -141,6 +145,25 @@
         CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
     }
 
+    void chunk_extension_without_end_is_malformed()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            502U, status_of_unsafe(endless(head_with(chunked) + "4;", many("extension"))));
+    }
+
+    void trailer_without_end_is_malformed()
+    {
+        CPPUNIT_ASSERT_EQUAL(502U, status_of_unsafe(endless(head_with(chunked) + "0\r\n",
+                                                            many("X-Junk: yyyyyyyy\r\n"))));
+    }
+
+    void malformed_answer_of_a_safe_request_is_asked_for_elsewhere()
+    {
+        check_goes_elsewhere(endless(head_with(chunked) + "4;", many("extension")),
+                             relay::request_kind::idempotent);
+        wait_until_closed();
+    }
+
     void rejection_with_a_short_body_keeps_its_connection()
     {
         configure(relay::request_kind::non_idempotent);
@@ -154,6 +177,26 @@
         CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
     }
 
+    void other_requests_go_on_beside_bytes_without_end()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string& head) {
+            return head.find("/a/bad") == std::string::npos
+                       ? reply{whole("text")}
+                       : endless(head_with(chunked) + "4;", many("extension"));
+        });
+        std::optional<net::http_client::fetch_result> bad;
+        m_loop.m_client.fetch(net::make_endpoint("127.0.0.1", m_port), request("/a/bad"), {},
+                              [&bad](net::http_client::fetch_result value) { bad = value; });
+        for (int i = 0; i < 5; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200U, send(request()).m_response.result_int());
+        }
+        m_loop.run_until([&bad] { return bad.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(502U, bad->m_response.result_int());
+        wait_until_closed();
+    }
+
     void junk_behind_an_answer_is_not_the_next_answer()
     {
         configure(relay::request_kind::non_idempotent);
