Tell that a request was not executed by the head alone

A rejection says in its head that the request was not executed; the relay waited for the end of its body all the same. A body that was reset or had no end made the outcome unknown (502), one that stalled held the request until its deadline (504), and neither went to another upstream.

The retry is now decided when the head has arrived, and the client reads the rest for nobody: within m_discard_limit_bytes and m_discard_timeout the connection is kept, otherwise it is closed and a log line says why.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
+#include "tarragontrail/observe/log.hpp"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -159,6 +160,13 @@
         close();
     }
 
+    void discard() override
+    {
+        m_listener.reset();
+        m_discarding = true;
+        arm(m_settings.m_discard_timeout);
+    }
+
 private:
     using self_pointer = std::shared_ptr<running_call<Pool>>;
 
@@ -246,7 +254,7 @@
 
     void read_body()
     {
-        if (!m_listener || !m_connection)
+        if ((!m_listener && !m_discarding) || !m_connection)
         {
             return;
         }
@@ -255,7 +263,10 @@
             complete();
             return;
         }
-        arm(m_settings.m_idle_timeout);
+        if (!m_discarding)
+        {
+            arm(m_settings.m_idle_timeout);
+        }
         auto& body = m_parser->get().body();
         body.data = m_piece.data();
         body.size = m_piece.size();
@@ -273,6 +284,12 @@
             return;
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
+        m_discarded_bytes += m_discarding ? size : 0;
+        if (m_discarded_bytes > m_settings.m_discard_limit_bytes)
+        {
+            fail(call_fault::oversized);
+            return;
+        }
         if (size > 0)
         {
             const std::string_view piece(m_piece.data(), size);
@@ -318,6 +335,14 @@
         const bool reused = m_connection && m_connection->m_reused;
         const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
         close();
+        if (m_discarding)
+        {
+            observe::log("discarding_ended",
+                         {{"server", fmt::format("{}:{}", m_endpoint.address().to_string(),
+                                                 m_endpoint.port())},
+                          {"cause", to_string(failure.m_fault)},
+                          {"bytes", m_discarded_bytes}});
+        }
         if (const auto listener = std::exchange(m_listener, nullptr))
         {
             listener->on_failed(failure);
@@ -388,6 +413,8 @@
     std::array<char, piece_bytes> m_piece{};     ///< Room for one piece of the body.
     call_stage m_stage = call_stage::connecting; ///< How far the call has come.
     std::uint32_t m_interim_bytes = 0;           ///< Of heads before the final one.
+    std::uint64_t m_discarded_bytes = 0;         ///< Body bytes read since discard.
+    bool m_discarding = false;                   ///< The rest of the response is read for nobody.
     bool m_timed_out = false;                    ///< A deadline closed the connection.
     bool m_sent = false;                         ///< The whole request is written.
 };
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -33,11 +33,10 @@
     /// How the response of the current attempt is handled.
     enum class response_mode
     {
-        none,      ///< No response head yet.
-        discarded, ///< The upstream did not execute the request; the body is ignored.
-        buffered,  ///< Short response, forwarded when complete.
-        events,    ///< Event stream, forwarded event by event.
-        piped,     ///< Long response, forwarded as it arrives.
+        none,     ///< No response head yet, or one of a request that was not executed.
+        buffered, ///< Short response, forwarded when complete.
+        events,   ///< Event stream, forwarded event by event.
+        piped,    ///< Long response, forwarded as it arrives.
     };
 
     /// How an attempt at an upstream ended.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -18,13 +18,15 @@
     record_weights_version(metadata);
     if (metadata.m_misdirected || metadata.m_not_executed)
     {
-        m_mode = response_mode::discarded;
         if (metadata.m_wrong_upstream)
         {
             // Another upstream answers at this address, so the record is out of date.
             m_state.m_upstreams.remove(m_selection.m_upstream->m_record.m_id,
                                        core::runtime_clock::now());
         }
+        // The head tells all: the body may break off or have no end.
+        m_call->discard();
+        on_not_executed();
         return;
     }
     if (!metadata.m_authentic)
@@ -72,7 +74,6 @@
         m_exchange->write(chunk);
         return;
     case response_mode::none:
-    case response_mode::discarded:
         return;
     }
 }
@@ -116,11 +117,6 @@
     {
         return;
     }
-    if (m_mode == response_mode::discarded)
-    {
-        on_not_executed();
-        return;
-    }
     const unsigned status = m_head.result_int();
     if (m_mode == response_mode::buffered && status >= 500 && is_repeatable() &&
         retry_after_error())
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -38,6 +38,12 @@
 const std::string chunked_rejection =
     "HTTP/1.1 503 X\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Chunk of 64 KB.
+std::string letter_chunk()
+{
+    return "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+}
+
 std::string plain_events(int from, int to)
 {
     std::string text;
@@ -62,6 +68,10 @@
     CPPUNIT_TEST(chunk_extension_without_end_is_malformed);
     CPPUNIT_TEST(trailer_without_end_is_malformed);
     CPPUNIT_TEST(malformed_answer_of_a_safe_request_is_asked_for_elsewhere);
+    CPPUNIT_TEST(rejection_whose_body_has_no_end_goes_elsewhere);
+    CPPUNIT_TEST(rejection_whose_body_stalls_goes_elsewhere);
+    CPPUNIT_TEST(rejection_whose_body_is_reset_goes_elsewhere);
+    CPPUNIT_TEST(rejection_without_end_everywhere_stays_not_executed);
     CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
     CPPUNIT_TEST(other_requests_go_on_beside_bytes_without_end);
     CPPUNIT_TEST(junk_behind_an_answer_is_not_the_next_answer);
@@ -164,6 +174,32 @@
         wait_until_closed();
     }
 
+    void rejection_whose_body_has_no_end_goes_elsewhere()
+    {
+        check_goes_elsewhere(endless(chunked_rejection, letter_chunk()),
+                             relay::request_kind::non_idempotent);
+        wait_until_closed();
+    }
+
+    void rejection_whose_body_stalls_goes_elsewhere()
+    {
+        check_goes_elsewhere(reply{chunked_rejection + "5\r\nab"},
+                             relay::request_kind::non_idempotent);
+        wait_until_closed();
+    }
+
+    void rejection_whose_body_is_reset_goes_elsewhere()
+    {
+        reply wanted{chunked_rejection + "5\r\nab"};
+        wanted.m_reset = true;
+        check_goes_elsewhere(wanted, relay::request_kind::non_idempotent);
+    }
+
+    void rejection_without_end_everywhere_stays_not_executed()
+    {
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_unsafe(endless(chunked_rejection, letter_chunk())));
+    }
+
     void rejection_with_a_short_body_keeps_its_connection()
     {
         configure(relay::request_kind::non_idempotent);
