Break off a stream whose event has no end

The framer kept the bytes of an event until its end, up to the limit of a whole response of 64 MiB for each request. An event over m_event_limit_bytes now closes the connection: the stream is broken off, or goes on at another upstream where it is resumable.

Before: both tests failed, the upstream came to its bound of 16 MiB unhindered.

--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -56,6 +56,12 @@
     case response_mode::events:
         m_framer.feed(chunk);
         forward_events();
+        if (!m_ended &&
+            m_framer.remainder().size() > m_state.m_session_settings.m_event_limit_bytes)
+        {
+            m_call->cancel();
+            on_connection_lost("event_too_long");
+        }
         return;
     case response_mode::buffered:
         m_body.append(chunk);
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(rejection_whose_body_is_reset_goes_elsewhere);
     CPPUNIT_TEST(rejection_without_end_everywhere_stays_not_executed);
     CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
+    CPPUNIT_TEST(event_without_end_is_broken_off);
+    CPPUNIT_TEST(resumable_stream_with_an_event_without_end_goes_on_elsewhere);
     CPPUNIT_TEST(other_requests_go_on_beside_bytes_without_end);
     CPPUNIT_TEST(junk_behind_an_answer_is_not_the_next_answer);
     CPPUNIT_TEST(junk_without_end_behind_an_answer_closes_its_connection);
@@ -213,6 +215,31 @@
         CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
     }
 
+    void event_without_end_is_broken_off()
+    {
+        configure(relay::request_kind::stream);
+        add_upstream([](const std::string&) {
+            return endless(events(1, 2, "id: 3\ndata: "), letter_chunk());
+        });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(!result.m_ok);
+        wait_until_closed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_relay->in_flight());
+    }
+
+    void resumable_stream_with_an_event_without_end_goes_on_elsewhere()
+    {
+        configure(relay::request_kind::stream, true);
+        add_upstream([](const std::string&) {
+            return endless(events(1, 2, "id: 3\ndata: "), letter_chunk());
+        });
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(result.m_ok);
+        CPPUNIT_ASSERT_EQUAL(plain_events(1, 4), result.m_response.body());
+        wait_until_closed();
+    }
+
     void other_requests_go_on_beside_bytes_without_end()
     {
         configure(relay::request_kind::non_idempotent);
