Take a stream that ends inside an event for broken off

When an upstream ended its stream regularly in the middle of an event, by the end of an unframed connection or by the last chunk, the relay passed on the half event and ended the caller's stream as complete. It is now lost: the caller's stream is broken off without the half event, or goes on at another upstream where it is resumable. Line ends alone behind the last event are passed on as before.

Before: the three tests failed; the callers saw a complete stream that ended in "id: 3\nda".

--- a/tarragontrail/relay/event_framer.hpp
+++ b/tarragontrail/relay/event_framer.hpp
@@ -23,6 +23,12 @@
     /// Bytes after the last complete event.
     const std::string& remainder() const noexcept { return m_pending; }
 
+    /// True when an event has begun and not ended; line ends alone begin none.
+    bool is_inside_event() const noexcept
+    {
+        return m_pending.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /// Discards the bytes after the last complete event.
     void clear()
     {
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -123,6 +123,11 @@
     {
         return;
     }
+    if (m_mode == response_mode::events && m_framer.is_inside_event())
+    {
+        on_connection_lost("ended_inside_event");
+        return;
+    }
     const unsigned status = m_head.result_int();
     if (m_mode == response_mode::buffered && status >= 500 && is_repeatable() &&
         retry_after_error())
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -84,7 +84,10 @@
     CPPUNIT_TEST(unframed_answer_that_is_reset_is_asked_for_elsewhere);
     CPPUNIT_TEST(long_unframed_answer_that_is_reset_does_not_look_complete);
     CPPUNIT_TEST(unframed_stream_that_ends_after_an_event_is_whole);
+    CPPUNIT_TEST(unframed_stream_that_ends_inside_an_event_does_not_look_complete);
+    CPPUNIT_TEST(framed_stream_that_ends_inside_an_event_does_not_look_complete);
     CPPUNIT_TEST(unframed_stream_that_is_reset_does_not_look_complete);
+    CPPUNIT_TEST(unframed_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
     /// Status that a caller of an unsafe request sees when the first upstream answers so; the
@@ -345,6 +348,23 @@
         CPPUNIT_ASSERT_EQUAL(plain_events(1, 3), result.m_response.body());
     }
 
+    void unframed_stream_that_ends_inside_an_event_does_not_look_complete()
+    {
+        configure(relay::request_kind::stream);
+        add_upstream([](const std::string&) {
+            return reply{head_with(event_stream) + plain_events(1, 2) + "id: 3\nda", true};
+        });
+        CPPUNIT_ASSERT(!send(request()).m_ok);
+    }
+
+    void framed_stream_that_ends_inside_an_event_does_not_look_complete()
+    {
+        configure(relay::request_kind::stream);
+        add_upstream(
+            [](const std::string&) { return reply{events(1, 2, "id: 3\nda") + end_of_chunks}; });
+        CPPUNIT_ASSERT(!send(request()).m_ok);
+    }
+
     void unframed_stream_that_is_reset_does_not_look_complete()
     {
         configure(relay::request_kind::stream);
@@ -356,6 +376,20 @@
         const auto result = send(request());
         CPPUNIT_ASSERT(!result.m_ok || result.m_response.result_int() == 502);
     }
+
+    void unframed_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere()
+    {
+        configure(relay::request_kind::stream, true);
+        add_upstream([](const std::string&) {
+            return reply{head_with(event_stream) + plain_events(1, 2) + "id: 3\nda", true};
+        });
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        const auto result = send(request());
+        CPPUNIT_ASSERT(result.m_ok);
+        CPPUNIT_ASSERT_EQUAL(plain_events(1, 4), result.m_response.body());
+        const std::string& head = m_upstreams.back()->m_requests.front();
+        CPPUNIT_ASSERT(head.find("Last-Event-Id: 2\r\n") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(endless_bytes_test, "platform");
