Make the largest response a setting of the relay

A response without end that is passed on as it arrives was bounded only by the client's default of 64 MiB, so no test could reach it within a route's time. The bound is the same and is now relay_session_settings::m_response_limit_bytes; the two tests show that the caller's response does not look complete and that the upstream's connection is closed.

--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -233,6 +233,7 @@
     // The deadline of the request itself fires first.
     timing.m_first_byte_timeout = time_left + m_state.m_session_settings.m_connect_timeout;
     timing.m_idle_timeout = timing.m_first_byte_timeout;
+    timing.m_body_limit_bytes = m_state.m_session_settings.m_response_limit_bytes;
     timing.m_reuse_limit = is_repeatable() ? m_state.m_session_settings.m_reuse_limit
                                            : m_state.m_session_settings.m_unrepeatable_reuse_limit;
     m_call = m_state.m_client.start(
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -70,6 +70,8 @@
     std::uint64_t m_max_sends = 3;
     /// Larger responses are streamed.
     std::size_t m_buffer_limit_bytes = std::size_t{256} * 1024;
+    /// Largest response that is passed on.
+    std::uint64_t m_response_limit_bytes = std::uint64_t{64} * 1024 * 1024;
     /// Largest event of a stream.
     std::size_t m_event_limit_bytes = std::size_t{256} * 1024;
     /// Interval of checks while a suspect request is held; half of crash attribution's
--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST(rejection_whose_body_is_reset_goes_elsewhere);
     CPPUNIT_TEST(rejection_without_end_everywhere_stays_not_executed);
     CPPUNIT_TEST(rejection_with_a_short_body_keeps_its_connection);
+    CPPUNIT_TEST(answer_without_end_does_not_look_complete);
+    CPPUNIT_TEST(unframed_answer_without_end_does_not_look_complete);
     CPPUNIT_TEST(event_without_end_is_broken_off);
     CPPUNIT_TEST(resumable_stream_with_an_event_without_end_goes_on_elsewhere);
     CPPUNIT_TEST(other_requests_go_on_beside_bytes_without_end);
@@ -218,6 +220,25 @@
         CPPUNIT_ASSERT_EQUAL(1, m_upstreams.front()->m_connections);
     }
 
+    void answer_without_end_does_not_look_complete()
+    {
+        configure(relay::request_kind::non_idempotent);
+        m_state->m_session_settings.m_response_limit_bytes = std::uint64_t{1} * 1024 * 1024;
+        add_upstream(
+            [](const std::string&) { return endless(head_with(chunked), letter_chunk()); });
+        CPPUNIT_ASSERT(!send(request()).m_ok);
+        wait_until_closed();
+    }
+
+    void unframed_answer_without_end_does_not_look_complete()
+    {
+        configure(relay::request_kind::non_idempotent);
+        m_state->m_session_settings.m_response_limit_bytes = std::uint64_t{1} * 1024 * 1024;
+        add_upstream([](const std::string&) { return endless(head_with(""), many("junk")); });
+        CPPUNIT_ASSERT(!send(request()).m_ok);
+        wait_until_closed();
+    }
+
     void event_without_end_is_broken_off()
     {
         configure(relay::request_kind::stream);
