--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -138,7 +139,12 @@
                  const call_settings& settings, std::shared_ptr<call_listener> listener)
         : m_pool(std::move(pool)), m_endpoint(endpoint), m_request(std::move(request)),
           m_settings(settings), m_listener(std::move(listener)), m_timer(m_pool->m_context)
-    {}
+    {
+        if (m_settings.m_total_timeout)
+        {
+            m_deadline = core::runtime_clock::now() + *m_settings.m_total_timeout;
+        }
+    }
 
     void start()
     {
@@ -361,7 +367,8 @@
 
     void arm(std::chrono::milliseconds timeout)
     {
-        m_timer.run_after(timeout, [weak = this->weak_from_this()] {
+        const core::time_point when = core::runtime_clock::now() + timeout;
+        m_timer.run_at(std::min(when, m_deadline), [weak = this->weak_from_this()] {
             const auto self = weak.lock();
             if (!self || !self->m_connection)
             {
@@ -410,13 +417,14 @@
     timer m_timer;                                   ///< Deadline of the current stage.
     std::unique_ptr<client_connection> m_connection; ///< Connection in use.
     std::optional<http::response_parser<http::buffer_body>> m_parser; ///< Response being read.
-    std::array<char, piece_bytes> m_piece{};     ///< Room for one piece of the body.
-    call_stage m_stage = call_stage::connecting; ///< How far the call has come.
-    std::uint32_t m_interim_bytes = 0;           ///< Of heads before the final one.
-    std::uint64_t m_discarded_bytes = 0;         ///< Body bytes read since discard.
-    bool m_discarding = false;                   ///< The rest of the response is read for nobody.
-    bool m_timed_out = false;                    ///< A deadline closed the connection.
-    bool m_sent = false;                         ///< The whole request is written.
+    std::array<char, piece_bytes> m_piece{};               ///< Room for one piece of the body.
+    call_stage m_stage = call_stage::connecting;           ///< How far the call has come.
+    core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
+    std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
+    std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
+    bool m_discarding = false; ///< The rest of the response is read for nobody.
+    bool m_timed_out = false;  ///< A deadline closed the connection.
+    bool m_sent = false;       ///< The whole request is written.
 };
 
 const char* to_string(call_fault fault) noexcept
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace tarragontrail::net {
@@ -47,6 +48,8 @@
     std::chrono::milliseconds m_first_byte_timeout{
         30'000};                                      ///< Longest wait for the response's head.
     std::chrono::milliseconds m_idle_timeout{15'000}; ///< Longest silence within the response.
+    std::optional<std::chrono::milliseconds>
+        m_total_timeout; ///< Longest time from the request to the response's end.
     std::chrono::milliseconds m_reuse_limit{
         60'000}; ///< A connection that was idle for longer is not used again.
     std::uint64_t m_body_limit_bytes = std::uint64_t{64} * 1024 * 1024; ///< Largest response body.
