--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -2,7 +2,9 @@
 
 #include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
+#include "tarragontrail/observe/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -137,7 +139,12 @@
                  const call_settings& settings, std::shared_ptr<call_listener> listener)
         : m_pool(std::move(pool)), m_endpoint(endpoint), m_request(std::move(request)),
           m_settings(settings), m_listener(std::move(listener)), m_timer(m_pool->m_context)
-    {}
+    {
+        if (m_settings.m_total_timeout)
+        {
+            m_deadline = core::runtime_clock::now() + *m_settings.m_total_timeout;
+        }
+    }
 
     void start()
     {
@@ -164,6 +171,13 @@
         close();
     }
 
+    void discard() override
+    {
+        m_listener.reset();
+        m_discarding = true;
+        arm(m_settings.m_discard_timeout);
+    }
+
 private:
     using self_pointer = std::shared_ptr<running_call<Pool>>;
 
@@ -208,22 +222,37 @@
         }
         m_parser.emplace();
         m_parser->body_limit(m_settings.m_body_limit_bytes);
-        http::async_read_header(m_connection->m_socket, m_connection->m_buffer, *m_parser,
-                                [self = this->shared_from_this()](error_code error, std::size_t) {
-                                    self->on_head(error);
-                                });
+        m_parser->header_limit(m_settings.m_head_limit_bytes - m_interim_bytes);
+        // The parser has no bound of its own for chunk extensions and trailers.
+        m_connection->m_buffer.max_size(m_settings.m_head_limit_bytes);
+        http::async_read_header(
+            m_connection->m_socket, m_connection->m_buffer, *m_parser,
+            [self = this->shared_from_this()](error_code error, std::size_t size) {
+                self->on_head(error, size);
+            });
     }
 
-    void on_head(error_code error)
+    void on_head(error_code error, std::size_t size)
     {
         if (error)
         {
             fail(fault_of(error));
             return;
         }
-        if (is_interim(m_parser->get().result_int()))
+        if (m_parser->get().result() == http::status::switching_protocols)
         {
-            // Within the same deadline as the first head.
+            // No call asks for another protocol.
+            fail(call_fault::malformed);
+            return;
+        }
+        if (http::to_status_class(m_parser->get().result()) == http::status_class::informational)
+        {
+            m_interim_bytes += static_cast<std::uint32_t>(size);
+            if (m_interim_bytes >= m_settings.m_head_limit_bytes)
+            {
+                fail(call_fault::oversized);
+                return;
+            }
             read_head();
             return;
         }
@@ -236,7 +265,7 @@
 
     void read_body()
     {
-        if (!m_listener || !m_connection)
+        if ((!m_listener && !m_discarding) || !m_connection)
         {
             return;
         }
@@ -245,7 +274,10 @@
             complete();
             return;
         }
-        arm(m_settings.m_idle_timeout);
+        if (!m_discarding)
+        {
+            arm(m_settings.m_idle_timeout);
+        }
         auto& body = m_parser->get().body();
         body.data = m_piece.data();
         body.size = m_piece.size();
@@ -263,6 +295,12 @@
             return;
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
+        m_discarded_bytes += m_discarding ? size : 0;
+        if (m_discarded_bytes > m_settings.m_discard_limit_bytes)
+        {
+            fail(call_fault::oversized);
+            return;
+        }
         if (size > 0)
         {
             const std::string_view piece(m_piece.data(), size);
@@ -308,6 +346,14 @@
         const bool reused = m_connection && m_connection->m_reused;
         const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
         close();
+        if (m_discarding)
+        {
+            observe::log("discarding_ended",
+                         {{"server", fmt::format("{}:{}", m_endpoint.address().to_string(),
+                                                 m_endpoint.port())},
+                          {"cause", to_string(failure.m_fault)},
+                          {"bytes", m_discarded_bytes}});
+        }
         if (const auto listener = std::exchange(m_listener, nullptr))
         {
             listener->on_failed(failure);
@@ -326,7 +372,8 @@
 
     void arm(std::chrono::milliseconds timeout)
     {
-        m_timer.run_after(timeout, [weak = this->weak_from_this()] {
+        const core::time_point when = core::runtime_clock::now() + timeout;
+        m_timer.run_at(std::min(when, m_deadline), [weak = this->weak_from_this()] {
             const auto self = weak.lock();
             if (!self || !self->m_connection)
             {
@@ -348,15 +395,13 @@
         }
     }
 
-    /// Whether the final response is still to come.
-    static bool is_interim(unsigned status)
-    {
-        constexpr unsigned switching_protocols = 101;
-        return status / 100 == 1 && status != switching_protocols;
-    }
-
     static call_fault fault_of(error_code error)
     {
+        if (error == http::error::header_limit || error == http::error::body_limit ||
+            error == http::error::buffer_overflow)
+        {
+            return call_fault::oversized;
+        }
         const bool from_parser =
             error.category() == http::make_error_code(http::error::bad_version).category();
         if (from_parser && error != http::error::end_of_stream &&
@@ -377,10 +422,14 @@
     timer m_timer;                                   ///< Deadline of the current stage.
     std::unique_ptr<client_connection> m_connection; ///< Connection in use.
     std::optional<http::response_parser<http::buffer_body>> m_parser; ///< Response being read.
-    std::array<char, piece_bytes> m_piece{};     ///< Room for one piece of the body.
-    call_stage m_stage = call_stage::connecting; ///< How far the call has come.
-    bool m_timed_out = false;                    ///< A deadline closed the connection.
-    bool m_sent = false;                         ///< The whole request is written.
+    std::array<char, piece_bytes> m_piece{};               ///< Room for one piece of the body.
+    call_stage m_stage = call_stage::connecting;           ///< How far the call has come.
+    core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
+    std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
+    std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
+    bool m_discarding = false; ///< The rest of the response is read for nobody.
+    bool m_timed_out = false;  ///< A deadline closed the connection.
+    bool m_sent = false;       ///< The whole request is written.
 };
 
 const char* to_string(call_fault fault) noexcept
@@ -395,6 +444,8 @@
         return "lost";
     case call_fault::malformed:
         return "malformed";
+    case call_fault::oversized:
+        return "oversized";
     case call_fault::cancelled:
         return "cancelled";
     }
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace tarragontrail::net {
@@ -24,7 +25,8 @@
     refused,   ///< The connection was not made.
     timed_out, ///< A deadline of the call passed.
     lost,      ///< The connection broke.
-    malformed, ///< The response is not HTTP or is too large.
+    malformed, ///< The response is not HTTP.
+    oversized, ///< The response exceeds a bound of the call.
     cancelled, ///< The caller of the call gave it up.
 };
 
@@ -46,9 +48,17 @@
     std::chrono::milliseconds m_first_byte_timeout{
         30'000};                                      ///< Longest wait for the response's head.
     std::chrono::milliseconds m_idle_timeout{15'000}; ///< Longest silence within the response.
+    std::optional<std::chrono::milliseconds>
+        m_total_timeout; ///< Longest time from the request to the response's end.
     std::chrono::milliseconds m_reuse_limit{
         60'000}; ///< A connection that was idle for longer is not used again.
     std::uint64_t m_body_limit_bytes = std::uint64_t{64} * 1024 * 1024; ///< Largest response body.
+    std::uint32_t m_head_limit_bytes =
+        std::uint32_t{8} * 1024; ///< Largest head with its interim ones, and largest line between
+                                 ///< chunks or trailer.
+    std::uint64_t m_discard_limit_bytes =
+        std::uint64_t{64} * 1024; ///< Most body bytes that are read of a discarded response.
+    std::chrono::milliseconds m_discard_timeout{250}; ///< Longest wait for a discarded one's end.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
@@ -79,6 +89,10 @@
 
     /// Gives the call up: closes its connection and sends no more events.
     virtual void cancel() = 0;
+
+    /// Gives up the rest of a response whose head has arrived: sends no more events. The connection
+    /// is kept when the rest is short, and closed at the discard limit or timeout.
+    virtual void discard() = 0;
 };
 
 /// HTTP/1.1 client with kept-alive connections per endpoint, on one event loop.
