Soak of the relay on real processes: kept connections, pauses and the check for lost requests

Callers keep connections and send as the idle time-out (0.7 s here) expires; processes are stopped, throttled and continued. A request that a sound engine has read and whose connection ends without a byte of an answer is LOST.

In each trace the relay logs 'ended status=200 outcome=answered' for a request whose caller read end of file: the instance was idle for the time-out, the request came in the same turn of the loop as the expired timer (all of them do after a stop), and the timer's handler closes the connection that has just handed its request on.

--- /dev/null
+++ b/tools/soak/checks.py
@@ -0,0 +1,234 @@
+"""What callers and engines saw, compared with what the relay promises; findings with their traces."""
+import asyncio
+import collections
+import subprocess
+import time
+
+# Faults this long before a request's end may explain it, in seconds.
+SOUND_S = 3.0
+# Answers that promise that the request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+# A withdrawn key works no longer than this, in seconds.
+REVOKE_S = 5.0
+# An instance that was stopped and continued serves again within this time, in seconds.
+RETURN_S = 5.0
+MEMORY_LIMIT_MB = 110
+# Time after a request's end at which all of its arrivals at engines are known, in seconds.
+SETTLE_S = 4.0
+LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
+TRACES_PER_KIND = 10
+
+
+class FaultLog:
+    """Intervals of all faults, by target: an instance, an engine, a link or the store."""
+
+    def __init__(self):
+        self.by_target = collections.defaultdict(list)
+
+    def begin(self, target, kind):
+        entry = [kind, time.monotonic(), None]
+        self.by_target[target].append(entry)
+        return entry
+
+    def end(self, entry):
+        entry[2] = time.monotonic()
+
+    def during(self, targets, begin, end):
+        """Faults on any of the targets between two moments."""
+        found = []
+        for target in targets:
+            for kind, first, last in reversed(self.by_target.get(target, ())):
+                if first <= end and (last is None or last >= begin):
+                    found.append(f"{target}:{kind}@{first:.3f}-{'' if last is None else f'{last:.3f}'}")
+                if len(found) > 40 or first < begin - 60:
+                    break
+        return found
+
+
+class Request:
+    """One attempt of a caller and how it ended."""
+
+    def __init__(self, request_id, route, instance, link, opened_at, number, idle, timeout):
+        self.id, self.route, self.instance, self.link = request_id, route, instance, link
+        self.opened_at, self.number, self.idle, self.timeout = opened_at, number, idle, timeout
+        self.sent_at = time.monotonic()
+        self.ended_at = None
+        self.status = None
+        self.outcome = "running"
+        self.withdrawn_at = None
+
+    def end(self, outcome):
+        self.outcome, self.ended_at = outcome, time.monotonic()
+
+    def __str__(self):
+        return (f"{self.id} {self.route} at {self.instance.name} via {self.link or 'direct'}: {self.outcome} "
+                f"{self.status or ''} age={self.sent_at - self.opened_at:.3f}s idle={self.idle:.3f}s "
+                f"request={self.number} of its connection sent={self.sent_at:.3f} ended={self.ended_at:.3f}")
+
+
+class Checks:
+    """Collects arrivals and ends, counts them and reports what breaks a promise."""
+
+    def __init__(self, run):
+        self.run = run
+        self.faults = FaultLog()
+        self.arrivals = collections.defaultdict(list)
+        self.counts = collections.Counter()
+        self.findings = collections.Counter()
+        self.watched = set()
+
+    def finding(self, kind, text, request_id=None):
+        self.findings[kind] += 1
+        if self.findings[kind] > TRACES_PER_KIND:
+            return
+        lines = [f"FINDING {kind} seed={self.run.seed} logs={self.run.folder} t={time.monotonic():.3f}",
+                 f"  {text}"]
+        if request_id:
+            lines += [f"  {line}" for line in self.trace(request_id)]
+        with open(self.run.folder / "findings.txt", "a") as out:
+            out.write("\n".join(lines) + "\n")
+        print("\n".join(lines), flush=True)
+
+    def trace(self, request_id):
+        logs = [str(path) for path in self.run.folder.glob("*.log")]
+        found = subprocess.run(["grep", "-h", request_id, *logs], capture_output=True, text=True, check=False)
+        return sorted(found.stdout.splitlines())[:40] + [f"engine {one}" for one in self.arrivals[request_id]]
+
+    def arrived(self, arrival):
+        self.arrivals[arrival.id].append(arrival)
+        self.counts["arrivals"] += 1
+
+    def ended(self, request):
+        """Judges a request once everything about it is known."""
+        self.counts["requests"] += 1
+        self.counts[f"status_{request.status}" if request.outcome == "answered" else request.outcome] += 1
+        asyncio.get_running_loop().call_later(SETTLE_S, self.settle, request)
+
+    def settle(self, request):
+        arrivals = self.arrivals.get(request.id, [])
+        executed = [one for one in arrivals if one.state != "not_executed"]
+        if request.outcome == "closed":
+            self.settle_closed(request, arrivals)
+        elif request.outcome == "cut":
+            self.settle_cut(request, executed)
+        elif request.outcome == "hung":
+            self.settle_hung(request)
+        if request.status in PROMISES and executed:
+            self.finding("PROMISE", f"{request}: promised not to have run", request.id)
+        most = 2 if request.route in ("idem", "res", "open") else 1
+        if len(executed) > most:
+            self.finding("TWICE", f"{request}: ran {len(executed)} times", request.id)
+        if request.withdrawn_at is not None and request.status == 200:
+            self.settle_withdrawn(request)
+        self.arrivals.pop(request.id, None)
+
+    def break_causes(self, request, arrivals):
+        """What explains a broken connection other than a fault of the instance."""
+        causes = []
+        if request.instance.was_killed(request.sent_at - 0.1, request.ended_at + 0.1):
+            causes.append("kill")
+        begin = request.sent_at - SOUND_S
+        if request.link:
+            causes += self.faults.during([request.link], begin, request.ended_at)
+        return causes, self.engine_faults(arrivals, begin, request.ended_at)
+
+    def engine_faults(self, arrivals, begin, end):
+        targets = [target for one in arrivals for target in (one.engine, f"link:{one.engine}")]
+        return self.faults.during(targets, begin, end)
+
+    def settle_closed(self, request, arrivals):
+        if not arrivals:
+            self.counts["closed_unread_kept" if request.number > 1 else "closed_unread_first"] += 1
+            return
+        causes, engine_faults = self.break_causes(request, arrivals)
+        if causes:
+            self.counts["closed_excused"] += 1
+            return
+        own = self.faults.during([request.instance.name], request.sent_at - SOUND_S, request.ended_at)
+        kind = "LOST_UNSOUND" if engine_faults else "LOST"
+        self.finding(kind, f"{request}; faults there: {own} engines: {engine_faults}", request.id)
+
+    def settle_cut(self, request, executed):
+        causes, engine_faults = self.break_causes(request, executed)
+        was_late = request.ended_at - request.sent_at > request.timeout - 0.25
+        if causes or engine_faults or was_late:
+            self.counts["cut_excused"] += 1
+            return
+        own = self.faults.during([request.instance.name], request.sent_at - SOUND_S, request.ended_at)
+        self.finding("CUT", f"{request}; faults there: {own}", request.id)
+
+    def settle_hung(self, request):
+        targets = [request.instance.name, *([request.link] if request.link else [])]
+        if self.faults.during(targets, request.ended_at - 8, request.ended_at):
+            self.counts["hung_excused"] += 1
+            return
+        self.finding("HUNG", f"{request}", request.id)
+
+    def settle_withdrawn(self, request):
+        name = request.instance.name
+        targets = [name, f"link:store:{name}", "store"]
+        if self.faults.during(targets, request.withdrawn_at - 1, request.ended_at):
+            self.counts["withdrawn_excused"] += 1
+            return
+        self.finding("KEY", f"{request}: its key was withdrawn at {request.withdrawn_at:.3f}", request.id)
+
+    async def watch_return(self, instance):
+        """A continued instance answers a new connection; holds later faults on it when it does not at once."""
+        if instance in self.watched:
+            return
+        self.watched.add(instance)
+        try:
+            process, begin = instance.process, instance.continued_at
+            while True:
+                if instance.paused or instance.draining or instance.process is not process:
+                    return
+                if process.poll() is not None:
+                    return
+                if await self.serves(instance):
+                    self.counts["returns"] += 1
+                    return
+                begin = max(begin, instance.continued_at)
+                passed = time.monotonic() - begin
+                instance.held_for_check = passed > 0.5
+                if passed > RETURN_S + self.run.lag:
+                    evidence = await asyncio.to_thread(instance.keep_evidence)
+                    self.finding("NO_RETURN", f"{instance.name} does not answer {passed:.1f} s after SIGCONT; "
+                                              f"see {evidence}")
+                    return
+                await asyncio.sleep(0.1)
+        finally:
+            instance.held_for_check = False
+            self.watched.discard(instance)
+
+    async def serves(self, instance):
+        """Whether the instance answers a request that needs no engine, on a new connection."""
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*instance.front), 1)
+        except (OSError, asyncio.TimeoutError):
+            return False
+        try:
+            writer.write(b"GET /nowhere HTTP/1.1\r\nHost: none.example\r\nX-Request-Id: probe\r\n\r\n")
+            return (await asyncio.wait_for(reader.read(12), 1)).startswith(b"HTTP/1.1 ")
+        except (OSError, asyncio.TimeoutError):
+            return False
+        finally:
+            writer.close()
+
+    async def watch_processes(self):
+        """Memory, unexpected ends and fault lines of all instances."""
+        while True:
+            await asyncio.sleep(1)
+            for instance in self.run.instances:
+                self.look_at(instance)
+
+    def look_at(self, instance):
+        used = instance.memory_mb()
+        self.counts["memory_mb"] = max(self.counts["memory_mb"], int(used))
+        if used > MEMORY_LIMIT_MB:
+            self.finding("MEMORY", f"{instance.name} uses {used:.0f} MB")
+        code = instance.process.poll()
+        if code is not None and not instance.draining and not instance.killed:
+            self.finding("ENDED", f"{instance.name} ended by itself with {code}")
+        for line in instance.new_log_lines():
+            if any(fault in line for fault in LOG_FAULTS):
+                self.finding("LOG", f"{instance.name}: {line}")
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,214 @@
+"""Schedules of faults, drawn from the seed: processes, links, engines, store and configuration."""
+import asyncio
+import math
+import signal
+import time
+
+import checks
+
+
+class Keys:
+    """Callers' keys: some hold for good, others are added and withdrawn again."""
+
+    def __init__(self):
+        self.lasting = ["lasting-1", "lasting-2"]
+        self.passing = ["passing-0"]
+        self.withdrawn = []
+        self.issued = 1
+
+    def rotate(self):
+        """Withdraws the oldest passing key and issues another; counts from the store's next write."""
+        self.withdrawn = [*self.withdrawn[-7:], (self.passing.pop(0), time.monotonic())]
+        self.passing.append(f"passing-{self.issued}")
+        self.issued += 1
+
+    def draw(self, rng):
+        """A key and, for one that no instance may accept any more, when it was withdrawn."""
+        old = [one for one in self.withdrawn if time.monotonic() - one[1] > checks.REVOKE_S]
+        return rng.choice(old) if old and rng.random() < 0.05 else (rng.choice(self.lasting), None)
+
+
+def configuration(run, version):
+    """The operator's document op/config."""
+    route_ms = int(run.route_timeout * 1000)
+    common = {"host": "one.example", "timeout-ms": route_ms, "target-latency-ms": 800, "priority": 1}
+    kinds = {"idem": ("idempotent", "plain", 2), "open": ("idempotent", "plain", 2),
+             "once": ("non_idempotent", "plain", 2), "gen": ("stream", "gen", 1), "res": ("stream", "gen", 2)}
+    routes = [{**common, "name": name, "prefix": f"/{name}/", "kind": kind, "service": service,
+               "max-attempts": attempts, "public": name == "open", "sticky": kind == "stream",
+               "resumable": name == "res", "gap-aim-ms": 200}
+              for name, (kind, service, attempts) in kinds.items()]
+    traits = {"slots": 64, "kv-capacity-tokens": 1_000_000, "kv-token-bytes": 1000, "link-mbps": 100_000.0,
+              "max-inflight": 12, "models": [{"name": "model-1"}]}
+    plain = {"name": "plain", "health-path": "/health", "max-conns": 2000, "protocol": "h1", "tls": False}
+    limits = {"max-header-bytes": 16384, "max-body-bytes": 1_000_000, "header-timeout-ms": 3000,
+              "idle-timeout-ms": int(run.idle_timeout * 1000)}
+    tenant = {"name": "tenant-1", "api-keys": [*run.keys.lasting, *run.keys.passing], "priority": 1,
+              "unit": "tokens", "plain-tokens": 100, "isolated": False, "rate-per-s": 0, "burst": 0}
+    return {"version": version, "routes": routes, "limits": limits, "tenants": [tenant],
+            "services": [plain, {**plain, "name": "gen", "engine": traits}]}
+
+
+class Schedule:
+    """Runs all kinds of faults side by side until cancelled."""
+
+    def __init__(self, run):
+        self.run = run
+        self.log = run.checks.faults
+        self.version = 1
+
+    def loops(self):
+        """Coroutines of the schedule, one for each thing that fails by itself."""
+        run = self.run
+        for instance in run.instances:
+            yield self.trouble_instance(instance, run.rng(f"fault-{instance.name}"))
+        for engine in run.engines:
+            yield self.trouble_engine(engine, run.rng(f"fault-{engine.name}"))
+        for link in run.links:
+            yield self.trouble_link(link, run.rng(f"fault-{link.name}"))
+        yield self.trouble_store(run.rng("fault-store"))
+        yield self.change_configuration(run.rng("configuration"))
+
+    async def trouble_instance(self, instance, rng):
+        while True:
+            await asyncio.sleep(rng.uniform(0.2, 3.0) * self.run.calm)
+            kind = rng.choices(("pause", "series", "throttle", "hup", "kill", "term"),
+                               (50, 16, 16, 6, 4, 8))[0]
+            while instance.held_for_check:
+                await asyncio.sleep(0.1)
+            if "process" not in self.run.kinds and kind in ("hup", "kill", "term"):
+                kind = "pause"
+            entry = self.log.begin(instance.name, kind)
+            self.run.checks.counts[f"fault_{kind}"] += 1
+            try:
+                await getattr(self, kind)(instance, rng)
+            finally:
+                self.log.end(entry)
+
+    async def pause(self, instance, rng):
+        # Short and long pauses alike: equally many in each factor of two.
+        await self.stop_for(instance, math.exp(rng.uniform(math.log(0.05), math.log(3.0))))
+
+    async def stop_for(self, instance, seconds):
+        instance.pause()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            instance.resume()
+        self.run.spawn(self.run.checks.watch_return(instance))
+
+    async def series(self, instance, rng):
+        for _ in range(rng.randint(3, 8)):
+            await self.stop_for(instance, rng.uniform(0.05, 0.6))
+            await asyncio.sleep(rng.uniform(0.005, 0.2))
+
+    async def throttle(self, instance, rng):
+        share = rng.uniform(0.04, 0.3)
+        for _ in range(rng.randint(10, 30)):
+            await self.stop_for(instance, 0.1 * (1 - share))
+            await asyncio.sleep(0.1 * share)
+
+    async def hup(self, instance, rng):
+        instance.signal(signal.SIGHUP)
+
+    async def kill(self, instance, rng):
+        instance.kill()
+        await asyncio.sleep(rng.uniform(0, 1.5))
+        instance.start()
+
+    async def term(self, instance, rng):
+        pausing = self.run.spawn(self.pause_while_draining(instance, rng))
+        code = await instance.stop_gently()
+        pausing.cancel()
+        if code is None:
+            self.run.checks.finding("GRACE", f"{instance.name} did not end within its grace period")
+            instance.kill()
+        self.run.checks.counts[f"exit_{code}"] += 1
+        await asyncio.sleep(rng.uniform(0, 0.5))
+        instance.start()
+
+    async def pause_while_draining(self, instance, rng):
+        while rng.random() < 0.7:
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            instance.pause()
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
+            instance.resume()
+
+    async def trouble_engine(self, engine, rng):
+        if "engines" not in self.run.kinds:
+            return
+        while True:
+            await asyncio.sleep(rng.uniform(4, 14) * self.run.calm)
+            kind = rng.choice(("stall", "reset", "late", "refuse", "truncate", "extra", "crash", "leave"))
+            entry = self.log.begin(engine.name, kind)
+            self.run.checks.counts[f"fault_engine_{kind}"] += 1
+            if kind == "crash":
+                engine.crash()
+                gone = rng.random() < 0.5
+                await asyncio.sleep(rng.uniform(0.3, 3))
+                if gone:
+                    engine.unregister()
+                    await asyncio.sleep(rng.uniform(0.1, 1))
+                same_id = rng.random() < 0.2
+                if not same_id:
+                    engine.unregister()
+                await engine.start(same_id)
+            elif kind == "leave":
+                engine.leaving = True
+                engine.register()
+                await asyncio.sleep(rng.uniform(2.5, 4))
+                engine.unregister()
+                engine.crash()
+                await engine.start()
+            else:
+                engine.fault = kind
+                await asyncio.sleep(rng.uniform(0.3, 2.5))
+                engine.fault = None
+            self.log.end(entry)
+
+    async def trouble_link(self, link, rng):
+        if "links" not in self.run.kinds:
+            return
+        while True:
+            await asyncio.sleep(rng.uniform(4, 20) * self.run.calm)
+            kind = rng.choice(("delay", "silence", "cut", "reset", "refuse"))
+            entry = self.log.begin(link.name, kind)
+            self.run.checks.counts["fault_link"] += 1
+            await link.apply(kind, rng)
+            await asyncio.sleep(0 if kind == "reset" else rng.uniform(0.1, 2.5))
+            await link.clear()
+            self.log.end(entry)
+
+    async def trouble_store(self, rng):
+        if "store" not in self.run.kinds:
+            return
+        store = self.run.store
+        while True:
+            await asyncio.sleep(rng.uniform(6, 20) * self.run.calm)
+            kind = rng.choice(("down", "slow", "lose", "reset", "history"))
+            entry = self.log.begin("store", kind)
+            self.run.checks.counts["fault_store"] += 1
+            if kind == "reset":
+                store.reset_connections()
+            elif kind == "history":
+                store.discard_history()
+            else:
+                store.fault = kind
+                await asyncio.sleep(rng.uniform(0.5, 5))
+                store.fault = None
+            self.log.end(entry)
+
+    def write_configuration(self):
+        self.run.store.put("op", "config", configuration(self.run, self.version))
+
+    async def change_configuration(self, rng):
+        while True:
+            await asyncio.sleep(rng.uniform(2, 8) * self.run.calm)
+            self.version += rng.randint(1, 4)
+            if rng.random() < 0.6:
+                self.run.idle_timeout = rng.choice((0.3, 0.45, 0.7, 1.0, 1.5, 2.0))
+            if rng.random() < 0.4:
+                self.run.route_timeout = rng.choice((1.5, 2.0, 3.0))
+            if rng.random() < 0.4:
+                self.run.keys.rotate()
+            self.write_configuration()
