--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -78,6 +78,7 @@
         else:
             plan = f"{delay},{self.rng.choice((20, 400, 9000))}"
         request.plan = plan.split(",")
+        request.idle_limit = self.run.idle_limit_since(request.sent_at - idle)
         # Any key is good enough for the public route.
         key, withdrawn_at = self.run.keys.draw(self.rng)
         request.withdrawn_at = None if route == "open" else withdrawn_at
@@ -88,7 +89,8 @@
         if route in ("gen", "res"):
             headers.update({"X-Model": engines.MODEL, "X-Token-Usage": "300,40",
                             "X-Prompt-Prefix": f"{self.rng.randrange(20):x}:200,{request_id[-8:]}:100"})
-        return request, wire.message(f"{METHODS[route]} /{route}/{request_id} HTTP/1.1", headers, body)
+        in_chunks = bool(body) and self.rng.random() < 0.3
+        return request, wire.message(f"{METHODS[route]} /{route}/{request_id} HTTP/1.1", headers, body, in_chunks)
 
     async def exchange(self, request, data, reader, writer):
         """Sends a request and judges its answer; True when the connection serves another one."""
@@ -100,6 +102,10 @@
                 await asyncio.sleep(self.rng.uniform(0, 0.05))
                 data = data[middle:]
             writer.write(data)
+            if self.rng.random() < 0.01:
+                await asyncio.sleep(self.rng.uniform(0, 0.3))
+                request.end("abandoned")
+                return False
             answer = self.read_answer(request, reader)
             return await asyncio.wait_for(answer, request.timeout + PATIENCE_S + self.run.lag)
         except asyncio.TimeoutError:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,8 @@
 MEMORY_LIMIT_MB = 110
 # Time after a request's end at which all of its arrivals at engines are known, in seconds.
 SETTLE_S = 4.0
+# Part of the idle time-out for which a connection is certain to serve another request.
+USABLE_PART_OF_IDLE = 0.8
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -56,6 +58,7 @@
         self.status = None
         self.outcome = "running"
         self.withdrawn_at = None
+        self.idle_limit = 0.0
 
     def end(self, outcome):
         self.outcome, self.ended_at = outcome, time.monotonic()
@@ -139,6 +142,7 @@
     def settle_closed(self, request, arrivals):
         if not arrivals:
             self.counts["closed_unread_kept" if request.number > 1 else "closed_unread_first"] += 1
+            self.settle_unread(request)
             return
         causes, engine_faults = self.break_causes(request, arrivals)
         if causes:
@@ -148,6 +152,17 @@
         kind = "LOST_UNSOUND" if engine_faults else "LOST"
         self.finding(kind, f"{request}; faults there: {own} engines: {engine_faults}", request.id)
 
+    def settle_unread(self, request):
+        """Callers reuse connections that have been idle for up to four fifths of the limit.
+
+        Counted only: a busy machine alone can hold a request back for the rest of so short a limit.
+        """
+        if request.number == 1 or request.idle > request.idle_limit * USABLE_PART_OF_IDLE:
+            return
+        targets = [request.instance.name, *([request.link] if request.link else [])]
+        if not self.faults.during(targets, request.sent_at - request.idle - SOUND_S, request.ended_at):
+            self.counts["closed_early"] += 1
+
     def settle_cut(self, request, executed):
         causes, engine_faults = self.break_causes(request, executed)
         was_late = request.ended_at - request.sent_at > request.timeout - 0.25
--- /dev/null
+++ b/tools/soak/checks_test.py
@@ -0,0 +1,153 @@
+#!/usr/bin/env python3
+"""Tests that the soak's checks tell a fault of the relay from what a fault of the surroundings explains."""
+import asyncio
+import pathlib
+import tempfile
+import time
+import types
+import unittest
+
+import callers
+import checks
+import engines
+import faults
+import wire
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.run_under_test = types.SimpleNamespace(seed=1, folder=pathlib.Path(folder.name), lag=0.0)
+        self.checks = self.run_under_test.checks = checks.Checks(self.run_under_test)
+        self.instance = types.SimpleNamespace(name="r00", was_killed=lambda begin, end: False)
+
+    def request(self, outcome, route="once", status=None, link=None):
+        made = checks.Request("x-1", route, self.instance, link, time.monotonic(), 2, 0.7, 2.0)
+        made.status = status
+        made.plan = ["0", "20"]
+        made.end(outcome)
+        return made
+
+    def arrive(self, state, count=1):
+        for _ in range(count):
+            arrival = engines.Arrival("e0", "x-1", {})
+            arrival.state = state
+            self.checks.arrived(arrival)
+
+    def found(self, request):
+        self.checks.findings.clear()
+        self.checks.settle(request)
+        return dict(self.checks.findings)
+
+    def test_closed_connection_of_an_arrived_request_is_lost(self):
+        self.arrive("answered")
+        self.assertEqual(self.found(self.request("closed")), {"LOST": 1})
+
+    def test_stop_of_the_instance_does_not_excuse_a_lost_request(self):
+        self.checks.faults.end(self.checks.faults.begin("r00", "pause"))
+        self.arrive("answered")
+        self.assertEqual(self.found(self.request("closed")), {"LOST": 1})
+
+    def test_fault_of_the_engine_is_named_with_a_lost_request(self):
+        self.checks.faults.begin("link:e0", "reset")
+        self.arrive("running")
+        self.assertEqual(self.found(self.request("closed")), {"LOST_UNSOUND": 1})
+
+    def test_unread_request_may_be_closed_and_counts_when_early(self):
+        self.assertEqual(self.found(self.request("closed")), {})
+        early = self.request("closed")
+        early.idle, early.idle_limit = 0.3, 0.7
+        self.assertEqual(self.found(early), {})
+        self.assertEqual(self.checks.counts["closed_early"], 1)
+        self.checks.faults.begin("r00", "pause")
+        early.end("closed")
+        self.found(early)
+        self.assertEqual(self.checks.counts["closed_early"], 1)
+
+    def test_kill_and_broken_link_excuse_a_lost_request(self):
+        self.arrive("answered")
+        self.checks.faults.end(self.checks.faults.begin("link:r00", "reset"))
+        self.assertEqual(self.found(self.request("closed", link="link:r00")), {})
+        self.arrive("answered")
+        self.instance.was_killed = lambda begin, end: True
+        self.assertEqual(self.found(self.request("closed")), {})
+
+    def test_broken_stream_of_a_sound_engine_is_a_finding(self):
+        self.arrive("answered")
+        self.assertEqual(self.found(self.request("cut", "gen", 200)), {"CUT": 1})
+        self.checks.faults.begin("e0", "truncate")
+        self.arrive("truncated")
+        self.assertEqual(self.found(self.request("cut", "gen", 200)), {})
+
+    def test_promise_not_to_have_run_holds(self):
+        for status in checks.PROMISES:
+            self.arrive("running")
+            self.assertEqual(self.found(self.request("answered", status=status)), {"PROMISE": 1})
+            self.arrive("not_executed")
+            self.assertEqual(self.found(self.request("answered", status=status)), {})
+        self.arrive("running")
+        self.assertEqual(self.found(self.request("answered", status=502)), {})
+
+    def test_request_runs_as_often_as_its_route_allows(self):
+        for route, most in (("once", 1), ("gen", 1), ("idem", 2), ("res", 2)):
+            self.arrive("answered", most)
+            self.arrive("not_executed", 2)
+            self.assertEqual(self.found(self.request("answered", route, 200)), {})
+            self.arrive("reset", most + 1)
+            self.assertEqual(self.found(self.request("answered", route, 502)), {"TWICE": 1})
+
+    def test_withdrawn_key_is_refused_where_nothing_disturbs(self):
+        request = self.request("answered", "idem", 200)
+        request.withdrawn_at = time.monotonic() - 6
+        self.assertEqual(self.found(request), {"KEY": 1})
+        self.checks.faults.end(self.checks.faults.begin("store", "down"))
+        request.end("answered")
+        self.assertEqual(self.found(request), {})
+
+    def test_silence_is_a_finding_unless_the_instance_was_stopped(self):
+        self.assertEqual(self.found(self.request("hung")), {"HUNG": 1})
+        self.checks.faults.begin("r00", "pause")
+        self.assertEqual(self.found(self.request("hung")), {})
+
+    def test_withdrawn_key_is_drawn_only_after_its_time(self):
+        keys = faults.Keys()
+        keys.rotate()
+        generator = types.SimpleNamespace(random=lambda: 0.0, choice=lambda items: items[0])
+        self.assertIsNone(keys.draw(generator)[1])
+        keys.withdrawn = [(key, at - checks.REVOKE_S - 1) for key, at in keys.withdrawn]
+        self.assertIsNotNone(keys.draw(generator)[1])
+
+    def read(self, request, headers, body):
+        async def read():
+            reader = asyncio.StreamReader()
+            reader.feed_data(body)
+            reader.feed_eof()
+            caller = types.SimpleNamespace(run=self.run_under_test)
+            await callers.Caller.read_success(caller, request, headers, reader)
+        self.checks.findings.clear()
+        asyncio.run(read())
+        return dict(self.checks.findings)
+
+    def test_answer_of_another_request_is_mixed(self):
+        request = self.request("answered", status=200)
+        own = {"x-response-seal": wire.digest("seal", "x-1"), "content-length": "20"}
+        body = engines.plain_body("x-1", 20)
+        self.assertEqual(self.read(request, own, body), {})
+        self.assertEqual(self.read(request, own, engines.plain_body("x-2", 20)), {"MIXED": 1})
+        self.assertEqual(self.read(request, {**own, "x-response-seal": "other"}, body), {"MIXED": 1})
+
+    def test_stream_is_complete_and_in_order(self):
+        request = self.request("answered", "gen", 200)
+        request.plan = ["0", "3", "0"]
+        own = {"x-response-seal": wire.digest("seal", "x-1")}
+
+        def body(*numbers):
+            return b"".join(wire.chunk(engines.event("x-1", number)) for number in numbers) + wire.chunk(b"")
+        self.assertEqual(self.read(request, own, body(1, 2, 3)), {})
+        for numbers in ((1, 2), (1, 3, 2), (1, 2, 2, 3), (1, 2, 3, 4), (2, 3), ()):
+            self.assertEqual(self.read(request, own, body(*numbers)), {"MIXED": 1}, numbers)
+
+
+if __name__ == "__main__":
+    unittest.main(buffer=True)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -207,6 +207,7 @@
             self.version += rng.randint(1, 4)
             if rng.random() < 0.6:
                 self.run.idle_timeout = rng.choice((0.3, 0.45, 0.7, 1.0, 1.5, 2.0))
+                self.run.idle_limits.append((time.monotonic(), self.run.idle_timeout))
             if rng.random() < 0.4:
                 self.run.route_timeout = rng.choice((1.5, 2.0, 3.0))
             if rng.random() < 0.4:
--- /dev/null
+++ b/tools/soak/run_ci.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Tests of the soak's own checks and two short seeded soaks of the relay that the caller built.
+# Usage: run_ci.sh BUILD_FOLDER; closes on a line 'N passed, N failed'.
+set -euo pipefail
+[ $# -eq 1 ] || { echo "usage: $0 BUILD_FOLDER" >&2; exit 2; }
+build=$(realpath "$1")
+cd "$(dirname "$0")"
+export PYTHONDONTWRITEBYTECODE=1
+passed=0
+failed=0
+
+run() {
+  if "$@"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "failed: $*"
+  fi
+}
+
+run python3 checks_test.py
+run python3 soak.py --build "$build" --seed 101 --seconds 20 --callers 60
+run python3 soak.py --build "$build" --seed 102 --seconds 20 --instances 5 --callers 30 --calm 2
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -27,6 +27,8 @@
 STORE_PORT = 8601
 GRACE_S = 8
 START_S = 20
+# Time for which an instance may still use an older configuration, in seconds.
+CONFIGURATION_S = 15
 ALL_KINDS = "process,links,engines,store"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
@@ -44,6 +46,7 @@
         self.calm, self.link_share, self.grace = options.calm, options.link_share, GRACE_S
         self.idle_timeout, self.route_timeout, self.lag = 0.7, 2.0, 0.0
         self.closing = False
+        self.idle_limits = [(time.monotonic(), self.idle_timeout)]
         self.tasks = set()
         self.keys = faults.Keys()
         self.checks = checks.Checks(self)
@@ -66,6 +69,11 @@
         if not task.cancelled() and task.exception() is not None:
             self.checks.finding("SOAK", f"a task of the soak failed: {task.exception()!r}")
 
+    def idle_limit_since(self, moment):
+        """Smallest idle time-out that an instance may have used since then, in seconds."""
+        known = [limit for at, limit in self.idle_limits if at > moment - CONFIGURATION_S]
+        return min([*known, self.idle_limits[max(0, len(self.idle_limits) - len(known) - 1)][1]])
+
     async def start_store(self):
         """Claims a network of loopback addresses that no other run uses, by listening in it."""
         first = random.Random(f"{self.seed}/{os.getpid()}").randrange(NETWORKS)
--- a/tools/soak/wire.py
+++ b/tools/soak/wire.py
@@ -40,11 +40,16 @@
     return b"".join(pieces)
 
 
-def message(first_line, headers, body=b""):
-    """Bytes of a message with a length."""
+def message(first_line, headers, body=b"", in_chunks=False):
+    """Bytes of a message with a length, or in two chunks."""
     lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
-    lines.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    lines.append("Transfer-Encoding: chunked" if in_chunks else f"Content-Length: {len(body)}")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    if not in_chunks:
+        return head + body
+    middle = (len(body) + 1) // 2
+    pieces = [piece for piece in (body[:middle], body[middle:]) if piece]
+    return head + b"".join(chunk(piece) for piece in pieces) + chunk(b"")
 
 
 def chunk(data):
