Soak: long stops, callers that wait after a promise

Every 25th stop lasts 6 to 10 s, so that the others count the instance as gone, and a caller waits for Retry-After; it no longer floods an instance that leaves.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -130,6 +130,8 @@
             await wire.read_body(reader, headers)
         request.end("answered")
         self.judge(request, headers)
+        if request.status in checks.PROMISES:
+            await asyncio.sleep(min(float(headers.get("retry-after", "0")), 1) + self.rng.uniform(0.02, 0.3))
         return headers.get("connection", "").lower() != "close"
 
     def judge(self, request, headers):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -86,6 +86,10 @@
                 self.log.end(entry)
 
     async def pause(self, instance, rng):
+        if rng.random() < 0.04:
+            # Long enough that the others count the instance as gone.
+            await self.stop_for(instance, rng.uniform(6, 10))
+            return
         # Short and long pauses alike: equally many in each factor of two.
         await self.stop_for(instance, math.exp(rng.uniform(math.log(0.05), math.log(3.0))))
 
