Soak: bounds that hold under an older configuration, logs of the short run in the build folder

A stream that an instance ends at the route time-out of an older configuration counted as broken off too early, in principle; the smallest time-out that the schedule uses is the bound now. run_ci.sh keeps its logs in BUILD_FOLDER/soak-logs.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -4,6 +4,7 @@
 
 import checks
 import engines
+import faults
 import wire
 
 HOST = "one.example"
@@ -70,7 +71,8 @@
         route = self.rng.choice(("idem", "idem", "once", "once", "gen", "res", "open"))
         request_id = f"{self.run.seed:x}c{self.number:x}n{self.sent:x}-{self.rng.getrandbits(32):08x}"
         deadline = self.rng.randint(1000, 3000)
-        timeout = min(deadline / 1000, self.run.route_timeout)
+        # The instance may use another configuration than the newest.
+        timeout = min(deadline / 1000, *faults.ROUTE_TIMEOUTS_S)
         request = checks.Request(request_id, route, self.home, link, opened, number, idle, timeout)
         delay = int(self.rng.choice((0, 2, 10, 60)) * self.rng.random())
         if route in ("gen", "res"):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,9 @@
 
 import checks
 
+IDLE_TIMEOUTS_S = (0.3, 0.45, 0.7, 1.0, 1.5, 2.0)
+ROUTE_TIMEOUTS_S = (1.5, 2.0, 3.0)
+
 
 class Keys:
     """Callers' keys: some hold for good, others are added and withdrawn again."""
@@ -210,10 +213,10 @@
             await asyncio.sleep(rng.uniform(2, 8) * self.run.calm)
             self.version += rng.randint(1, 4)
             if rng.random() < 0.6:
-                self.run.idle_timeout = rng.choice((0.3, 0.45, 0.7, 1.0, 1.5, 2.0))
+                self.run.idle_timeout = rng.choice(IDLE_TIMEOUTS_S)
                 self.run.idle_limits.append((time.monotonic(), self.run.idle_timeout))
             if rng.random() < 0.4:
-                self.run.route_timeout = rng.choice((1.5, 2.0, 3.0))
+                self.run.route_timeout = rng.choice(ROUTE_TIMEOUTS_S)
             if rng.random() < 0.4:
                 self.run.keys.rotate()
             self.write_configuration()
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -72,7 +72,7 @@
         self.draining = True
         self.signal(signal.SIGTERM)
         end = time.monotonic() + self.run.grace + 1
-        while time.monotonic() < end:
+        while time.monotonic() < end + self.run.lag:
             if self.process.poll() is not None:
                 return self.process.returncode
             await asyncio.sleep(0.02)
--- a/tools/soak/run_ci.sh
+++ b/tools/soak/run_ci.sh
@@ -19,7 +19,8 @@
 }
 
 run python3 checks_test.py
-run python3 soak.py --build "$build" --seed 101 --seconds 20 --callers 60
-run python3 soak.py --build "$build" --seed 102 --seconds 20 --instances 5 --callers 30 --calm 2
+rm -rf "$build/soak-logs"
+run python3 soak.py --build "$build" --logs "$build/soak-logs/101" --seed 101 --seconds 20 --callers 60
+run python3 soak.py --build "$build" --logs "$build/soak-logs/102" --seed 102 --seconds 20 --instances 5 --callers 30 --calm 2
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
