Soak: a request that only the instance has read is answered, too

A connection closed without a byte counted as unread when no engine saw its request. The logs of the instances now tell whether one had read it (UNANSWERED).

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,6 +1,7 @@
 """What callers and engines saw, compared with what the relay promises; findings with their traces."""
 import asyncio
 import collections
+import re
 import subprocess
 import time
 
@@ -79,6 +80,7 @@
         self.counts = collections.Counter()
         self.findings = collections.Counter()
         self.watched = set()
+        self.unread = {}
 
     def finding(self, kind, text, request_id=None):
         self.findings[kind] += 1
@@ -143,8 +145,11 @@
         if not arrivals:
             self.counts["closed_unread_kept" if request.number > 1 else "closed_unread_first"] += 1
             self.settle_unread(request)
-            return
         causes, engine_faults = self.break_causes(request, arrivals)
+        if not arrivals:
+            if not causes:
+                self.unread[request.id] = request
+            return
         if causes:
             self.counts["closed_excused"] += 1
             return
@@ -163,6 +168,14 @@
         if not self.faults.during(targets, request.sent_at - request.idle - SOUND_S, request.ended_at):
             self.counts["closed_early"] += 1
 
+    def check_unread(self, lines):
+        """A request that no engine saw and whose connection was closed was not read by the instance either."""
+        for line in lines:
+            found = re.search(r" event=ended request=(\S+) ", line)
+            request = self.unread.pop(found[1], None) if found else None
+            if request is not None:
+                self.finding("UNANSWERED", f"{request}: read and not answered", request.id)
+
     def settle_cut(self, request, executed):
         causes, engine_faults = self.break_causes(request, executed)
         was_late = request.ended_at - request.sent_at > request.timeout - 0.25
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -65,6 +65,13 @@
         self.found(early)
         self.assertEqual(self.checks.counts["closed_early"], 1)
 
+    def test_request_that_only_the_instance_has_read_is_answered(self):
+        self.assertEqual(self.found(self.request("closed")), {})
+        self.checks.check_unread(["process=r00 event=ended request=x-2 status=0", "event=routed request=x-1 "])
+        self.assertEqual(self.checks.findings, {})
+        self.checks.check_unread(["process=r00 event=ended request=x-1 status=503"])
+        self.assertEqual(self.checks.findings, {"UNANSWERED": 1})
+
     def test_kill_and_broken_link_excuse_a_lost_request(self):
         self.arrive("answered")
         self.checks.faults.end(self.checks.faults.begin("link:r00", "reset"))
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -206,6 +206,8 @@
         for line in instance.new_log_lines():
             if any(fault in line for fault in checks.LOG_FAULTS):
                 run.checks.finding("LOG", f"{instance.name}: {line}")
+        with open(instance.log_path, encoding="utf-8", errors="replace") as log:
+            run.checks.check_unread(log)
     print(run.summary())
     return 1 if run.checks.findings else 0
 
