--- a/unit_tests/platform/endless_bytes_test.cpp
+++ b/unit_tests/platform/endless_bytes_test.cpp
@@ -274,7 +274,7 @@
         });
         std::optional<net::http_client::fetch_result> bad;
         m_loop.m_client.fetch(net::make_endpoint("127.0.0.1", m_port), request("/a/bad"), {},
-                              [&bad](net::http_client::fetch_result value) { bad = value; });
+                              [&bad](const net::http_client::fetch_result& value) { bad = value; });
         for (int i = 0; i < 5; ++i)
         {
             CPPUNIT_ASSERT_EQUAL(200U, send(request()).m_response.result_int());
