--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -245,7 +245,7 @@
             fail(call_fault::malformed);
             return;
         }
-        if (http::to_status_class(m_parser->get().result()) == http::status_class::informational)
+        if (is_interim(m_parser->get().result_int()))
         {
             m_interim_bytes += static_cast<std::uint32_t>(size);
             if (m_interim_bytes >= m_settings.m_head_limit_bytes)
@@ -395,6 +395,9 @@
         }
     }
 
+    /// Whether the final response is still to come; statuses that the library does not name count.
+    static bool is_interim(unsigned status) { return status / 100 == 1; }
+
     static call_fault fault_of(error_code error)
     {
         if (error == http::error::header_limit || error == http::error::body_limit ||
