Wire messages of part attribution, its settings and its header

Adds the four messages between instances (tags 53 to 56), the row of a quarantine in the fleet's table (tag 57), the settings and the complete header of the decision core. The verdict of a dispatch moves to a header of its own, as both attributions return it.

--- a/tarragontrail/recovery/crash_attribution.hpp
+++ b/tarragontrail/recovery/crash_attribution.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/core/ids.hpp"
+#include "tarragontrail/recovery/dispatch_verdict.hpp"
 #include "tarragontrail/recovery/messages.hpp"
 
 #include <chrono>
@@ -69,15 +70,6 @@
 using crash_attribution_action =
     std::variant<send_crash_report, send_quarantine_notice, send_exoneration_notice>;
 
-/// Whether a request may be dispatched to an engine.
-enum class dispatch_verdict
-{
-    allowed, ///< Dispatch the request.
-    hold, ///< A suspect that is soon to be evaluated, or whose engine runs another suspect: wait,
-          ///< or try another engine.
-    quarantined, ///< Refuse the request.
-};
-
 /// Quarantine as listed for operators.
 struct quarantine_entry
 {
--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -2,20 +2,25 @@
 
 #include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/core/ids.hpp"
-#include "tarragontrail/recovery/crash_attribution.hpp"
+#include "tarragontrail/recovery/dispatch_verdict.hpp"
+#include "tarragontrail/recovery/part_attribution_settings.hpp"
+#include "tarragontrail/recovery/part_begin_log.hpp"
 #include "tarragontrail/recovery/part_messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
 namespace tarragontrail::recovery {
 
 /// Action that part_attribution requests from the I/O layer: a message to all other instances.
-using part_attribution_action =
-    std::variant<part_crash_report, part_exoneration_notice, part_trial_notice,
-                 part_quarantine_notice>;
+using part_attribution_action = std::variant<part_crash_report, part_exoneration_notice,
+                                             part_trial_notice, part_quarantine_notice>;
 
 /// Attempt at an engine, unique within one instance.
 enum class attempt_id : std::uint64_t
@@ -76,6 +81,126 @@
 
     /// Returns the actions since the last call.
     std::vector<part_attribution_action> take_actions();
+
+    /// Whether the part was in an unexplained crash after its last known begin.
+    bool is_suspect(std::uint64_t part) const { return m_suspects.contains(part); }
+
+private:
+    /// Crash of one engine incarnation, merged from all reports.
+    struct crash
+    {
+        std::uint64_t m_number = 0; ///< Consecutive number, local to this instance.
+        crash_identity m_identity{};
+        core::time_point m_first_reported{};
+        std::vector<std::uint64_t> m_parts; ///< Parts in flight that were not cleared; sorted.
+        bool m_is_explained = false;        ///< The part that caused it was quarantined.
+    };
+
+    /// Part that was in at least one unexplained crash since its last begin.
+    struct suspect
+    {
+        std::vector<std::uint64_t> m_crashes; ///< Numbers of its crashes; ascending.
+        bool m_was_own = false;               ///< An attempt of this instance was in one of them.
+    };
+
+    /// Attempt whose answer has not begun.
+    struct attempt
+    {
+        std::vector<std::uint64_t> m_parts; ///< Sorted.
+        core::upstream_id m_engine{};
+        /// Time at which it is announced as a trial again, if it has suspected parts.
+        std::optional<core::time_point> m_renew_at;
+        /// End of the time that it is counted as in flight after its connection was lost.
+        std::optional<core::time_point> m_lost_until;
+        core::time_point m_hold_until{}; ///< Its parts are held until then if it was lost.
+    };
+
+    /// Request with suspected parts that a peer has in flight.
+    struct peer_trial
+    {
+        std::vector<std::uint64_t> m_parts; ///< Suspected parts; sorted.
+        core::upstream_id m_engine{};
+        core::time_point m_until{};
+    };
+
+    /// Parts that are refused together.
+    struct quarantine
+    {
+        std::vector<std::uint64_t> m_parts; ///< Sorted.
+        core::time_point m_until{};
+        std::vector<crash_identity> m_crashes; ///< Crashes that it explains.
+    };
+
+    /// Message that is sent a second time, in case the first is lost.
+    struct repeated_message
+    {
+        core::time_point m_due{};
+        part_attribution_action m_message;
+    };
+
+    crash* find_crash(const crash_identity& identity);
+    const crash& crash_by_number(std::uint64_t number) const;
+    crash& crash_by_number(std::uint64_t number);
+    crash& record_crash(const crash_identity& identity, core::time_point now);
+    void add_parts(crash& where, const std::vector<std::uint64_t>& parts, bool are_own,
+                   core::time_point now);
+    void explain(crash& where);
+    void drop_oldest_crash();
+    void drop_from_suspect(std::uint64_t part, std::uint64_t number);
+    void send_twice(part_attribution_action message, core::time_point now);
+    void schedule_answers(const std::vector<std::uint64_t>& parts, core::time_point now);
+    void send_due_answers(core::time_point now);
+    void announce_trial(attempt& sent, core::time_point now);
+    void announce_trials_in_flight(core::time_point now);
+    void drop_oldest_lost_attempt();
+    /// Clears a part on which an answer has begun; returns whether it was suspected or quarantined.
+    bool clear(std::uint64_t part, core::time_point now);
+    void schedule_evaluation(core::time_point now);
+
+    // Holds.
+    bool was_sound_before(std::uint64_t part) const;
+    bool is_in_group(std::uint64_t part, core::time_point now) const;
+    bool is_held(std::uint64_t part, core::time_point now) const;
+    bool is_lost_with(std::uint64_t part, core::time_point now) const;
+    bool is_on_trial(std::uint64_t part, core::time_point now) const;
+    bool runs_suspect(core::upstream_id engine, core::time_point now) const;
+    bool is_ambiguous(const std::vector<std::uint64_t>& parts) const;
+    core::time_point trial_time(std::uint64_t part) const;
+    core::duration trial_offset(std::uint64_t part, bool was_own) const;
+
+    // Evaluation.
+    std::size_t distinct_times(const std::vector<std::uint64_t>& crashes) const;
+    bool has_common_cause(std::uint64_t part, const crash& own) const;
+    bool is_alone(std::uint64_t part, const crash& own) const;
+    std::vector<std::uint64_t> equal_suspects(std::uint64_t part, const suspect& record) const;
+    bool has_enough_evidence(std::uint64_t part, const suspect& record) const;
+    void evaluate_suspects(core::time_point now);
+    void convict(std::vector<std::uint64_t> parts, core::time_point now);
+
+    // Quarantines.
+    const quarantine* find_quarantine(const std::vector<std::uint64_t>& parts,
+                                      core::time_point now) const;
+    bool is_late_repeat(std::uint64_t part, const part_quarantine_notice& notice,
+                        core::time_point now);
+    void start_quarantine(quarantine added);
+    bool lift_quarantines(std::uint64_t part);
+    void explain_crashes();
+
+    part_attribution_settings m_settings;
+    core::instance_id m_self;
+    part_begin_log m_begins;
+    std::deque<crash> m_crashes; ///< Ascending by number.
+    std::uint64_t m_next_crash_number = 1;
+    std::unordered_map<std::uint64_t, suspect> m_suspects; ///< By part.
+    std::unordered_map<attempt_id, attempt> m_attempts;    ///< In flight, and lost ones.
+    std::deque<attempt_id> m_lost_attempts;                ///< Oldest first.
+    std::vector<peer_trial> m_peer_trials;
+    std::vector<quarantine> m_quarantines;
+    std::deque<repeated_message> m_repeats; ///< Ascending by due time.
+    /// Times at which reports of parts that are sound here are answered, by part.
+    std::map<std::uint64_t, core::time_point> m_answers;
+    std::optional<core::time_point> m_evaluate_at;  ///< When suspects are evaluated next.
+    std::vector<part_attribution_action> m_actions; ///< Returned by the next take_actions().
 };
 
 } // namespace tarragontrail::recovery
--- a/tarragontrail/recovery/part_messages.hpp
+++ b/tarragontrail/recovery/part_messages.hpp
@@ -15,8 +15,8 @@
 {
     core::instance_id m_reporter{};
     core::upstream_id m_engine{};
-    core::incarnation m_started{};          ///< Engine incarnation that crashed.
-    std::vector<std::uint64_t> m_parts;     ///< Sorted, without repeats.
+    core::incarnation m_started{};      ///< Engine incarnation that crashed.
+    std::vector<std::uint64_t> m_parts; ///< Sorted, without repeats.
 
     bool operator==(const part_crash_report&) const = default;
 };
@@ -44,7 +44,7 @@
 /// Refuses each request that has all of these parts.
 struct part_quarantine_notice
 {
-    std::vector<std::uint64_t> m_parts;     ///< Sorted; more than one while they cannot be told apart.
+    std::vector<std::uint64_t> m_parts; ///< Sorted; more than one while they cannot be told apart.
     std::chrono::milliseconds m_duration{}; ///< Remaining time, counted from receipt.
     std::vector<crash_identity> m_crashes;  ///< Crashes that the parts explain.
 
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -619,6 +619,113 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_crash_report& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(53);
+    put_field(fields, value.m_reporter);
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_started);
+    put_field(fields, value.m_parts);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] part_crash_report& value)
+{
+    fields.get(value.m_reporter);
+    fields.get(value.m_engine);
+    fields.get(value.m_started);
+    fields.get(value.m_parts);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_exoneration_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(54);
+    put_field(fields, value.m_parts);
+    put_field(fields, value.m_since_crashes);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields,
+                                  [[maybe_unused]] part_exoneration_notice& value)
+{
+    fields.get(value.m_parts);
+    fields.get(value.m_since_crashes);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_trial_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(55);
+    put_field(fields, value.m_parts);
+    put_field(fields, value.m_engine);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] part_trial_notice& value)
+{
+    fields.get(value.m_parts);
+    fields.get(value.m_engine);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_quarantine_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(56);
+    put_field(fields, value.m_parts);
+    put_field(fields, value.m_duration);
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const crash_identity& item : value.m_crashes)
+    {
+        crashes.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(crashes));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields,
+                                  [[maybe_unused]] part_quarantine_notice& value)
+{
+    fields.get(value.m_parts);
+    fields.get(value.m_duration);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_crashes.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_quarantine_entry& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(57);
+    put_field(fields, value.m_parts);
+    put_field(fields, value.m_until_unix_ms);
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const crash_identity& item : value.m_crashes)
+    {
+        crashes.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(crashes));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields,
+                                  [[maybe_unused]] part_quarantine_entry& value)
+{
+    fields.get(value.m_parts);
+    fields.get(value.m_until_unix_ms);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_crashes.emplace_back());
+    }
+    fields.expect_end();
+}
+
 [[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const workspace_demand& value)
 {
     nlohmann::json fields = nlohmann::json::array();
@@ -1033,6 +1140,16 @@
         return read_message<quarantine_notice>(fields);
     case 52:
         return read_message<exoneration_notice>(fields);
+    case 53:
+        return read_message<part_crash_report>(fields);
+    case 54:
+        return read_message<part_exoneration_notice>(fields);
+    case 55:
+        return read_message<part_trial_notice>(fields);
+    case 56:
+        return read_message<part_quarantine_notice>(fields);
+    case 57:
+        return read_message<part_quarantine_entry>(fields);
     case 60:
         return read_message<instance_pulse>(fields);
     case 67:
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -7,6 +7,7 @@
 #include "tarragontrail/membership/messages.hpp"
 #include "tarragontrail/placement/duty_lease.hpp"
 #include "tarragontrail/recovery/messages.hpp"
+#include "tarragontrail/recovery/part_messages.hpp"
 #include "tarragontrail/relay/fleet_member.hpp"
 #include "tarragontrail/relay/table_mirror.hpp"
 #include "tarragontrail/routing/messages.hpp"
@@ -95,6 +96,18 @@
 /// Suspects that were cleared.
 using exoneration_notice = recovery::exoneration_notice;
 
+/// Prompt parts in flight at a crash.
+using part_crash_report = recovery::part_crash_report;
+
+/// Prompt parts on which an answer has begun.
+using part_exoneration_notice = recovery::part_exoneration_notice;
+
+/// A request with suspected parts is sent to an engine.
+using part_trial_notice = recovery::part_trial_notice;
+
+/// Requests with all of these parts are refused everywhere.
+using part_quarantine_notice = recovery::part_quarantine_notice;
+
 /// An instance's demand for one workspace's units.
 using workspace_demand = limits::workspace_demand;
 
@@ -132,6 +145,14 @@
     std::chrono::milliseconds m_load_age{}; ///< Age of the report when sent.
 };
 
+/// Row of quarantined prompt parts in the fleet's table.
+struct part_quarantine_entry
+{
+    std::vector<std::uint64_t> m_parts;    ///< Parts.
+    std::uint64_t m_until_unix_ms{};       ///< End of the quarantine in milliseconds since 1970.
+    std::vector<crash_identity> m_crashes; ///< Crashes explained.
+};
+
 /// What one instance has under way at one upstream, and how requests went there.
 struct upstream_pulse
 {
@@ -231,13 +252,13 @@
 };
 
 /// Any message between entry instances.
-using message =
-    std::variant<hello, link_heartbeat, lookup_request, lookup_answer, anchor_hint, loan_request,
-                 loan_reply, loan_settle, share_hint, withdrawal, state_request, state_answer,
-                 bundle_request, bundle_answer, ping, ping_ack, ping_request, view_request,
-                 view_answer, crash_report, quarantine_notice, exoneration_notice, instance_pulse,
-                 region_digest, part_notice, weights_notice, rows_request, rows_answer, rows_news,
-                 member_entry, duty_entry>;
+using message = std::variant<
+    hello, link_heartbeat, lookup_request, lookup_answer, anchor_hint, loan_request, loan_reply,
+    loan_settle, share_hint, withdrawal, state_request, state_answer, bundle_request, bundle_answer,
+    ping, ping_ack, ping_request, view_request, view_answer, crash_report, quarantine_notice,
+    exoneration_notice, part_crash_report, part_exoneration_notice, part_trial_notice,
+    part_quarantine_notice, part_quarantine_entry, instance_pulse, region_digest, part_notice,
+    weights_notice, rows_request, rows_answer, rows_news, member_entry, duty_entry>;
 
 /// CBOR bytes of a message.
 std::string encode(const message& value);
