--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -10,7 +10,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -129,6 +128,15 @@
         std::vector<std::uint64_t> m_parts; ///< Sorted.
         core::time_point m_until{};
         std::vector<crash_identity> m_crashes; ///< Crashes that it explains.
+        /// When it is announced again to an instance that has not heard of it.
+        std::optional<core::time_point> m_announce_at;
+    };
+
+    /// Answer to a peer's report of a part that is sound here.
+    struct pending_answer
+    {
+        core::time_point m_due{};
+        core::time_point m_crashed{}; ///< Time of the part's last reported crash.
     };
 
     /// Message that is sent a second time, in case the first is lost.
@@ -142,24 +150,23 @@
     const crash& crash_by_number(std::uint64_t number) const;
     crash& crash_by_number(std::uint64_t number);
     crash& record_crash(const crash_identity& identity, core::time_point now);
-    void add_parts(crash& where, const std::vector<std::uint64_t>& parts, bool are_own,
-                   core::time_point now);
+    void add_parts(crash& where, const std::vector<std::uint64_t>& parts, bool are_own);
     void explain(crash& where);
     void drop_oldest_crash();
-    void drop_from_suspect(std::uint64_t part, std::uint64_t number);
+
     void send_twice(part_attribution_action message, core::time_point now);
-    void schedule_answers(const std::vector<std::uint64_t>& parts, core::time_point now);
+    void send_due_repeats(core::time_point now);
+    core::duration answer_delay(std::uint64_t key) const;
+    void schedule_answers(const std::vector<std::uint64_t>& parts, core::time_point crashed,
+                          core::time_point now);
     void send_due_answers(core::time_point now);
     void announce_trial(attempt& sent, core::time_point now);
     void announce_trials_in_flight(core::time_point now);
-    void drop_oldest_lost_attempt();
+    void renew_trials(core::time_point now);
     /// Clears a part on which an answer has begun; returns whether it was suspected or quarantined.
     bool clear(std::uint64_t part, core::time_point now);
-    void schedule_evaluation(core::time_point now);
 
-    // Holds.
     bool was_sound_before(std::uint64_t part) const;
-    bool is_in_group(std::uint64_t part, core::time_point now) const;
     bool is_held(std::uint64_t part, core::time_point now) const;
     bool is_lost_with(std::uint64_t part, core::time_point now) const;
     bool is_on_trial(std::uint64_t part, core::time_point now) const;
@@ -168,23 +175,22 @@
     core::time_point trial_time(std::uint64_t part) const;
     core::duration trial_offset(std::uint64_t part, bool was_own) const;
 
-    // Evaluation.
     std::size_t distinct_times(const std::vector<std::uint64_t>& crashes) const;
     bool has_common_cause(std::uint64_t part, const crash& own) const;
     bool is_alone(std::uint64_t part, const crash& own) const;
     std::vector<std::uint64_t> equal_suspects(std::uint64_t part, const suspect& record) const;
-    bool has_enough_evidence(std::uint64_t part, const suspect& record) const;
+    bool has_enough_evidence(std::uint64_t part, const suspect& record, core::time_point now) const;
+    void schedule_evaluation(core::time_point at);
     void evaluate_suspects(core::time_point now);
     void convict(std::vector<std::uint64_t> parts, core::time_point now);
 
-    // Quarantines.
+    static part_quarantine_notice to_notice(const quarantine& what, core::time_point now);
     const quarantine* find_quarantine(const std::vector<std::uint64_t>& parts,
                                       core::time_point now) const;
     bool is_late_repeat(std::uint64_t part, const part_quarantine_notice& notice,
                         core::time_point now);
     void start_quarantine(quarantine added);
     bool lift_quarantines(std::uint64_t part);
-    void explain_crashes();
 
     part_attribution_settings m_settings;
     core::instance_id m_self;
@@ -196,9 +202,9 @@
     std::deque<attempt_id> m_lost_attempts;                ///< Oldest first.
     std::vector<peer_trial> m_peer_trials;
     std::vector<quarantine> m_quarantines;
-    std::deque<repeated_message> m_repeats; ///< Ascending by due time.
-    /// Times at which reports of parts that are sound here are answered, by part.
-    std::map<std::uint64_t, core::time_point> m_answers;
+    std::deque<repeated_message> m_repeats;                      ///< Ascending by due time.
+    std::unordered_map<std::uint64_t, pending_answer> m_answers; ///< By part.
+    std::optional<core::time_point> m_renew_at;     ///< When trials in flight are announced again.
     std::optional<core::time_point> m_evaluate_at;  ///< When suspects are evaluated next.
     std::vector<part_attribution_action> m_actions; ///< Returned by the next take_actions().
 };
