--- a/tarragontrail/recovery/part_attribution.cpp
+++ b/tarragontrail/recovery/part_attribution.cpp
@@ -101,7 +101,7 @@
         return true;
     });
     std::erase_if(m_lost_attempts, [&](attempt_id id) { return !m_attempts.contains(id); });
-    std::erase_if(m_peer_trials, [&](const peer_trial& each) { return each.m_engine == engine; });
+    end_peer_trials(engine, now);
     report.m_parts = sorted_without_repeats(std::move(report.m_parts));
     if (report.m_parts.size() > m_settings.m_max_parts_per_crash)
     {
@@ -129,8 +129,7 @@
     {
         return;
     }
-    std::erase_if(m_peer_trials,
-                  [&](const peer_trial& each) { return each.m_engine == report.m_engine; });
+    end_peer_trials(report.m_engine, now);
     crash& where = record_crash({report.m_engine, report.m_started}, now);
     add_parts(where, report.m_parts, false);
     schedule_answers(report.m_parts, where.m_first_reported, now);
@@ -330,6 +329,19 @@
     }
 }
 
+/// The report of a peer whose trial crashed the engine may arrive after other reports of the crash;
+/// its parts are held until then.
+void part_attribution::end_peer_trials(core::upstream_id engine, core::time_point now)
+{
+    for (peer_trial& each : m_peer_trials)
+    {
+        if (each.m_engine == engine)
+        {
+            each.m_until = std::min(each.m_until, now + m_settings.m_trial_delay);
+        }
+    }
+}
+
 bool part_attribution::clear(std::uint64_t part, core::time_point now)
 {
     m_begins.record(part, now);
--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -151,7 +151,7 @@
     crash& crash_by_number(std::uint64_t number);
     crash& record_crash(const crash_identity& identity, core::time_point now);
     void add_parts(crash& where, const std::vector<std::uint64_t>& parts, bool are_own);
-    void explain(crash& where);
+    void explain(crash& where, const std::vector<std::uint64_t>& cause);
     void drop_oldest_crash();
 
     void send_twice(part_attribution_action message, core::time_point now);
@@ -163,6 +163,7 @@
     void announce_trial(attempt& sent, core::time_point now);
     void announce_trials_in_flight(core::time_point now);
     void renew_trials(core::time_point now);
+    void end_peer_trials(core::upstream_id engine, core::time_point now);
     /// Clears a part on which an answer has begun; returns whether it was suspected or quarantined.
     bool clear(std::uint64_t part, core::time_point now);
 
@@ -177,9 +178,10 @@
 
     std::size_t distinct_times(const std::vector<std::uint64_t>& crashes) const;
     bool has_common_cause(std::uint64_t part, const crash& own) const;
-    bool is_alone(std::uint64_t part, const crash& own) const;
-    std::vector<std::uint64_t> equal_suspects(std::uint64_t part, const suspect& record) const;
-    bool has_enough_evidence(std::uint64_t part, const suspect& record, core::time_point now) const;
+    bool may_have_other_cause(const std::vector<std::uint64_t>& parts, const crash& own) const;
+    std::vector<std::uint64_t> equal_suspects(const suspect& record) const;
+    bool has_enough_evidence(std::uint64_t part, const suspect& record,
+                             const std::vector<std::uint64_t>& equal, core::time_point now) const;
     void schedule_evaluation(core::time_point at);
     void evaluate_suspects(core::time_point now);
     void convict(std::vector<std::uint64_t> parts, core::time_point now);
--- a/tarragontrail/recovery/part_attribution_crashes.cpp
+++ b/tarragontrail/recovery/part_attribution_crashes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace tarragontrail::recovery {
 
@@ -78,17 +79,25 @@
         return std::includes(where.m_parts.begin(), where.m_parts.end(), each.m_parts.begin(),
                              each.m_parts.end());
     };
-    if (std::any_of(m_quarantines.begin(), m_quarantines.end(), explains))
+    const auto cause = std::find_if(m_quarantines.begin(), m_quarantines.end(), explains);
+    if (cause != m_quarantines.end())
     {
-        explain(where);
+        explain(where, cause->m_parts);
     }
 }
 
-void part_attribution::explain(crash& where)
+/// Parts of a quarantined group stay suspects, until the cause among them is known.
+void part_attribution::explain(crash& where, const std::vector<std::uint64_t>& cause)
 {
     where.m_is_explained = true;
+    std::vector<std::uint64_t> kept;
     for (const std::uint64_t part : where.m_parts)
     {
+        if (cause.size() > 1 && std::binary_search(cause.begin(), cause.end(), part))
+        {
+            kept.push_back(part);
+            continue;
+        }
         const auto found = m_suspects.find(part);
         std::erase(found->second.m_crashes, where.m_number);
         if (found->second.m_crashes.empty())
@@ -96,12 +105,12 @@
             m_suspects.erase(found);
         }
     }
-    where.m_parts.clear();
+    where.m_parts = std::move(kept);
 }
 
 void part_attribution::drop_oldest_crash()
 {
-    explain(m_crashes.front());
+    explain(m_crashes.front(), {});
     m_crashes.pop_front();
 }
 
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -126,7 +126,7 @@
     for (const std::uint64_t part : parts)
     {
         const auto found = m_suspects.find(part);
-        if (found == m_suspects.end() || was_sound_before(part))
+        if (found == m_suspects.end())
         {
             continue;
         }
@@ -193,24 +193,24 @@
     return static_cast<std::size_t>(others) >= m_settings.m_common_cause_crashes;
 }
 
-/// No other part of the crash may be its cause, unless it was sound before.
-bool part_attribution::is_alone(std::uint64_t part, const crash& own) const
+/// Another part of the crash that was not sound before may be its cause.
+bool part_attribution::may_have_other_cause(const std::vector<std::uint64_t>& parts,
+                                            const crash& own) const
 {
-    return std::all_of(own.m_parts.begin(), own.m_parts.end(), [&](std::uint64_t other) {
-        return other == part || was_sound_before(other);
+    return std::any_of(own.m_parts.begin(), own.m_parts.end(), [&](std::uint64_t other) {
+        return !contains(parts, other) && !was_sound_before(other);
     });
 }
 
-/// Other suspects that were in all crashes of the part.
-std::vector<std::uint64_t> part_attribution::equal_suspects(std::uint64_t part,
-                                                            const suspect& record) const
+/// The suspect and those that were in all of its crashes.
+std::vector<std::uint64_t> part_attribution::equal_suspects(const suspect& record) const
 {
     std::vector<std::uint64_t> equal;
     for (const std::uint64_t other : crash_by_number(record.m_crashes.back()).m_parts)
     {
         const std::vector<std::uint64_t>& crashes = m_suspects.at(other).m_crashes;
-        if (other != part && std::includes(crashes.begin(), crashes.end(), record.m_crashes.begin(),
-                                           record.m_crashes.end()))
+        if (std::includes(crashes.begin(), crashes.end(), record.m_crashes.begin(),
+                          record.m_crashes.end()))
         {
             equal.push_back(other);
         }
@@ -219,6 +219,7 @@
 }
 
 bool part_attribution::has_enough_evidence(std::uint64_t part, const suspect& record,
+                                           const std::vector<std::uint64_t>& equal,
                                            core::time_point now) const
 {
     std::vector<std::uint64_t> settled = record.m_crashes;
@@ -232,11 +233,11 @@
     std::erase_if(settled, [&](std::uint64_t number) {
         return has_common_cause(part, crash_by_number(number));
     });
-    const bool has_open = std::none_of(settled.begin(), settled.end(), [&](std::uint64_t number) {
-        return is_alone(part, crash_by_number(number));
+    const bool is_open = std::all_of(settled.begin(), settled.end(), [&](std::uint64_t number) {
+        return may_have_other_cause(equal, crash_by_number(number));
     });
     const std::size_t needed =
-        m_settings.m_min_crashes + (was_sound_before(part) ? 1 : 0) + (has_open ? 1 : 0);
+        m_settings.m_min_crashes + (was_sound_before(part) ? 1 : 0) + (is_open ? 1 : 0);
     return distinct_times(settled) >= std::min(needed, m_settings.m_max_needed_crashes);
 }
 
@@ -269,27 +270,27 @@
     {
         // An earlier conviction of this loop may have explained the crashes of this suspect.
         const auto found = m_suspects.find(part);
-        if (found == m_suspects.end() || !has_enough_evidence(part, found->second, now))
+        if (found == m_suspects.end())
         {
             continue;
         }
-        std::vector<std::uint64_t> parts = equal_suspects(part, found->second);
-        if (!parts.empty() &&
-            distinct_times(found->second.m_crashes) < m_settings.m_max_needed_crashes)
+        const std::vector<std::uint64_t> equal = equal_suspects(found->second);
+        const bool is_exceeded = std::any_of(equal.begin(), equal.end(), [&](std::uint64_t other) {
+            return m_suspects.at(other).m_crashes.size() > found->second.m_crashes.size();
+        });
+        if (!is_exceeded && find_quarantine(equal, now) == nullptr &&
+            has_enough_evidence(part, found->second, equal, now))
         {
-            continue;
+            convict(equal, now);
         }
-        parts.push_back(part);
-        convict(std::move(parts), now);
     }
 }
 
 void part_attribution::convict(std::vector<std::uint64_t> parts, core::time_point now)
 {
-    const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.back()).m_crashes;
+    const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.front()).m_crashes;
     TARRAGONTRAIL_INVARIANT(crashes.size() >= m_settings.m_min_crashes,
                             "part_quarantine_needs_two_crashes");
-    std::sort(parts.begin(), parts.end());
     quarantine added{std::move(parts), now + m_settings.m_quarantine_duration, {}, {}};
     for (const std::uint64_t number : crashes)
     {
--- a/tarragontrail/recovery/part_attribution_quarantines.cpp
+++ b/tarragontrail/recovery/part_attribution_quarantines.cpp
@@ -113,7 +113,7 @@
     {
         if (crash* where = find_crash(identity))
         {
-            explain(*where);
+            explain(*where, added.m_parts);
         }
     }
     for (crash& each : m_crashes)
@@ -121,7 +121,7 @@
         if (std::includes(each.m_parts.begin(), each.m_parts.end(), added.m_parts.begin(),
                           added.m_parts.end()))
         {
-            explain(each);
+            explain(each, added.m_parts);
         }
     }
 }
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -14,7 +14,7 @@
     /// Maximum number of crashes needed, whatever other causes there may be.
     std::size_t m_max_needed_crashes = 4;
     /// Crashes within this time of each other count once.
-    std::chrono::milliseconds m_simultaneous_window{150};
+    std::chrono::milliseconds m_simultaneous_window{50};
     /// A crash is no evidence if at least m_common_cause_crashes crashes without the part are
     /// within this time of it.
     std::chrono::seconds m_common_cause_window{2};
@@ -31,7 +31,7 @@
     std::chrono::milliseconds m_trial_spread{240};
     /// A request with several suspects of the same crashes waits this much longer, since its trial
     /// does not tell them apart.
-    std::chrono::milliseconds m_ambiguous_trial_delay{250};
+    std::chrono::milliseconds m_ambiguous_trial_delay{300};
     /// Time from a suspect's second crash to its next trial, in which other suspects of its crashes
     /// have theirs.
     std::chrono::milliseconds m_repeated_trial_delay{500};
