--- a/tarragontrail/recovery/part_attribution.cpp
+++ b/tarragontrail/recovery/part_attribution.cpp
@@ -146,22 +146,16 @@
             clear(part, now);
             continue;
         }
-        const auto found = m_suspects.find(part);
-        if (found != m_suspects.end())
+        if (m_suspects.contains(part))
         {
             // An answer of this instance would tell no more.
             m_answers.erase(part);
         }
-        if (was_sound_before(part))
+        if (!was_sound_before(part))
         {
-            continue;
+            // Earlier than any crash kept, reports of which may still arrive.
+            m_begins.record(part, now - m_settings.m_crash_lifetime);
         }
-        const core::time_point before =
-            found == m_suspects.end()
-                ? now
-                : crash_by_number(found->second.m_crashes.front()).m_first_reported -
-                      core::duration{1};
-        m_begins.record(part, before);
     }
     schedule_evaluation(now);
 }
@@ -262,7 +256,7 @@
 {
     if (m_repeats.size() < m_settings.m_max_pending_messages)
     {
-        m_repeats.push_back({now + m_settings.m_evaluation_delay, message});
+        m_repeats.push_back({now + m_settings.m_repeat_delay, message});
     }
     m_actions.push_back(std::move(message));
 }
--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -177,6 +177,9 @@
     core::duration trial_offset(std::uint64_t part, bool was_own) const;
 
     std::size_t distinct_times(const std::vector<std::uint64_t>& crashes) const;
+    std::size_t crashes_without(std::uint64_t part, const crash& own, core::duration within) const;
+    /// Other engines crashed at the same time without the part.
+    bool is_one_of_several(std::uint64_t part, const crash& own) const;
     bool has_common_cause(std::uint64_t part, const crash& own) const;
     bool may_have_other_cause(const std::vector<std::uint64_t>& parts, const crash& own) const;
     std::vector<std::uint64_t> equal_suspects(const suspect& record) const;
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -1,3 +1,5 @@
+#include <cstdio>//DBG
+#include <cstdlib>//DBG
 // The part of part_attribution that decides on holds, convictions and quarantines.
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
@@ -65,11 +67,23 @@
 bool part_attribution::is_held(std::uint64_t part, core::time_point now) const
 {
     const auto found = m_suspects.find(part);
-    if (found != m_suspects.end() &&
-        (!was_sound_before(part) ||
-         distinct_times(found->second.m_crashes) >= m_settings.m_min_crashes))
+    if (found != m_suspects.end())
     {
-        return true;
+        if (!was_sound_before(part))
+        {
+            return true;
+        }
+        std::vector<std::uint64_t> crashes = found->second.m_crashes;
+        if (crashes.size() >= m_settings.m_min_crashes)
+        {
+            std::erase_if(crashes, [&](std::uint64_t number) {
+                return has_common_cause(part, crash_by_number(number));
+            });
+        }
+        if (distinct_times(crashes) >= m_settings.m_min_crashes)
+        {
+            return true;
+        }
     }
     // A part that was quarantined with others is tried alone.
     return std::any_of(m_quarantines.begin(), m_quarantines.end(), [&](const quarantine& each) {
@@ -181,24 +195,39 @@
     return times;
 }
 
-/// Several crashes without the part at about the same time indicate a common cause.
-bool part_attribution::has_common_cause(std::uint64_t part, const crash& own) const
+/// Number of crashes without the part within a time of one of its crashes, other than explained
+/// ones.
+std::size_t part_attribution::crashes_without(std::uint64_t part, const crash& own,
+                                              core::duration within) const
 {
     const auto others = std::count_if(m_crashes.begin(), m_crashes.end(), [&](const crash& each) {
         return !each.m_is_explained &&
-               std::chrono::abs(each.m_first_reported - own.m_first_reported) <=
-                   m_settings.m_common_cause_window &&
+               std::chrono::abs(each.m_first_reported - own.m_first_reported) <= within &&
                !std::binary_search(each.m_parts.begin(), each.m_parts.end(), part);
     });
-    return static_cast<std::size_t>(others) >= m_settings.m_common_cause_crashes;
+    return static_cast<std::size_t>(others);
 }
 
-/// Another part of the crash that was not sound before may be its cause.
+bool part_attribution::is_one_of_several(std::uint64_t part, const crash& own) const
+{
+    return crashes_without(part, own, m_settings.m_simultaneous_window) > 0;
+}
+
+bool part_attribution::has_common_cause(std::uint64_t part, const crash& own) const
+{
+    return is_one_of_several(part, own) ||
+           crashes_without(part, own, m_settings.m_common_cause_window) >=
+               m_settings.m_common_cause_crashes;
+}
+
+/// Another part of the crash may be its cause: it was not sound before, or it was in more crashes
+/// since.
 bool part_attribution::may_have_other_cause(const std::vector<std::uint64_t>& parts,
                                             const crash& own) const
 {
     return std::any_of(own.m_parts.begin(), own.m_parts.end(), [&](std::uint64_t other) {
-        return !contains(parts, other) && !was_sound_before(other);
+        return !contains(parts, other) &&
+               (!was_sound_before(other) || m_suspects.at(other).m_crashes.size() > 1);
     });
 }
 
@@ -226,19 +255,21 @@
     std::erase_if(settled, [&](std::uint64_t number) {
         return crash_by_number(number).m_first_reported + m_settings.m_evaluation_delay > now;
     });
-    if (distinct_times(settled) >= m_settings.m_max_needed_crashes)
+    const std::size_t sound = was_sound_before(part) ? 1 : 0;
+    std::erase_if(settled, [&](std::uint64_t number) {
+        return is_one_of_several(part, crash_by_number(number));
+    });
+    if (distinct_times(settled) >= m_settings.m_max_needed_crashes + sound)
     {
         return true;
     }
     std::erase_if(settled, [&](std::uint64_t number) {
         return has_common_cause(part, crash_by_number(number));
     });
-    const bool is_open = std::all_of(settled.begin(), settled.end(), [&](std::uint64_t number) {
+    const bool is_open = std::any_of(settled.begin(), settled.end(), [&](std::uint64_t number) {
         return may_have_other_cause(equal, crash_by_number(number));
     });
-    const std::size_t needed =
-        m_settings.m_min_crashes + (was_sound_before(part) ? 1 : 0) + (is_open ? 1 : 0);
-    return distinct_times(settled) >= std::min(needed, m_settings.m_max_needed_crashes);
+    return distinct_times(settled) >= m_settings.m_min_crashes + sound + (is_open ? 1 : 0);
 }
 
 void part_attribution::schedule_evaluation(core::time_point at)
@@ -288,6 +319,8 @@
 
 void part_attribution::convict(std::vector<std::uint64_t> parts, core::time_point now)
 {
+    if (getenv("DBG")) { printf("CONVICT"); for (auto p: parts) printf(" %lu%s",(unsigned long)p, was_sound_before(p)?"s":""); printf(" "); }//DBG
+    if (getenv("DBG")) { printf("%ld self %lx:", (long)(now.time_since_epoch().count()/1000000), (unsigned long)m_self>>48); for (auto& c: m_crashes){ printf(" [%ld%s", (long)(c.m_first_reported.time_since_epoch().count()/1000000), c.m_is_explained?"x":""); for(auto p:c.m_parts) printf(" %lu%s",(unsigned long)p,was_sound_before(p)?"s":""); printf("]"); } printf("\n"); }//DBG
     const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.front()).m_crashes;
     TARRAGONTRAIL_INVARIANT(crashes.size() >= m_settings.m_min_crashes,
                             "part_quarantine_needs_two_crashes");
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -22,9 +22,11 @@
     std::chrono::seconds m_crash_lifetime{600}; ///< A crash is dropped after this time.
     std::chrono::seconds m_quarantine_duration{1800};
     /// Delay for reports and exonerations of other instances before suspects are evaluated.
-    std::chrono::milliseconds m_evaluation_delay{60};
+    std::chrono::milliseconds m_evaluation_delay{80};
+    /// Time after which messages are sent again, in case the first is lost.
+    std::chrono::milliseconds m_repeat_delay{30};
     /// Time from a crash of a suspect to its first trial.
-    std::chrono::milliseconds m_trial_delay{60};
+    std::chrono::milliseconds m_trial_delay{80};
     /// Trials of instances that had the suspect in flight at a crash start within this time.
     std::chrono::milliseconds m_own_trial_spread{30};
     /// Trials of the other instances start within this time after those.
