--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -69,18 +69,13 @@
     const auto found = m_suspects.find(part);
     if (found != m_suspects.end())
     {
-        if (!was_sound_before(part))
-        {
-            return true;
-        }
+        const bool is_sound = was_sound_before(part);
         std::vector<std::uint64_t> crashes = found->second.m_crashes;
-        if (crashes.size() >= m_settings.m_min_crashes)
-        {
-            std::erase_if(crashes, [&](std::uint64_t number) {
-                return has_common_cause(part, crash_by_number(number));
-            });
-        }
-        if (distinct_times(crashes) >= m_settings.m_min_crashes)
+        std::erase_if(crashes, [&](std::uint64_t number) {
+            const crash& own = crash_by_number(number);
+            return is_sound ? has_common_cause(part, own) : is_one_of_several(part, own);
+        });
+        if (distinct_times(crashes) >= (is_sound ? m_settings.m_min_crashes : 1))
         {
             return true;
         }
