--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -99,7 +99,7 @@
     struct suspect
     {
         std::vector<std::uint64_t> m_crashes; ///< Numbers of its crashes; ascending.
-        bool m_was_own = false;               ///< An attempt of this instance was in one of them.
+        std::uint64_t m_own_crash = 0; ///< Number of the last one with an attempt of this instance.
     };
 
     /// Attempt whose answer has not begun.
--- a/tarragontrail/recovery/part_attribution_crashes.cpp
+++ b/tarragontrail/recovery/part_attribution_crashes.cpp
@@ -73,7 +73,10 @@
             crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), where.m_number),
                            where.m_number);
         }
-        m_suspects[part].m_was_own |= are_own;
+        if (are_own)
+        {
+            m_suspects[part].m_own_crash = where.m_number;
+        }
     }
     const auto explains = [&](const quarantine& each) {
         return std::includes(where.m_parts.begin(), where.m_parts.end(), each.m_parts.begin(),
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -1,5 +1,5 @@
-#include <cstdio>//DBG
-#include <cstdlib>//DBG
+#include <cstdio>  //DBG
+#include <cstdlib> //DBG
 // The part of part_attribution that decides on holds, convictions and quarantines.
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
@@ -159,7 +159,7 @@
     const bool is_repeated = !was_sound_before(part) && distinct_times(record.m_crashes) > 1;
     return crash_by_number(record.m_crashes.back()).m_first_reported +
            (is_repeated ? m_settings.m_repeated_trial_delay : m_settings.m_trial_delay) +
-           trial_offset(part, record.m_was_own);
+           trial_offset(part, record.m_own_crash == record.m_crashes.back());
 }
 
 /// Instances start trials of a part at different times, so that few of them start one at once.
@@ -314,8 +314,27 @@
 
 void part_attribution::convict(std::vector<std::uint64_t> parts, core::time_point now)
 {
-    if (getenv("DBG")) { printf("CONVICT"); for (auto p: parts) printf(" %lu%s",(unsigned long)p, was_sound_before(p)?"s":""); printf(" "); }//DBG
-    if (getenv("DBG")) { printf("%ld self %lx:", (long)(now.time_since_epoch().count()/1000000), (unsigned long)m_self>>48); for (auto& c: m_crashes){ printf(" [%ld%s", (long)(c.m_first_reported.time_since_epoch().count()/1000000), c.m_is_explained?"x":""); for(auto p:c.m_parts) printf(" %lu%s",(unsigned long)p,was_sound_before(p)?"s":""); printf("]"); } printf("\n"); }//DBG
+    if (getenv("DBG"))
+    {
+        printf("CONVICT");
+        for (auto p : parts)
+            printf(" %lu%s", (unsigned long)p, was_sound_before(p) ? "s" : "");
+        printf(" ");
+    } // DBG
+    if (getenv("DBG"))
+    {
+        printf("%ld self %lx:", (long)(now.time_since_epoch().count() / 1000000),
+               (unsigned long)m_self >> 48);
+        for (auto& c : m_crashes)
+        {
+            printf(" [%ld%s", (long)(c.m_first_reported.time_since_epoch().count() / 1000000),
+                   c.m_is_explained ? "x" : "");
+            for (auto p : c.m_parts)
+                printf(" %lu%s", (unsigned long)p, was_sound_before(p) ? "s" : "");
+            printf("]");
+        }
+        printf("\n");
+    } // DBG
     const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.front()).m_crashes;
     TARRAGONTRAIL_INVARIANT(crashes.size() >= m_settings.m_min_crashes,
                             "part_quarantine_needs_two_crashes");
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -30,7 +30,7 @@
     /// Trials of instances that had the suspect in flight at a crash start within this time.
     std::chrono::milliseconds m_own_trial_spread{30};
     /// Trials of the other instances start within this time after those.
-    std::chrono::milliseconds m_trial_spread{240};
+    std::chrono::milliseconds m_trial_spread{400};
     /// A request with several suspects of the same crashes waits this much longer, since its trial
     /// does not tell them apart.
     std::chrono::milliseconds m_ambiguous_trial_delay{300};
