--- a/tarragontrail/recovery/part_attribution.cpp
+++ b/tarragontrail/recovery/part_attribution.cpp
@@ -252,6 +252,17 @@
     return std::exchange(m_actions, {});
 }
 
+part_attribution_sizes part_attribution::sizes() const
+{
+    return {m_begins.size(),
+            m_crashes.size(),
+            m_suspects.size(),
+            m_attempts.size(),
+            m_peer_trials.size(),
+            m_quarantines.size(),
+            m_repeats.size() + m_answers.size()};
+}
+
 void part_attribution::send_twice(part_attribution_action message, core::time_point now)
 {
     if (m_repeats.size() < m_settings.m_max_pending_messages)
--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -26,6 +26,18 @@
 {
 };
 
+/// Sizes of the state of part_attribution, for its bounds.
+struct part_attribution_sizes
+{
+    std::size_t m_begins = 0;
+    std::size_t m_crashes = 0;
+    std::size_t m_suspects = 0;
+    std::size_t m_attempts = 0; ///< Attempts without a begun answer, with lost ones.
+    std::size_t m_peer_trials = 0;
+    std::size_t m_quarantines = 0;
+    std::size_t m_pending_messages = 0; ///< Repeated messages and answers to be sent.
+};
+
 /// Finds parts of prompts that crash every engine that begins to write an answer on them.
 ///
 /// A part is identified by a hash of its model and its identity. The last part of a prompt belongs
@@ -81,6 +93,8 @@
     /// Returns the actions since the last call.
     std::vector<part_attribution_action> take_actions();
 
+    part_attribution_sizes sizes() const;
+
     /// Whether the part was in an unexplained crash after its last known begin.
     bool is_suspect(std::uint64_t part) const { return m_suspects.contains(part); }
 
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -1,5 +1,3 @@
-#include <cstdio>  //DBG
-#include <cstdlib> //DBG
 // The part of part_attribution that decides on holds, convictions and quarantines.
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
@@ -67,15 +65,15 @@
 bool part_attribution::is_held(std::uint64_t part, core::time_point now) const
 {
     const auto found = m_suspects.find(part);
-    if (found != m_suspects.end())
+    const auto begun = m_begins.last_begin(part);
+    if (found != m_suspects.end() && (!begun || now - *begun >= m_settings.m_recent_begin))
     {
-        const bool is_sound = was_sound_before(part);
         std::vector<std::uint64_t> crashes = found->second.m_crashes;
         std::erase_if(crashes, [&](std::uint64_t number) {
             const crash& own = crash_by_number(number);
-            return is_sound ? has_common_cause(part, own) : is_one_of_several(part, own);
+            return begun ? has_common_cause(part, own) : is_one_of_several(part, own);
         });
-        if (distinct_times(crashes) >= (is_sound ? m_settings.m_min_crashes : 1))
+        if (distinct_times(crashes) >= (begun ? m_settings.m_min_crashes : 1))
         {
             return true;
         }
@@ -314,27 +312,6 @@
 
 void part_attribution::convict(std::vector<std::uint64_t> parts, core::time_point now)
 {
-    if (getenv("DBG"))
-    {
-        printf("CONVICT");
-        for (auto p : parts)
-            printf(" %lu%s", (unsigned long)p, was_sound_before(p) ? "s" : "");
-        printf(" ");
-    } // DBG
-    if (getenv("DBG"))
-    {
-        printf("%ld self %lx:", (long)(now.time_since_epoch().count() / 1000000),
-               (unsigned long)m_self >> 48);
-        for (auto& c : m_crashes)
-        {
-            printf(" [%ld%s", (long)(c.m_first_reported.time_since_epoch().count() / 1000000),
-                   c.m_is_explained ? "x" : "");
-            for (auto p : c.m_parts)
-                printf(" %lu%s", (unsigned long)p, was_sound_before(p) ? "s" : "");
-            printf("]");
-        }
-        printf("\n");
-    } // DBG
     const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.front()).m_crashes;
     TARRAGONTRAIL_INVARIANT(crashes.size() >= m_settings.m_min_crashes,
                             "part_quarantine_needs_two_crashes");
