--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -65,15 +65,17 @@
 bool part_attribution::is_held(std::uint64_t part, core::time_point now) const
 {
     const auto found = m_suspects.find(part);
-    const auto begun = m_begins.last_begin(part);
-    if (found != m_suspects.end() && (!begun || now - *begun >= m_settings.m_recent_begin))
+    if (found != m_suspects.end())
     {
         std::vector<std::uint64_t> crashes = found->second.m_crashes;
+        const bool is_sound = was_sound_before(part);
+        const bool is_spared = is_sound && now - crash_by_number(crashes.front()).m_first_reported <
+                                               m_settings.m_sound_grace;
         std::erase_if(crashes, [&](std::uint64_t number) {
             const crash& own = crash_by_number(number);
-            return begun ? has_common_cause(part, own) : is_one_of_several(part, own);
+            return is_sound ? has_common_cause(part, own) : is_one_of_several(part, own);
         });
-        if (distinct_times(crashes) >= (begun ? m_settings.m_min_crashes : 1))
+        if (!is_spared && distinct_times(crashes) >= (is_sound ? m_settings.m_min_crashes : 1))
         {
             return true;
         }
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -46,9 +46,9 @@
     std::chrono::milliseconds m_lost_hold_time{400};
     /// A crash within this time after an attempt was lost may be due to the attempt.
     std::chrono::seconds m_lost_attempt_lifetime{8};
-    /// A part is not held within this time of an answer begun on it: popular parts are soon
-    /// cleared.
-    std::chrono::milliseconds m_recent_begin{500};
+    /// A part that was sound before is not held within this time of its first crash: an answer soon
+    /// begins on popular ones.
+    std::chrono::milliseconds m_sound_grace{250};
     /// A peer's report of a part that is sound here is answered within this time.
     std::chrono::milliseconds m_answer_window{40};
     /// A quarantine notice is taken for a late repeat if its part was cleared within this time and
