--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -199,6 +199,7 @@
     std::vector<std::uint64_t> equal_suspects(const suspect& record) const;
     bool has_enough_evidence(std::uint64_t part, const suspect& record,
                              const std::vector<std::uint64_t>& equal, core::time_point now) const;
+    core::time_point sound_trial_end(const suspect& record) const;
     void schedule_evaluation(core::time_point at);
     void evaluate_suspects(core::time_point now);
     void convict(std::vector<std::uint64_t> parts, core::time_point now);
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -246,6 +246,10 @@
                                            const std::vector<std::uint64_t>& equal,
                                            core::time_point now) const
 {
+    if (was_sound_before(part) && sound_trial_end(record) > now)
+    {
+        return false;
+    }
     std::vector<std::uint64_t> settled = record.m_crashes;
     std::erase_if(settled, [&](std::uint64_t number) {
         return crash_by_number(number).m_first_reported + m_settings.m_evaluation_delay > now;
@@ -267,6 +271,12 @@
     return distinct_times(settled) >= m_settings.m_min_crashes + sound + (is_open ? 1 : 0);
 }
 
+core::time_point part_attribution::sound_trial_end(const suspect& record) const
+{
+    return crash_by_number(record.m_crashes.front()).m_first_reported +
+           m_settings.m_sound_trial_time;
+}
+
 void part_attribution::schedule_evaluation(core::time_point at)
 {
     m_evaluate_at = std::min(m_evaluate_at.value_or(at), at);
@@ -289,6 +299,10 @@
         if (record.m_crashes.size() >= m_settings.m_min_crashes)
         {
             repeated.emplace_back(record.m_crashes.size(), part);
+            if (was_sound_before(part) && sound_trial_end(record) > now)
+            {
+                schedule_evaluation(sound_trial_end(record));
+            }
         }
     }
     std::sort(repeated.begin(), repeated.end(), std::greater<>());
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -49,6 +49,9 @@
     /// A part that was sound before is not held within this time of its first crash: an answer soon
     /// begins on popular ones.
     std::chrono::milliseconds m_sound_grace{250};
+    /// A part that was sound before is not convicted within this time of its first crash, in which
+    /// attempts in flight elsewhere begin.
+    std::chrono::milliseconds m_sound_trial_time{700};
     /// A peer's report of a part that is sound here is answered within this time.
     std::chrono::milliseconds m_answer_window{40};
     /// A quarantine notice is taken for a late repeat if its part was cleared within this time and
--- a/unit_tests/recovery/part_fleet_simulation.cpp
+++ b/unit_tests/recovery/part_fleet_simulation.cpp
@@ -312,6 +312,7 @@
     flush(at_instance);
 }
 
+/// Half of the engines stay up.
 void part_fleet_simulation::lose_domain()
 {
     const std::uint64_t first = m_random.below(m_options.m_engines);
@@ -319,7 +320,9 @@
     for (std::uint64_t i = 0; i < count; ++i)
     {
         const std::uint64_t target = (first + i) % m_options.m_engines;
-        if (m_engines[target].m_is_up)
+        const auto up = std::count_if(m_engines.begin(), m_engines.end(),
+                                      [](const engine& each) { return each.m_is_up; });
+        if (m_engines[target].m_is_up && static_cast<std::uint64_t>(up) > m_options.m_engines / 2)
         {
             crash(target);
         }
