--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -191,14 +191,20 @@
 }
 
 /// Number of crashes without the part within a time of one of its crashes, other than explained
-/// ones.
+/// ones and those of a part that is in many.
 std::size_t part_attribution::crashes_without(std::uint64_t part, const crash& own,
                                               core::duration within) const
 {
+    const auto is_recurrent = [&](std::uint64_t other) {
+        const std::vector<std::uint64_t>& crashes = m_suspects.at(other).m_crashes;
+        return crashes.size() > m_settings.m_min_crashes && !was_sound_before(other) &&
+               distinct_times(crashes) > m_settings.m_min_crashes;
+    };
     const auto others = std::count_if(m_crashes.begin(), m_crashes.end(), [&](const crash& each) {
         return !each.m_is_explained &&
                std::chrono::abs(each.m_first_reported - own.m_first_reported) <= within &&
-               !std::binary_search(each.m_parts.begin(), each.m_parts.end(), part);
+               !std::binary_search(each.m_parts.begin(), each.m_parts.end(), part) &&
+               std::none_of(each.m_parts.begin(), each.m_parts.end(), is_recurrent);
     });
     return static_cast<std::size_t>(others);
 }
--- a/tarragontrail/recovery/part_attribution_settings.hpp
+++ b/tarragontrail/recovery/part_attribution_settings.hpp
@@ -14,7 +14,7 @@
     /// Maximum number of crashes needed, whatever other causes there may be.
     std::size_t m_max_needed_crashes = 4;
     /// Crashes within this time of each other count once.
-    std::chrono::milliseconds m_simultaneous_window{50};
+    std::chrono::milliseconds m_simultaneous_window{35};
     /// A crash is no evidence if at least m_common_cause_crashes crashes without the part are
     /// within this time of it.
     std::chrono::seconds m_common_cause_window{2};
