--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -199,6 +199,8 @@
     std::vector<std::uint64_t> equal_suspects(const suspect& record) const;
     bool has_enough_evidence(std::uint64_t part, const suspect& record,
                              const std::vector<std::uint64_t>& equal, core::time_point now) const;
+    std::vector<std::uint64_t> repeated_suspects(core::time_point now);
+    bool has_likelier_suspect(const suspect& record, const std::vector<std::uint64_t>& equal) const;
     core::time_point sound_trial_end(const suspect& record) const;
     void schedule_evaluation(core::time_point at);
     void evaluate_suspects(core::time_point now);
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -4,6 +4,8 @@
 #include "tarragontrail/recovery/part_attribution.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace tarragontrail::recovery {
@@ -299,20 +301,7 @@
             break;
         }
     }
-    std::vector<std::pair<std::size_t, std::uint64_t>> repeated; ///< Number of crashes and part.
-    for (const auto& [part, record] : m_suspects)
-    {
-        if (record.m_crashes.size() >= m_settings.m_min_crashes)
-        {
-            repeated.emplace_back(record.m_crashes.size(), part);
-            if (was_sound_before(part) && sound_trial_end(record) > now)
-            {
-                schedule_evaluation(sound_trial_end(record));
-            }
-        }
-    }
-    std::sort(repeated.begin(), repeated.end(), std::greater<>());
-    for (const auto& [crashes, part] : repeated)
+    for (const std::uint64_t part : repeated_suspects(now))
     {
         // An earlier conviction of this loop may have explained the crashes of this suspect.
         const auto found = m_suspects.find(part);
@@ -321,10 +310,7 @@
             continue;
         }
         const std::vector<std::uint64_t> equal = equal_suspects(found->second);
-        const bool is_exceeded = std::any_of(equal.begin(), equal.end(), [&](std::uint64_t other) {
-            return m_suspects.at(other).m_crashes.size() > found->second.m_crashes.size();
-        });
-        if (!is_exceeded && find_quarantine(equal, now) == nullptr &&
+        if (!has_likelier_suspect(found->second, equal) && find_quarantine(equal, now) == nullptr &&
             has_enough_evidence(part, found->second, equal, now))
         {
             convict(equal, now);
@@ -332,6 +318,57 @@
     }
 }
 
+/// Suspects of several crashes: those of most crashes first, then those with the fewest other parts
+/// in them.
+std::vector<std::uint64_t> part_attribution::repeated_suspects(core::time_point now)
+{
+    std::vector<std::tuple<std::size_t, double, std::uint64_t>> ranked;
+    for (const auto& [part, record] : m_suspects)
+    {
+        if (record.m_crashes.size() < m_settings.m_min_crashes)
+        {
+            continue;
+        }
+        if (was_sound_before(part) && sound_trial_end(record) > now)
+        {
+            schedule_evaluation(sound_trial_end(record));
+        }
+        double shares = 0;
+        for (const std::uint64_t number : record.m_crashes)
+        {
+            shares += 1.0 / static_cast<double>(crash_by_number(number).m_parts.size());
+        }
+        ranked.emplace_back(record.m_crashes.size(), shares, part);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<std::uint64_t> parts;
+    for (const auto& [crashes, shares, part] : ranked)
+    {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+/// A part that was in more crashes, one or all of them with the suspect, has its verdict first.
+bool part_attribution::has_likelier_suspect(const suspect& record,
+                                            const std::vector<std::uint64_t>& equal) const
+{
+    const auto is_likelier = [&](std::uint64_t other) {
+        return m_suspects.at(other).m_crashes.size() > record.m_crashes.size();
+    };
+    if (std::any_of(equal.begin(), equal.end(), is_likelier))
+    {
+        return true;
+    }
+    return distinct_times(record.m_crashes) < m_settings.m_max_needed_crashes &&
+           std::any_of(record.m_crashes.begin(), record.m_crashes.end(), [&](std::uint64_t number) {
+               const std::vector<std::uint64_t>& parts = crash_by_number(number).m_parts;
+               return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t other) {
+                   return !was_sound_before(other) && is_likelier(other);
+               });
+           });
+}
+
 void part_attribution::convict(std::vector<std::uint64_t> parts, core::time_point now)
 {
     const std::vector<std::uint64_t>& crashes = m_suspects.at(parts.front()).m_crashes;
