--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -192,34 +192,44 @@
     return times;
 }
 
-/// Number of crashes without the part within a time of one of its crashes, other than explained
-/// ones and those of a part that is in many.
 std::size_t part_attribution::crashes_without(std::uint64_t part, const crash& own,
-                                              core::duration within) const
+                                              core::duration within, bool with_recurrent) const
 {
-    const auto is_recurrent = [&](std::uint64_t other) {
-        const std::vector<std::uint64_t>& crashes = m_suspects.at(other).m_crashes;
-        return crashes.size() > m_settings.m_min_crashes && !was_sound_before(other) &&
-               distinct_times(crashes) > m_settings.m_min_crashes;
-    };
-    const auto others = std::count_if(m_crashes.begin(), m_crashes.end(), [&](const crash& each) {
+    const auto counts = [&](const crash& each) {
         return !each.m_is_explained &&
                std::chrono::abs(each.m_first_reported - own.m_first_reported) <= within &&
                !std::binary_search(each.m_parts.begin(), each.m_parts.end(), part) &&
-               std::none_of(each.m_parts.begin(), each.m_parts.end(), is_recurrent);
+               (with_recurrent ||
+                std::none_of(each.m_parts.begin(), each.m_parts.end(),
+                             [this](std::uint64_t other) { return is_recurrent(other); }));
+    };
+    return static_cast<std::size_t>(std::count_if(m_crashes.begin(), m_crashes.end(), counts));
+}
+
+bool part_attribution::is_recurrent(std::uint64_t part) const
+{
+    std::vector<std::uint64_t> crashes = m_suspects.at(part).m_crashes;
+    if (crashes.size() <= m_settings.m_min_crashes || was_sound_before(part) ||
+        distinct_times(crashes) <= m_settings.m_min_crashes)
+    {
+        return false;
+    }
+    std::erase_if(crashes, [&](std::uint64_t number) {
+        return crashes_without(part, crash_by_number(number), m_settings.m_simultaneous_window,
+                               true) > 0;
     });
-    return static_cast<std::size_t>(others);
+    return distinct_times(crashes) >= m_settings.m_min_crashes;
 }
 
 bool part_attribution::is_one_of_several(std::uint64_t part, const crash& own) const
 {
-    return crashes_without(part, own, m_settings.m_simultaneous_window) > 0;
+    return crashes_without(part, own, m_settings.m_simultaneous_window, false) > 0;
 }
 
 bool part_attribution::has_common_cause(std::uint64_t part, const crash& own) const
 {
     return is_one_of_several(part, own) ||
-           crashes_without(part, own, m_settings.m_common_cause_window) >=
+           crashes_without(part, own, m_settings.m_common_cause_window, false) >=
                m_settings.m_common_cause_crashes;
 }
 
@@ -342,6 +352,7 @@
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<std::uint64_t> parts;
+    parts.reserve(ranked.size());
     for (const auto& [crashes, shares, part] : ranked)
     {
         parts.push_back(part);
