--- a/unit_tests/recovery/part_attribution_test.cpp
+++ b/unit_tests/recovery/part_attribution_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(shared_first_part_is_served_while_a_suspect_is_held);
     CPPUNIT_TEST(lost_failure_domain_convicts_no_part);
     CPPUNIT_TEST(crashes_of_other_parts_delay_a_conviction);
+    CPPUNIT_TEST(popular_part_is_neither_held_nor_refused_before_its_next_answer);
     CPPUNIT_TEST(part_that_was_sound_before_is_found);
     CPPUNIT_TEST(restarted_instances_keep_refusing);
     CPPUNIT_TEST(parts_that_always_come_together_are_refused_together);
@@ -212,25 +213,47 @@
 
     void crashes_of_other_parts_delay_a_conviction()
     {
-        // Two crashes with part 5, each beside two others without it within 2 s.
+        // Each crash with part 5 has two others without it within 2 s.
         instance here;
-        for (std::uint64_t engine = 10; engine < 20; engine += 5)
-        {
-            here.send({5}, engine);
-            here.crash(engine);
-            here.advance(200ms);
-            here.send({engine + 100}, engine + 1);
-            here.crash(engine + 1);
-            here.advance(200ms);
-            here.send({engine + 200}, engine + 2);
-            here.crash(engine + 2);
+        const auto crash_beside_others = [&](std::uint64_t engine) {
+            for (std::uint64_t i = 0; i < 3; ++i)
+            {
+                here.send({i == 0 ? 5 : 100 * i + engine}, engine + i);
+                here.crash(engine + i);
+                here.advance(200ms);
+            }
             here.advance(5s);
-        }
+        };
+        crash_beside_others(10);
+        crash_beside_others(20);
+        crash_beside_others(30);
         CPPUNIT_ASSERT(!here.is_refused({5}));
         // After four crashes it is convicted regardless.
-        here.send_and_crash({5}, 30);
-        here.send_and_crash({5}, 31);
+        crash_beside_others(40);
         CPPUNIT_ASSERT(here.is_refused({5}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, here.m_core.list(here.m_now).size());
+    }
+
+    void popular_part_is_neither_held_nor_refused_before_its_next_answer()
+    {
+        instance here;
+        here.serve({1}, 50);
+        here.advance(100ms);
+        for (std::uint64_t engine = 10; engine < 14; ++engine)
+        {
+            here.send({1, 100 + engine}, engine);
+            here.crash(engine);
+            CPPUNIT_ASSERT(here.is_allowed({1}));
+            here.advance(60ms);
+        }
+        here.advance(300ms);
+        CPPUNIT_ASSERT(!here.is_refused({1}));
+        // Without an answer it is held like others.
+        const attempt_id trial = here.send({1}, 50);
+        CPPUNIT_ASSERT(here.is_held({1}));
+        here.m_core.on_answer_begun(trial, here.m_now);
+        here.advance(1s);
+        CPPUNIT_ASSERT(here.is_allowed({1}));
     }
 
     void part_that_was_sound_before_is_found()
@@ -568,7 +591,7 @@
             std::generate(reported.begin(), reported.end(), [&] { return ++part; });
             here.report(engine, 1, reported);
             here.m_core.on_trial_notice({{part}, core::upstream_id{engine}}, here.m_now);
-            here.m_core.on_quarantine_notice({{part}, 1min, {}}, here.m_now);
+            here.m_core.on_quarantine_notice({{engine}, 1min, {}}, here.m_now);
             here.serve({++part}, 50);
         }
         for (std::uint64_t i = 0; i < settings.m_max_begins; ++i)
