--- a/tarragontrail/recovery/part_attribution.hpp
+++ b/tarragontrail/recovery/part_attribution.hpp
@@ -191,10 +191,10 @@
     core::duration trial_offset(std::uint64_t part, bool was_own) const;
 
     std::size_t distinct_times(const std::vector<std::uint64_t>& crashes) const;
-    /// Number of unexplained crashes without the part within a time of one of its crashes; those of
-    /// recurrent parts count on request.
-    std::size_t crashes_without(std::uint64_t part, const crash& own, core::duration within,
-                                bool with_recurrent) const;
+    /// Whether at least `count` unexplained crashes without the part are within a time of one of
+    /// its crashes; those of recurrent parts count on request.
+    bool has_crashes_without(std::uint64_t part, const crash& own, core::duration within,
+                             std::size_t count, bool with_recurrent) const;
     /// Whether the part was in several crashes that were not one of several at one time.
     bool is_recurrent(std::uint64_t part) const;
     /// Other engines crashed at the same time without the part.
--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -192,45 +192,56 @@
     return times;
 }
 
-std::size_t part_attribution::crashes_without(std::uint64_t part, const crash& own,
-                                              core::duration within, bool with_recurrent) const
+bool part_attribution::has_crashes_without(std::uint64_t part, const crash& own,
+                                           core::duration within, std::size_t count,
+                                           bool with_recurrent) const
 {
-    const auto counts = [&](const crash& each) {
-        return !each.m_is_explained &&
-               std::chrono::abs(each.m_first_reported - own.m_first_reported) <= within &&
-               !std::binary_search(each.m_parts.begin(), each.m_parts.end(), part) &&
-               (with_recurrent ||
-                std::none_of(each.m_parts.begin(), each.m_parts.end(),
-                             [this](std::uint64_t other) { return is_recurrent(other); }));
-    };
-    return static_cast<std::size_t>(std::count_if(m_crashes.begin(), m_crashes.end(), counts));
+    for (const crash& each : m_crashes)
+    {
+        if (each.m_is_explained ||
+            std::chrono::abs(each.m_first_reported - own.m_first_reported) > within ||
+            std::binary_search(each.m_parts.begin(), each.m_parts.end(), part) ||
+            (!with_recurrent &&
+             std::any_of(each.m_parts.begin(), each.m_parts.end(),
+                         [this](std::uint64_t other) { return is_recurrent(other); })))
+        {
+            continue;
+        }
+        --count;
+        if (count == 0)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool part_attribution::is_recurrent(std::uint64_t part) const
 {
-    std::vector<std::uint64_t> crashes = m_suspects.at(part).m_crashes;
-    if (crashes.size() <= m_settings.m_min_crashes || was_sound_before(part) ||
-        distinct_times(crashes) <= m_settings.m_min_crashes)
+    const suspect& record = m_suspects.at(part);
+    if (record.m_crashes.size() <= m_settings.m_min_crashes || was_sound_before(part) ||
+        distinct_times(record.m_crashes) <= m_settings.m_min_crashes)
     {
         return false;
     }
+    std::vector<std::uint64_t> crashes = record.m_crashes;
     std::erase_if(crashes, [&](std::uint64_t number) {
-        return crashes_without(part, crash_by_number(number), m_settings.m_simultaneous_window,
-                               true) > 0;
+        return has_crashes_without(part, crash_by_number(number), m_settings.m_simultaneous_window,
+                                   1, true);
     });
     return distinct_times(crashes) >= m_settings.m_min_crashes;
 }
 
 bool part_attribution::is_one_of_several(std::uint64_t part, const crash& own) const
 {
-    return crashes_without(part, own, m_settings.m_simultaneous_window, false) > 0;
+    return has_crashes_without(part, own, m_settings.m_simultaneous_window, 1, false);
 }
 
 bool part_attribution::has_common_cause(std::uint64_t part, const crash& own) const
 {
     return is_one_of_several(part, own) ||
-           crashes_without(part, own, m_settings.m_common_cause_window, false) >=
-               m_settings.m_common_cause_crashes;
+           has_crashes_without(part, own, m_settings.m_common_cause_window,
+                               m_settings.m_common_cause_crashes, false);
 }
 
 /// Another part of the crash may be its cause: it was not sound before, or it was in more crashes
--- a/unit_tests/recovery/part_attribution_test.cpp
+++ b/unit_tests/recovery/part_attribution_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST_SUITE(part_attribution_test);
     CPPUNIT_TEST(requests_with_one_part_in_common_are_told_apart_by_that_part);
     CPPUNIT_TEST(parts_of_two_crashes_with_open_cases_are_not_refused);
+    CPPUNIT_TEST(part_of_fewer_crashes_is_not_refused_before_one_of_more);
     CPPUNIT_TEST(shared_first_part_is_served_while_a_suspect_is_held);
     CPPUNIT_TEST(lost_failure_domain_convicts_no_part);
     CPPUNIT_TEST(crashes_of_other_parts_delay_a_conviction);
@@ -169,6 +170,22 @@
         CPPUNIT_ASSERT(!here.m_core.is_suspect(5));
     }
 
+    void part_of_fewer_crashes_is_not_refused_before_one_of_more()
+    {
+        // Part 7 was in four crashes, the last of which waits for its evaluation; part 5 in three.
+        instance here;
+        here.send_and_crash({5, 7}, 10);
+        here.send_and_crash({5, 6, 8}, 11);
+        here.send_and_crash({6, 7, 8}, 12);
+        here.send({5, 9}, 13);
+        here.crash(13);
+        here.advance(79ms);
+        here.report(14, 90, {7});
+        here.report(15, 91, {7});
+        here.advance(2ms);
+        CPPUNIT_ASSERT(!here.is_refused({5}));
+    }
+
     void shared_first_part_is_served_while_a_suspect_is_held()
     {
         instance here;
