--- a/unit_tests/recovery/part_attribution_test.cpp
+++ b/unit_tests/recovery/part_attribution_test.cpp
@@ -280,7 +280,9 @@
         here.advance(1s);
         here.send_and_crash({1, 7}, 10);
         here.serve({1}, 50);
+        const attempt_id other = here.send({1, 7}, 60);
         CPPUNIT_ASSERT(here.is_allowed({1, 7}));
+        here.m_core.on_ended(other, here.m_now);
         here.send({1, 7}, 11);
         here.crash(11);
         CPPUNIT_ASSERT(here.is_held({7}));
