--- a/tarragontrail/recovery/part_attribution_evaluation.cpp
+++ b/tarragontrail/recovery/part_attribution_evaluation.cpp
@@ -204,7 +204,8 @@
     return parts;
 }
 
-/// A part that was in more crashes, one or all of them with the suspect, has its verdict first.
+/// A part that was in more crashes, or in as many others, one of them with the suspect, may be the
+/// cause instead.
 bool part_attribution::has_likelier_suspect(const suspect& record,
                                             const std::vector<std::uint64_t>& equal) const
 {
@@ -219,7 +220,9 @@
            std::any_of(record.m_crashes.begin(), record.m_crashes.end(), [&](std::uint64_t number) {
                const std::vector<std::uint64_t>& parts = crash_by_number(number).m_parts;
                return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t other) {
-                   return !was_sound_before(other) && is_likelier(other);
+                   return !was_sound_before(other) &&
+                          !std::binary_search(equal.begin(), equal.end(), other) &&
+                          m_suspects.at(other).m_crashes.size() >= record.m_crashes.size();
                });
            });
 }
