Find parts of prompts that crash engines, and refuse them

Callers lost engine after engine to requests that have one part of the prompt in common and differ in everything else. Cause: crashes were attributed to fingerprints of whole requests, so that each looked like a first one; a crash was known only when the engine's row went, three seconds later, or when another request was refused a connection, and a lost request that may be repeated went to the next engine at once; nothing was kept across a restart of the fleet.

The relay now reports each attempt to part_attribution: sent, its answer begun, ended, lost. A lost attempt is followed by one connection to its engine, which tells within milliseconds whether it crashed. Requests with a suspected part are held while one of them is on trial, for 2 s at most, and refused at once when the part is found, with the time until its quarantine ends. Evidence goes to all instances; quarantines are also rows of the fleet's table, so that an instance that starts has them. The probe of a connection is one function, which the entry program uses too.

--- a/tarragontrail/entry/recovery_service.cpp
+++ b/tarragontrail/entry/recovery_service.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/entry/recovery_service.hpp"
 
+#include "tarragontrail/net/connection_probe.hpp"
 #include "tarragontrail/observe/log.hpp"
 
 #include <type_traits>
@@ -127,20 +128,15 @@
     {
         return;
     }
-    // A connection alone is the probe: a request might have an effect at a plain service.
-    auto socket = std::make_shared<net::tcp::socket>(m_context.m_control.context());
-    auto limit = std::make_shared<net::timer>(m_context.m_control.context());
-    limit->run_after(probe_timeout, [socket] {
-        boost::system::error_code ignored;
-        socket->close(ignored);
-    });
-    socket->async_connect(
-        found->second, [this, socket, limit, upstream](boost::system::error_code error) {
-            limit->cancel();
-            on_attempt(upstream, error ? connection_outcome::not_made : connection_outcome::worked,
-                       core::runtime_clock::now());
-            m_context.m_pump();
-        });
+    net::probe_connection(m_context.m_control.context(), found->second, probe_timeout,
+                          [this, upstream](net::probe_result result) {
+                              on_attempt(upstream,
+                                         result == net::probe_result::connected
+                                             ? connection_outcome::worked
+                                             : connection_outcome::not_made,
+                                         core::runtime_clock::now());
+                              m_context.m_pump();
+                          });
 }
 
 } // namespace tarragontrail::entry
--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -103,6 +103,7 @@
         {
             m_state.m_crash_attribution.on_engine_crashed(record.m_id, known->m_record.m_started,
                                                           now);
+            m_state.m_part_crashes.on_engine_crashed(record.m_id, known->m_record.m_started, now);
         }
         m_state.m_cached_parts.clear_holder(record.m_id);
     }
@@ -130,6 +131,7 @@
     if (!known->m_leaving_since)
     {
         m_state.m_crash_attribution.on_engine_crashed(id, known->m_record.m_started, now);
+        m_state.m_part_crashes.on_engine_crashed(id, known->m_record.m_started, now);
     }
     observe::log("upstream_gone", {{"name", known->m_record.m_name},
                                    {"leaving", known->m_leaving_since.has_value()}});
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -32,7 +32,7 @@
       m_exchange(context, {}, m_self, peer_endpoint, state, m_registry, *this),
       m_rollout(context, {}, lease, state, m_registry, store, engines, *this, m_self),
       m_cache_events(context, {}, state, m_registry, engines, m_self.m_instance),
-      m_check_timer(context), m_register_timer(context)
+      m_quarantine_rows(context, store), m_check_timer(context), m_register_timer(context)
 {
     for (const followed_table table :
          {followed_table::operators, followed_table::upstreams, followed_table::fleet})
@@ -45,6 +45,7 @@
             });
     }
     m_state.m_announcer = this;
+    m_state.m_part_crashes.set_sender(this);
 }
 
 void fleet_service::start()
@@ -206,6 +207,15 @@
                           std::chrono::duration_cast<std::chrono::milliseconds>(use.m_work)});
 }
 
+void fleet_service::send_part_evidence(const recovery::part_attribution_action& evidence)
+{
+    std::visit([this](const auto& message) { m_exchange.send_to_fleet(message); }, evidence);
+    if (const auto* notice = std::get_if<recovery::part_quarantine_notice>(&evidence))
+    {
+        m_quarantine_rows.write(*notice);
+    }
+}
+
 void fleet_service::announce_weights(core::upstream_id engine, const std::string& model,
                                      placement::weights_version version)
 {
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/relay/cache_event_follower.hpp"
 #include "tarragontrail/relay/document_applier.hpp"
 #include "tarragontrail/relay/fleet_exchange.hpp"
+#include "tarragontrail/relay/quarantine_rows.hpp"
 #include "tarragontrail/relay/staleness_detector.hpp"
 #include "tarragontrail/relay/table_follower.hpp"
 #include "tarragontrail/relay/weights_rollout_coordinator.hpp"
@@ -29,6 +30,7 @@
 /// exchanges state with the other instances and takes part in the weights rollout.
 class fleet_service : public fleet_exchange_listener,
                       public relay_announcer,
+                      public part_evidence_sender,
                       public weights_announcer
 {
 public:
@@ -53,6 +55,7 @@
     void announce_weights(core::upstream_id engine, const std::string& model,
                           placement::weights_version version) override;
     void announce_weights_update(const placement::announce_engine& update) override;
+    void send_part_evidence(const recovery::part_attribution_action& evidence) override;
 
 private:
     void fill_heartbeat(wire::instance_pulse& heartbeat, core::time_point now) override;
@@ -87,6 +90,7 @@
     std::array<std::unique_ptr<table_follower>, followed_table_count> m_followers;
     /// One for each table.
     std::array<staleness_detector, followed_table_count> m_staleness_detectors;
+    quarantine_rows m_quarantine_rows;
     net::timer m_check_timer;
     net::timer m_register_timer;
     /// The instance is shutting down.
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -42,6 +42,22 @@
     {
         m_state.m_crash_attribution.on_exoneration_notice(*cleared, now);
     }
+    else if (const auto* parts = std::get_if<recovery::part_crash_report>(&message))
+    {
+        m_state.m_part_crashes.on_evidence(*parts, now);
+    }
+    else if (const auto* sound = std::get_if<recovery::part_exoneration_notice>(&message))
+    {
+        m_state.m_part_crashes.on_evidence(*sound, now);
+    }
+    else if (const auto* trial = std::get_if<recovery::part_trial_notice>(&message))
+    {
+        m_state.m_part_crashes.on_evidence(*trial, now);
+    }
+    else if (const auto* refused = std::get_if<recovery::part_quarantine_notice>(&message))
+    {
+        m_state.m_part_crashes.on_evidence(*refused, now);
+    }
 }
 
 void fleet_service::on_part_notice(core::instance_id from, const wire::part_notice& notice)
@@ -178,6 +194,14 @@
             {
                 m_rollout.on_row(duty->m_row, row.m_version);
             }
+            else if (const auto* parts = std::get_if<wire::part_quarantine_entry>(&message);
+                     parts && row.m_key.starts_with(quarantine_rows::key_prefix))
+            {
+                if (const auto notice = m_quarantine_rows.on_row(row.m_key, *parts))
+                {
+                    m_state.m_part_crashes.on_evidence(*notice, core::runtime_clock::now());
+                }
+            }
             else
             {
                 observe::log(
--- a/tarragontrail/relay/http_codec.cpp
+++ b/tarragontrail/relay/http_codec.cpp
@@ -24,6 +24,8 @@
         return "leaving";
     case refusal_reason::quarantined:
         return "quarantined";
+    case refusal_reason::suspected:
+        return "suspected";
     case refusal_reason::not_run_in_time:
         return "not_run_in_time";
     case refusal_reason::outcome_unknown:
@@ -44,6 +46,7 @@
     case refusal_reason::no_upstream:
     case refusal_reason::leaving:
     case refusal_reason::quarantined:
+    case refusal_reason::suspected:
     case refusal_reason::not_run_in_time:
         return true;
     default:
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -49,7 +49,8 @@
     overloaded,      ///< It cannot be served in time.
     no_upstream,     ///< No upstream is available.
     leaving,         ///< This instance shuts down before the request could be served.
-    quarantined,     ///< Upstreams that executed it have crashed.
+    quarantined,     ///< Upstreams that executed it, or a part of its prompt, have crashed.
+    suspected,       ///< A part of its prompt is suspected of crashing upstreams.
     not_run_in_time, ///< Its deadline has passed and it was not executed.
     outcome_unknown, ///< It was sent and the response was lost.
     timed_out,       ///< It was sent and no response arrived in time.
--- /dev/null
+++ b/tarragontrail/relay/quarantine_rows.cpp
@@ -0,0 +1,100 @@
+#include "tarragontrail/relay/quarantine_rows.hpp"
+
+#include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/observe/log.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace tarragontrail::relay {
+namespace {
+
+constexpr std::chrono::milliseconds retry_delay{400};
+/// Written rows are forgotten beyond this number; a repeated write does no harm.
+constexpr std::size_t max_rows = 512;
+
+/// The rows outlive every process, so their times are those of the calendar.
+std::chrono::milliseconds unix_time()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string key_of(const std::vector<std::uint64_t>& parts)
+{
+    std::uint64_t hash = 0;
+    for (const std::uint64_t part : parts)
+    {
+        hash = core::hash_pair(part, hash);
+    }
+    return fmt::format("{}{:016x}", quarantine_rows::key_prefix, hash);
+}
+
+} // namespace
+
+quarantine_rows::quarantine_rows(boost::asio::io_context& context, table_store& store)
+    : m_store(store), m_retry_timer(context)
+{}
+
+void quarantine_rows::write(const recovery::part_quarantine_notice& notice)
+{
+    const std::string key = key_of(notice.m_parts);
+    if (m_rows.contains(key))
+    {
+        return;
+    }
+    if (m_rows.size() >= max_rows)
+    {
+        std::erase_if(m_rows, [](const auto& entry) { return entry.second.m_is_written; });
+    }
+    const auto until = static_cast<std::uint64_t>((unix_time() + notice.m_duration).count());
+    m_rows[key].m_value =
+        wire::encode(wire::part_quarantine_entry{notice.m_parts, until, notice.m_crashes});
+    send(key);
+}
+
+std::optional<recovery::part_quarantine_notice>
+quarantine_rows::on_row(const std::string& key, const wire::part_quarantine_entry& entry)
+{
+    const auto left = std::chrono::milliseconds(entry.m_until_unix_ms) - unix_time();
+    if (left.count() <= 0)
+    {
+        m_rows.erase(key);
+        return std::nullopt;
+    }
+    m_rows[key].m_is_written = true;
+    return recovery::part_quarantine_notice{entry.m_parts, left, entry.m_crashes};
+}
+
+void quarantine_rows::send(const std::string& key)
+{
+    pending_row& row = m_rows.at(key);
+    row.m_is_sent = true;
+    m_store.write(key, row.m_value, std::nullopt, [this, key](const row_write_result& written) {
+        const auto found = m_rows.find(key);
+        if (found == m_rows.end())
+        {
+            return;
+        }
+        found->second.m_is_sent = false;
+        found->second.m_is_written |= written.m_outcome == row_write_result::outcome::applied;
+        observe::log("quarantine_written", {{"key", key}, {"applied", found->second.m_is_written}});
+        if (!found->second.m_is_written)
+        {
+            m_retry_timer.run_after(retry_delay, [this] { retry(); });
+        }
+    });
+}
+
+void quarantine_rows::retry()
+{
+    for (const auto& [key, row] : m_rows)
+    {
+        if (!row.m_is_written && !row.m_is_sent)
+        {
+            send(key);
+        }
+    }
+}
+
+} // namespace tarragontrail::relay
--- /dev/null
+++ b/tarragontrail/relay/quarantine_rows.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "tarragontrail/net/timer.hpp"
+#include "tarragontrail/recovery/part_messages.hpp"
+#include "tarragontrail/relay/platform_interface.hpp"
+#include "tarragontrail/wire/generated_messages.hpp"
+
+#include <map>
+#include <string>
+
+namespace tarragontrail::relay {
+
+/// Keeps quarantines of parts in the platform's table store, for instances that start later.
+class quarantine_rows
+{
+public:
+    /// Prefix of the keys of quarantines in the fleet's table.
+    static constexpr std::string_view key_prefix = "quarantine/";
+
+    quarantine_rows(boost::asio::io_context& context, table_store& store);
+
+    /// Writes a quarantine unless its row exists; repeats a write that failed.
+    void write(const recovery::part_quarantine_notice& notice);
+
+    /// Quarantine of a row of the fleet's table; nothing when it is over.
+    std::optional<recovery::part_quarantine_notice>
+    on_row(const std::string& key, const wire::part_quarantine_entry& entry);
+
+private:
+    /// Row to be written.
+    struct pending_row
+    {
+        std::string m_value;
+        bool m_is_written = false; ///< The store has the row.
+        bool m_is_sent = false;    ///< A write is under way.
+    };
+
+    void send(const std::string& key);
+    void retry();
+
+    table_store& m_store;
+    std::map<std::string, pending_row> m_rows; ///< By key.
+    net::timer m_retry_timer;
+};
+
+} // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -151,11 +151,13 @@
     m_prompt.emplace();
     m_prompt->m_model = description.m_model;
     m_prompt->m_output_tokens = description.m_output_tokens;
+    const std::uint64_t model = core::hash_name(description.m_model);
     std::uint64_t shared_tokens = 0;
     for (std::size_t i = 0; i + 1 < description.m_parts.size(); ++i)
     {
         m_prompt->m_shared.push_back(core::hash_pair(description.m_parts[i].m_id, isolation_id));
         m_prompt->m_shared_tokens.push_back(description.m_parts[i].m_tokens);
+        m_part_ids.push_back(core::hash_pair(description.m_parts[i].m_id, model));
         shared_tokens += description.m_parts[i].m_tokens;
     }
     m_prompt->m_unshared_tokens = description.m_input_tokens > shared_tokens
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -52,6 +52,7 @@
     void build_prompt_profile();
     void dispatch();
     bool is_held_as_suspect(core::time_point now);
+    bool is_held_for_parts(core::upstream_id engine, core::time_point now);
     selection_request make_selection_request() const;
     bool admit(const selection& chosen);
     void send(const selection& chosen);
@@ -90,9 +91,11 @@
     caller_request m_request;
     std::shared_ptr<const route_table> m_routes; ///< Configuration in force at arrival.
     const route* m_route = nullptr;
-    const workspace* m_workspace = nullptr; ///< Null when the request has no known key.
-    std::string m_service;                  ///< Name of the target service.
-    std::optional<prompt_profile> m_prompt; ///< Set for a request to a model.
+    const workspace* m_workspace = nullptr;       ///< Null when the request has no known key.
+    std::string m_service;                        ///< Name of the target service.
+    std::optional<prompt_profile> m_prompt;       ///< Set for a request to a model.
+    std::vector<std::uint64_t> m_part_ids;        ///< Model and identity of each part but the last.
+    std::optional<core::time_point> m_held_since; ///< Start of the hold for a suspected part.
     core::time_point m_arrival;
     core::time_point m_deadline;  ///< Latest time at which a response is sent.
     std::uint64_t m_priority = 0; ///< Zero is the most urgent.
@@ -106,6 +109,7 @@
     std::uint64_t m_possible_executions = 0; ///< Sent attempts that may have executed the request.
     std::vector<core::upstream_id> m_tried;  ///< Upstreams of all attempts so far.
     core::time_point m_attempt_started{};    ///< Start of the current attempt.
+    std::optional<recovery::attempt_id> m_part_attempt; ///< Current attempt, if it has parts.
     bool m_counted_as_load = false;     ///< The current attempt counts towards the upstream's load.
     bool m_first_byte_received = false; ///< The current attempt's first byte has arrived.
     response_mode m_mode = response_mode::none; ///< Of the current attempt.
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -230,6 +230,11 @@
     m_overdue_timer.cancel();
     m_selection.m_upstream->m_load.on_first_byte(m_selection.m_work);
     const core::time_point now = core::runtime_clock::now();
+    constexpr unsigned status_ok = 200;
+    if (m_part_attempt && m_head.result_int() == status_ok)
+    {
+        m_state.m_part_crashes.on_answer_begun(*m_part_attempt, now);
+    }
     const double forecast = std::max(milliseconds_of(m_selection.m_predicted_first_byte), 1.0);
     m_selection.m_upstream->m_health.on_success(milliseconds_of(now - m_attempt_started) / forecast,
                                                 now);
@@ -269,6 +274,15 @@
     current.m_load.on_ended(m_selection.m_work, m_first_byte_received);
     const core::time_point now = core::runtime_clock::now();
     const bool completed = outcome == attempt_outcome::completed;
+    const auto part_attempt = std::exchange(m_part_attempt, std::nullopt);
+    if (part_attempt && outcome == attempt_outcome::lost)
+    {
+        m_state.m_part_crashes.on_attempt_lost(*part_attempt, current.m_record, now);
+    }
+    else if (part_attempt)
+    {
+        m_state.m_part_crashes.on_ended(*part_attempt, now);
+    }
     if (outcome == attempt_outcome::lost)
     {
         m_state.m_crash_attribution.on_attempt_lost(m_request.m_fingerprint, current.m_record.m_id,
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -69,7 +69,7 @@
 void relay_session::dispatch()
 {
     const core::time_point now = core::runtime_clock::now();
-    if (is_held_as_suspect(now))
+    if (is_held_as_suspect(now) || is_held_for_parts(core::upstream_id{}, now))
     {
         return;
     }
@@ -81,7 +81,7 @@
                              m_state.m_session_settings.m_no_upstream_retry_after);
         return;
     }
-    if (!admit(*chosen))
+    if (!admit(*chosen) || is_held_for_parts(chosen->m_upstream->m_record.m_id, now))
     {
         return;
     }
@@ -115,6 +115,42 @@
     return true;
 }
 
+/// True when a part of the prompt is suspected of crashing engines, or known to; the request is
+/// then delayed or ended.
+bool relay_session::is_held_for_parts(core::upstream_id engine, core::time_point now)
+{
+    if (m_part_ids.empty())
+    {
+        return false;
+    }
+    const auto verdict = m_state.m_part_crashes.check(m_part_ids, engine, now);
+    if (verdict == recovery::dispatch_verdict::allowed)
+    {
+        return false;
+    }
+    if (verdict == recovery::dispatch_verdict::quarantined)
+    {
+        observe::log("parts_refused", {{"request", m_request.m_id}});
+        end_without_upstream(refusal_reason::quarantined,
+                             m_state.m_part_crashes.quarantine_time(m_part_ids, now));
+        return true;
+    }
+    const relay_session_settings& settings = m_state.m_session_settings;
+    if (!m_held_since)
+    {
+        m_held_since = now;
+        observe::log("parts_held", {{"request", m_request.m_id}});
+    }
+    if (now >= *m_held_since + settings.m_max_suspect_part_hold)
+    {
+        end_without_upstream(refusal_reason::suspected, settings.m_suspect_part_retry_after);
+        return true;
+    }
+    start_timer(m_retry_timer, now + settings.m_suspect_part_recheck_interval,
+                &relay_session::dispatch);
+    return true;
+}
+
 /// True when the selected upstream can serve the request in time; otherwise the request is refused.
 bool relay_session::admit(const selection& chosen)
 {
@@ -196,6 +232,11 @@
     chosen.m_upstream->m_load.on_sent(chosen.m_work);
     m_counted_as_load = true;
     m_state.m_crash_attribution.on_dispatched(m_request.m_fingerprint, record.m_id);
+    if (!m_part_ids.empty())
+    {
+        m_part_attempt =
+            m_state.m_part_crashes.begin_attempt(m_part_ids, record.m_id, m_attempt_started);
+    }
     if (m_sends == 0)
     {
         m_state.budget_of(m_service).on_request();
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -9,6 +9,7 @@
 #include "tarragontrail/relay/admission_policy.hpp"
 #include "tarragontrail/relay/drain_window.hpp"
 #include "tarragontrail/relay/http_codec.hpp"
+#include "tarragontrail/relay/part_crash_monitor.hpp"
 #include "tarragontrail/relay/route_table.hpp"
 #include "tarragontrail/relay/upstream_selector.hpp"
 
@@ -77,6 +78,12 @@
     /// Interval of checks while a suspect request is held; half of crash attribution's
     /// evaluation delay.
     std::chrono::milliseconds m_suspect_recheck_interval{250};
+    /// Interval of checks while a part of the prompt is suspected of crashing engines.
+    std::chrono::milliseconds m_suspect_part_recheck_interval{20};
+    /// A request with a suspected part is refused after it was held for this time.
+    std::chrono::milliseconds m_max_suspect_part_hold{2'000};
+    /// Retry delay reported for it.
+    std::chrono::milliseconds m_suspect_part_retry_after{1'000};
     /// Retry delay reported when no upstream is available.
     std::chrono::milliseconds m_no_upstream_retry_after{250};
     /// Retry delay reported before the first configuration.
@@ -91,7 +98,7 @@
                 core::instance_id self, std::uint64_t seed)
         : m_context(context), m_codec(codec), m_client(context, idle_connections),
           m_selector(selector, own_locality, seed), m_limits(self), m_crash_attribution({}, self),
-          m_random(seed)
+          m_part_crashes(context, self, m_crash_attribution), m_random(seed)
     {}
 
     /// Cache store in the configuration in force; null when there is none.
@@ -114,6 +121,7 @@
     admission_policy m_admission;
     limits::demand_share m_limits;                     ///< Rate limits of workspaces.
     recovery::crash_attribution m_crash_attribution;   ///< Finds requests that crash upstreams.
+    part_crash_monitor m_part_crashes;                 ///< Finds parts that crash engines.
     recovery::retry_budget_settings m_budget_settings; ///< For each service.
     std::map<std::string, recovery::retry_budget> m_budgets; ///< By service.
     std::uint64_t m_live_instances = 1;  ///< Alive instances of the fleet, this one included.
