--- a/unit_tests/recovery/part_fleet_test.cpp
+++ b/unit_tests/recovery/part_fleet_test.cpp
@@ -53,23 +53,40 @@
     }
 }
 
+/// Size and load of a fleet, drawn from its seed.
+part_fleet_options drawn_options(std::uint64_t seed, const part_fleet_options& faults)
+{
+    core::seeded_random random(seed);
+    part_fleet_options options = faults;
+    options.m_instances = 5 + random.below(5);
+    options.m_engines = 10 + random.below(5);
+    options.m_requests_per_second = random.below(2) == 0 ? 80 : 200;
+    options.m_deadly_share *= random.below(2) == 0 ? 1 : 0.4;
+    options.m_restarts = std::min(options.m_restarts, options.m_instances);
+    options.m_is_deadly_first = random.below(2) == 0;
+    return options;
+}
+
 /// Runs fleets of different sizes and loads.
 void run_fleets(const char* name, const part_fleet_options& faults, const part_fleet_bounds& bounds)
 {
     CPPUNIT_ASSERT(rc::check(name, [&] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-        core::seeded_random random(seed);
-        part_fleet_options options = faults;
-        options.m_instances = 5 + random.below(5);
-        options.m_engines = 10 + random.below(5);
-        options.m_requests_per_second = random.below(2) == 0 ? 80 : 200;
-        options.m_deadly_share *= random.below(2) == 0 ? 1 : 0.4;
-        options.m_restarts = std::min(options.m_restarts, options.m_instances);
-        options.m_is_deadly_first = random.below(2) == 0;
-        check_fleet(seed, options, bounds);
+        check_fleet(seed, drawn_options(seed, faults), bounds);
     }));
 }
 
+/// Runs the fleets of seeds that broke a bound once.
+void repeat_fleets(const std::vector<std::uint64_t>& seeds, const part_fleet_options& faults,
+                   const part_fleet_bounds& bounds)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        CPPUNIT_ASSERT(rc::check(fmt::format("seed {}", seed),
+                                 [&] { check_fleet(seed, drawn_options(seed, faults), bounds); }));
+    }
+}
+
 constexpr std::uint64_t all_instances = 100;
 /// A held request without a deadly part waits no longer than a trial takes.
 constexpr core::duration trial_time = part_attribution_settings{}.m_trial_lifetime;
@@ -81,9 +98,11 @@
 {
     CPPUNIT_TEST_SUITE(part_fleet_test);
     CPPUNIT_TEST(deadly_part_costs_two_engines_after_its_first_crash_is_known);
+    CPPUNIT_TEST(trials_of_two_instances_at_once_cost_no_third_engine);
     CPPUNIT_TEST(two_deadly_parts_are_refused);
     CPPUNIT_TEST(lost_failure_domains_quarantine_no_part);
     CPPUNIT_TEST(deadly_parts_beside_a_lost_failure_domain_are_refused);
+    CPPUNIT_TEST(innocent_part_in_flight_beside_a_lost_failure_domain_is_served);
     CPPUNIT_TEST(deadly_part_is_refused_after_a_restart_of_all_instances);
     CPPUNIT_TEST(deadly_part_is_refused_after_a_restart_of_some_instances);
     CPPUNIT_TEST(deadly_parts_are_refused_although_messages_are_lost);
@@ -96,6 +115,11 @@
         run_fleets("one deadly part", {}, {2, trial_time, 100ms});
     }
 
+    void trials_of_two_instances_at_once_cost_no_third_engine()
+    {
+        repeat_fleets({1938060268, 3506, 142499185364}, {}, {2, trial_time, 100ms});
+    }
+
     void two_deadly_parts_are_refused()
     {
         part_fleet_options faults;
@@ -119,6 +143,14 @@
         run_fleets("two deadly parts, lost domain", faults, {});
     }
 
+    void innocent_part_in_flight_beside_a_lost_failure_domain_is_served()
+    {
+        part_fleet_options faults;
+        faults.m_deadly_parts = 2;
+        faults.m_lost_domains = 1;
+        repeat_fleets({3574412940151909, 935956460168764311}, faults, {});
+    }
+
     void deadly_part_is_refused_after_a_restart_of_all_instances()
     {
         part_fleet_options faults;
