Take the end of an upstream's row for no crash of its parts

An upstream may end its row and serve on for a while without saying that it drains. The parts of requests in flight there became suspects though their answers came, and two such upstreams could have a sound part refused. Found by review, by reading; no run has shown it. A crash shows by lost connections and the check that follows them, and by a new incarnation in the row.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -131,7 +131,6 @@
     if (!known->m_leaving_since)
     {
         m_state.m_crash_attribution.on_engine_crashed(id, known->m_record.m_started, now);
-        m_state.m_part_crashes.on_engine_crashed(id, known->m_record.m_started, now);
     }
     observe::log("upstream_gone", {{"name", known->m_record.m_name},
                                    {"leaving", known->m_leaving_since.has_value()}});
