Hold no request for crashes that a part of prompts explains

Requests in flight at two crashes of one deadly part became suspects by their own fingerprint and were held, or refused as quarantined, although the part had been found. A quarantine of parts now also explains its crashes to the attribution of requests.

--- a/tarragontrail/recovery/crash_attribution.cpp
+++ b/tarragontrail/recovery/crash_attribution.cpp
@@ -139,7 +139,13 @@
 void crash_attribution::on_quarantine_notice(const quarantine_notice& notice, core::time_point now)
 {
     start_quarantine(notice.m_fingerprint, now + notice.m_duration, 0);
-    for (const crash_identity& crashed : notice.m_crashes)
+    on_crashes_explained(notice.m_crashes, now);
+}
+
+void crash_attribution::on_crashes_explained(const std::vector<crash_identity>& crashes,
+                                             core::time_point now)
+{
+    for (const crash_identity& crashed : crashes)
     {
         mark_explained(record_crash(crashed.m_engine, crashed.m_started, now));
     }
--- a/tarragontrail/recovery/crash_attribution.hpp
+++ b/tarragontrail/recovery/crash_attribution.hpp
@@ -125,6 +125,9 @@
     void on_quarantine_notice(const quarantine_notice& notice, core::time_point now);
     void on_exoneration_notice(const exoneration_notice& notice, core::time_point now);
 
+    /// A part of prompts caused these crashes, so they are no evidence against requests.
+    void on_crashes_explained(const std::vector<crash_identity>& crashes, core::time_point now);
+
     /// Evaluates suspects if due and drops expired state.
     void on_timer(core::time_point now);
 
--- a/tarragontrail/relay/part_crash_monitor.cpp
+++ b/tarragontrail/relay/part_crash_monitor.cpp
@@ -97,8 +97,9 @@
     }
     else
     {
-        m_attribution.on_quarantine_notice(std::get<recovery::part_quarantine_notice>(evidence),
-                                           now);
+        const auto& notice = std::get<recovery::part_quarantine_notice>(evidence);
+        m_attribution.on_quarantine_notice(notice, now);
+        m_requests.on_crashes_explained(notice.m_crashes, now);
     }
     share_evidence();
 }
@@ -155,6 +156,7 @@
             const auto& notice = std::get<recovery::part_quarantine_notice>(action);
             observe::log("parts_quarantined", {{"parts", text_of(notice.m_parts)},
                                                {"crashes", notice.m_crashes.size()}});
+            m_requests.on_crashes_explained(notice.m_crashes, core::runtime_clock::now());
         }
         if (m_sender != nullptr)
         {
--- a/unit_tests/recovery/crash_attribution_test.cpp
+++ b/unit_tests/recovery/crash_attribution_test.cpp
@@ -291,6 +291,7 @@
     CPPUNIT_TEST(attempt_lost_before_a_completed_run_makes_no_suspect);
     CPPUNIT_TEST(refused_connection_after_a_lost_attempt_is_a_crash);
     CPPUNIT_TEST(simultaneous_engine_crashes_hold_no_request_back);
+    CPPUNIT_TEST(crashes_of_a_deadly_part_hold_no_request_beside_it);
     CPPUNIT_TEST(operator_clears_a_quarantine_everywhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +367,24 @@
                        dispatch_verdict::allowed);
     }
 
+    void crashes_of_a_deadly_part_hold_no_request_beside_it()
+    {
+        crash_attribution attribution({}, core::instance_id{1});
+        const core::time_point now = core::time_point{} + 1h;
+        const std::vector<crash_identity> crashes{{core::upstream_id{1}, core::incarnation{1}},
+                                                  {core::upstream_id{2}, core::incarnation{1}}};
+        for (const crash_identity& crashed : crashes)
+        {
+            attribution.on_dispatched(5, crashed.m_engine);
+            attribution.on_engine_crashed(crashed.m_engine, crashed.m_started, now);
+        }
+        CPPUNIT_ASSERT(attribution.hold_deadline(5, now).has_value());
+        attribution.on_crashes_explained(crashes, now);
+        CPPUNIT_ASSERT(!attribution.hold_deadline(5, now).has_value());
+        CPPUNIT_ASSERT(attribution.check(5, core::upstream_id{3}, now) ==
+                       dispatch_verdict::allowed);
+    }
+
     void operator_clears_a_quarantine_everywhere()
     {
         const core::time_point now{};
