Write the row of a part that is quarantined again

A part that was found again after its quarantine had ended got no row at instances that knew the old one, so a restart would have let it through. A row is now written unless it lasts as long. Found by review; the test needs the later end.

--- a/tarragontrail/relay/quarantine_rows.cpp
+++ b/tarragontrail/relay/quarantine_rows.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_delay{400};
+/// Notices of one quarantine differ by the time that they were on their way.
+constexpr std::chrono::milliseconds renewal_margin{60'000};
 /// Written rows are forgotten beyond this number; a repeated write does no harm.
 constexpr std::size_t max_rows = 512;
 
@@ -39,7 +41,9 @@
 void quarantine_rows::write(const recovery::part_quarantine_notice& notice)
 {
     const std::string key = key_of(notice.m_parts);
-    if (m_rows.contains(key))
+    const std::chrono::milliseconds until = unix_time() + notice.m_duration;
+    const auto known = m_rows.find(key);
+    if (known != m_rows.end() && until < known->second.m_until + renewal_margin)
     {
         return;
     }
@@ -47,22 +51,24 @@
     {
         std::erase_if(m_rows, [](const auto& entry) { return entry.second.m_is_written; });
     }
-    const auto until = static_cast<std::uint64_t>((unix_time() + notice.m_duration).count());
-    m_rows[key].m_value =
-        wire::encode(wire::part_quarantine_entry{notice.m_parts, until, notice.m_crashes});
+    m_rows[key] = {
+        wire::encode(wire::part_quarantine_entry{
+            notice.m_parts, static_cast<std::uint64_t>(until.count()), notice.m_crashes}),
+        until};
     send(key);
 }
 
 std::optional<recovery::part_quarantine_notice>
 quarantine_rows::on_row(const std::string& key, const wire::part_quarantine_entry& entry)
 {
-    const auto left = std::chrono::milliseconds(entry.m_until_unix_ms) - unix_time();
+    const std::chrono::milliseconds until(entry.m_until_unix_ms);
+    const std::chrono::milliseconds left = until - unix_time();
     if (left.count() <= 0)
     {
         m_rows.erase(key);
         return std::nullopt;
     }
-    m_rows[key].m_is_written = true;
+    m_rows[key] = {{}, until, true};
     return recovery::part_quarantine_notice{entry.m_parts, left, entry.m_crashes};
 }
 
--- a/tarragontrail/relay/quarantine_rows.hpp
+++ b/tarragontrail/relay/quarantine_rows.hpp
@@ -19,7 +19,7 @@
 
     quarantine_rows(boost::asio::io_context& context, table_store& store);
 
-    /// Writes a quarantine unless its row exists; repeats a write that failed.
+    /// Writes a quarantine unless its row lasts as long; repeats a write that failed.
     void write(const recovery::part_quarantine_notice& notice);
 
     /// Quarantine of a row of the fleet's table; nothing when it is over.
@@ -31,8 +31,9 @@
     struct pending_row
     {
         std::string m_value;
-        bool m_is_written = false; ///< The store has the row.
-        bool m_is_sent = false;    ///< A write is under way.
+        std::chrono::milliseconds m_until{}; ///< End of the quarantine, since 1970.
+        bool m_is_written = false;           ///< The store has the row.
+        bool m_is_sent = false;              ///< A write is under way.
     };
 
     void send(const std::string& key);
--- a/unit_tests/relay/quarantine_rows_test.cpp
+++ b/unit_tests/relay/quarantine_rows_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(quarantine_is_written_after_an_outage);
     CPPUNIT_TEST(quarantine_that_is_over_is_not_taken_up);
     CPPUNIT_TEST(repeated_notice_is_written_once);
+    CPPUNIT_TEST(later_quarantine_of_the_same_parts_is_written);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -104,6 +105,15 @@
         m_quarantines.write(m_notice);
         CPPUNIT_ASSERT_EQUAL(1, m_store.m_writes);
     }
+
+    void later_quarantine_of_the_same_parts_is_written()
+    {
+        auto earlier = m_notice;
+        earlier.m_duration = 1000ms;
+        m_quarantines.write(earlier);
+        m_quarantines.write(m_notice);
+        CPPUNIT_ASSERT(read_afresh()->m_duration > 1000s);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(quarantine_rows_test, "relay");
