Serve prompts with parts only once the quarantines are known

An instance that starts served before it had read the fleet's table, so that each of a restarted fleet could send one request with a part that is known to crash engines. It is ready when the table is read, and refuses requests with parts with a short Retry-After until then. Found by review.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -46,6 +46,7 @@
     }
     m_state.m_announcer = this;
     m_state.m_part_crashes.set_sender(this);
+    m_state.m_quarantines_known = false;
 }
 
 void fleet_service::start()
@@ -71,7 +72,7 @@
 
 bool fleet_service::is_ready() const
 {
-    return !m_leaving && m_state.m_routes &&
+    return !m_leaving && m_state.m_routes && m_state.m_quarantines_known &&
            m_followers[static_cast<std::size_t>(followed_table::upstreams)]->mirror().is_complete();
 }
 
@@ -97,6 +98,7 @@
 void fleet_service::run_periodic_checks()
 {
     const core::time_point now = core::runtime_clock::now();
+    m_state.m_quarantines_known |= follower(followed_table::fleet).mirror().is_complete();
     if (is_ready() != m_logged_readiness)
     {
         m_logged_readiness = is_ready();
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -214,6 +214,7 @@
             observe::log("fleet_row_refused", {{"key", row.m_key}, {"reason", failure.what()}});
         }
     }
+    m_state.m_quarantines_known |= follower(followed_table::fleet).mirror().is_complete();
     if (members_changed)
     {
         m_exchange.update_members();
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -77,6 +77,11 @@
     }
     m_service = choose_target(*m_route, m_state.m_random()).m_service;
     build_prompt_profile();
+    if (!m_part_ids.empty() && !m_state.m_quarantines_known)
+    {
+        refuse(refusal_reason::not_ready, m_state.m_session_settings.m_not_ready_retry_after);
+        return;
+    }
     start_timer(m_deadline_timer, m_deadline, &relay_session::on_deadline);
     dispatch();
 }
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -124,6 +124,7 @@
     part_crash_monitor m_part_crashes;                 ///< Finds parts that crash engines.
     recovery::retry_budget_settings m_budget_settings; ///< For each service.
     std::map<std::string, recovery::retry_budget> m_budgets; ///< By service.
+    bool m_quarantines_known = true;     ///< False until the rows of quarantines were read.
     std::uint64_t m_live_instances = 1;  ///< Alive instances of the fleet, this one included.
     std::optional<drain_window> m_drain; ///< Set once this instance is leaving.
     std::map<std::string, target_weights_history> m_target_weights; ///< By model.
--- a/unit_tests/platform/deadly_part_test.cpp
+++ b/unit_tests/platform/deadly_part_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(deadly_part_test);
     CPPUNIT_TEST(requests_with_a_deadly_part_stop_reaching_upstreams);
     CPPUNIT_TEST(requests_with_its_other_parts_are_served);
+    CPPUNIT_TEST(request_with_parts_waits_until_quarantines_are_known);
     CPPUNIT_TEST_SUITE_END();
 
     /// Crashes that suffice to find the part.
@@ -158,6 +159,15 @@
         CPPUNIT_ASSERT_EQUAL(before, m_crashes);
     }
 
+    void request_with_parts_waits_until_quarantines_are_known()
+    {
+        m_state->m_quarantines_known = false;
+        CPPUNIT_ASSERT_EQUAL(503U, send("aa:50,dead:40"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_crashes);
+        m_state->m_quarantines_known = true;
+        CPPUNIT_ASSERT_EQUAL(200U, send("aa:50"));
+    }
+
     void requests_with_its_other_parts_are_served()
     {
         CPPUNIT_ASSERT_EQUAL(200U, send("aa:50,bb:40"));
