Count a hold for a suspected part neither twice nor against the request

A request that was held, sent and lost was refused at once when it came to be held again, and one that had been held was refused as too late for its objective. Each hold has its own time, and admission leaves it out. Found by review.

--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -158,7 +158,9 @@
     admission_request request;
     request.m_predicted_first_byte = chosen.m_predicted_first_byte;
     request.m_predicted_queue_time = chosen.m_predicted_queue_time;
-    request.m_objective = m_route->m_target_latency - (now - m_arrival);
+    // The hold was this instance's choice, so it does not make the request too late to be served.
+    const core::duration held = m_held_since ? now - *m_held_since : core::duration::zero();
+    request.m_objective = m_route->m_target_latency - (now - m_arrival - held);
     request.m_time_left = m_deadline - now;
     request.m_priority = m_priority;
     const admission_decision decision = m_state.m_admission.decide(request);
@@ -221,6 +223,7 @@
 void relay_session::send(const selection& chosen)
 {
     m_selection = chosen;
+    m_held_since.reset();
     m_attempt_started = core::runtime_clock::now();
     m_mode = response_mode::none;
     m_first_byte_received = false;
