Answer the requests that a drain gives up

A request that a slow upstream still had at the end of the grace period lost its connection without an answer, though what is certain of it was known.

--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -62,6 +62,16 @@
     m_seen = m_state.m_routes;
 }
 
+void relay_service::give_up_requests()
+{
+    // A session leaves the set when it ends.
+    const auto sessions = m_state.m_sessions;
+    for (const auto& session : sessions)
+    {
+        session->give_up();
+    }
+}
+
 bool relay_service::is_idle() const
 {
     return in_flight() == 0 && m_server.busy_count() == 0;
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -25,6 +25,9 @@
     /// Number of requests in progress.
     std::size_t in_flight() const noexcept { return m_state.m_sessions.size(); }
 
+    /// Answers every request in progress with what is certain of it.
+    void give_up_requests();
+
     /// True when the process can end without losing a response.
     bool is_idle() const;
 
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -27,6 +27,9 @@
     /// Starts processing; relay_state owns the session until it has ended.
     void start();
 
+    /// Ends the request with the response that is certain now, as at its deadline.
+    void give_up() { on_deadline(); }
+
 private:
     class attempt_listener;
 
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(answer_behind_an_interim_response_is_passed_on);
     CPPUNIT_TEST(ambiguous_framing_is_refused);
     CPPUNIT_TEST(relay_is_busy_until_the_response_is_written);
+    CPPUNIT_TEST(request_that_outlasts_the_drain_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,6 +267,21 @@
     }
 
     /// A drain that ends with the session cuts the response of a caller that reads slowly.
+    void request_that_outlasts_the_drain_is_answered()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_upstream([](const std::string&) { return reply{"", false, true}; });
+        std::optional<net::http_client::fetch_result> result;
+        m_loop.m_client.fetch(
+            net::make_endpoint("127.0.0.1", m_port), request(), {},
+            [&result](const net::http_client::fetch_result& value) { result = value; });
+        m_loop.run_until([this] { return !m_upstreams.front()->m_requests.empty(); });
+        m_relay->give_up_requests();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_relay->in_flight());
+        m_loop.run_until([&result] { return result.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(504U, result->m_response.result_int());
+    }
+
     void relay_is_busy_until_the_response_is_written()
     {
         constexpr std::size_t body_bytes = 8'000'000;
