Log and count how upstreams' answers mark their end, and what ended them

The client now tells its listener the framing of a response (length, chunks, or until the connection closes) and tells an early close from a reset; 'ended' and 'lost' have the framing and the end of the upstream's answer, tarragontrail_upstream_responses_total counts them, and a request that cannot be sent to its end leaves a line. No decision changes.

--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -59,7 +59,7 @@
         : m_session(std::move(session)), m_attempt(attempt)
     {}
 
-    void on_head(const net::http_response& head) override
+    void on_head(const net::http_response& head, net::body_framing /*framing*/) override
     {
         m_ok = head.result_int() == status_ok;
         const auto session = m_session.lock();
@@ -83,7 +83,7 @@
 
     void on_complete() override
     {
-        over({net::call_stage::receiving, net::call_fault::lost, false});
+        over({net::call_stage::receiving, net::call_fault::closed, false});
     }
 
     void on_failed(const net::call_failure& failure) override { over(failure); }
--- a/tarragontrail/entry/engine_watcher.cpp
+++ b/tarragontrail/entry/engine_watcher.cpp
@@ -32,7 +32,10 @@
     explicit stream_listener(std::weak_ptr<engine_watcher> watcher) : m_watcher(std::move(watcher))
     {}
 
-    void on_head(const net::http_response& head) override { m_ok = head.result_int() == status_ok; }
+    void on_head(const net::http_response& head, net::body_framing /*framing*/) override
+    {
+        m_ok = head.result_int() == status_ok;
+    }
 
     void on_body(std::string_view piece) override
     {
--- a/tarragontrail/load/load_call.cpp
+++ b/tarragontrail/load/load_call.cpp
@@ -111,7 +111,7 @@
     return request;
 }
 
-void load_call::on_head(const net::http_response& head)
+void load_call::on_head(const net::http_response& head, net::body_framing /*framing*/)
 {
     m_status = head.result_int();
     const std::string seconds = net::header_value(head, "Retry-After");
--- a/tarragontrail/load/load_call.hpp
+++ b/tarragontrail/load/load_call.hpp
@@ -52,7 +52,7 @@
     /// Text of the prompt.
     const std::string& prompt() const noexcept { return m_prompt; }
 
-    void on_head(const net::http_response& head) override;
+    void on_head(const net::http_response& head, net::body_framing framing) override;
     void on_body(std::string_view piece) override;
     void on_complete() override;
     void on_failed(const net::call_failure& failure) override;
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -107,7 +107,10 @@
         : m_on_result(std::move(on_result))
     {}
 
-    void on_head(const http_response& head) override { m_result.m_response = head; }
+    void on_head(const http_response& head, body_framing /*framing*/) override
+    {
+        m_result.m_response = head;
+    }
 
     void on_body(std::string_view piece) override { m_result.m_response.body().append(piece); }
 
@@ -210,6 +213,11 @@
                               // The server may have answered before it stopped reading: the read
                               // side tells.
                               self->m_sent = !error;
+                              if (error && error != boost::asio::error::operation_aborted)
+                              {
+                                  observe::log("request_cut", {{"server", self->server_name()},
+                                                               {"cause", error.message()}});
+                              }
                           });
         read_head();
     }
@@ -259,7 +267,8 @@
         m_stage = call_stage::receiving;
         http_response head;
         head.base() = m_parser->get().base();
-        notify([&head](call_listener& listener) { listener.on_head(head); });
+        const body_framing framing = framing_of(*m_parser);
+        notify([&head, framing](call_listener& listener) { listener.on_head(head, framing); });
         read_body();
     }
 
@@ -348,11 +357,9 @@
         close();
         if (m_discarding)
         {
-            observe::log("discarding_ended",
-                         {{"server", fmt::format("{}:{}", m_endpoint.address().to_string(),
-                                                 m_endpoint.port())},
-                          {"cause", to_string(failure.m_fault)},
-                          {"bytes", m_discarded_bytes}});
+            observe::log("discarding_ended", {{"server", server_name()},
+                                              {"cause", to_string(failure.m_fault)},
+                                              {"bytes", m_discarded_bytes}});
         }
         if (const auto listener = std::exchange(m_listener, nullptr))
         {
@@ -395,6 +402,21 @@
         }
     }
 
+    std::string server_name() const
+    {
+        return fmt::format("{}:{}", m_endpoint.address().to_string(), m_endpoint.port());
+    }
+
+    template <class Parser>
+    static body_framing framing_of(const Parser& parser)
+    {
+        if (parser.chunked())
+        {
+            return body_framing::chunks;
+        }
+        return parser.need_eof() ? body_framing::until_close : body_framing::length;
+    }
+
     /// Whether the final response is still to come; statuses that the library does not name count.
     static bool is_interim(unsigned status) { return status / 100 == 1; }
 
@@ -405,14 +427,14 @@
         {
             return call_fault::oversized;
         }
-        const bool from_parser =
-            error.category() == http::make_error_code(http::error::bad_version).category();
-        if (from_parser && error != http::error::end_of_stream &&
-            error != http::error::partial_message)
+        if (error == boost::asio::error::eof || error == http::error::end_of_stream ||
+            error == http::error::partial_message)
         {
-            return call_fault::malformed;
+            return call_fault::closed;
         }
-        return call_fault::lost;
+        const bool from_parser =
+            error.category() == http::make_error_code(http::error::bad_version).category();
+        return from_parser ? call_fault::malformed : call_fault::reset;
     }
 
     static constexpr std::size_t piece_bytes = std::size_t{16} * 1024;
@@ -435,6 +457,20 @@
     bool m_sent = false;       ///< The whole request is written.
 };
 
+const char* to_string(body_framing framing) noexcept
+{
+    switch (framing)
+    {
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::until_close:
+        return "until_close";
+    }
+    return "unknown";
+}
+
 const char* to_string(call_fault fault) noexcept
 {
     switch (fault)
@@ -443,8 +479,10 @@
         return "refused";
     case call_fault::timed_out:
         return "timed_out";
-    case call_fault::lost:
-        return "lost";
+    case call_fault::closed:
+        return "closed";
+    case call_fault::reset:
+        return "reset";
     case call_fault::malformed:
         return "malformed";
     case call_fault::oversized:
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -24,7 +24,8 @@
 {
     refused,   ///< The connection was not made.
     timed_out, ///< A deadline of the call passed.
-    lost,      ///< The connection broke.
+    closed,    ///< The server closed the connection before the response was whole.
+    reset,     ///< The connection broke.
     malformed, ///< The response is not HTTP.
     oversized, ///< The response exceeds a bound of the call.
     cancelled, ///< The caller of the call gave it up.
@@ -38,6 +39,17 @@
     bool m_reused_connection = false;            ///< The connection had served an earlier call.
 };
 
+/// How a response says where its body ends.
+enum class body_framing
+{
+    length,      ///< It announces its length.
+    chunks,      ///< It ends with a last chunk.
+    until_close, ///< It ends with its connection, as does one that the server gives up.
+};
+
+/// Name of a framing in logs and metrics.
+const char* to_string(body_framing framing) noexcept;
+
 /// Text of a fault for logs.
 const char* to_string(call_fault fault) noexcept;
 
@@ -69,7 +81,7 @@
     virtual ~call_listener() = default;
 
     /// The response's head has arrived.
-    virtual void on_head(const http_response& head) = 0;
+    virtual void on_head(const http_response& head, body_framing framing) = 0;
 
     /// A piece of the response's body has arrived.
     virtual void on_body(std::string_view piece) = 0;
--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -34,6 +34,8 @@
                                "Retries and resumed streams")),
       m_prompt_tokens(counter_family(*m_registry, "tarragontrail_prompt_tokens_total",
                                      "Prompt tokens that engines had cached or recomputed")),
+      m_upstream_responses(counter_family(*m_registry, "tarragontrail_upstream_responses_total",
+                                          "Responses of upstreams by framing and end")),
       m_control(prometheus::BuildGauge()
                     .Name("tarragontrail_control")
                     .Help("State and traffic of the control duties")
@@ -74,6 +76,11 @@
     m_retries.Add({{"kind", kind}}).Increment();
 }
 
+void metrics::count_upstream_response(const std::string& framing, const std::string& end)
+{
+    m_upstream_responses.Add({{"framing", framing}, {"end", end}}).Increment();
+}
+
 void metrics::set_control(const std::string& name, double value)
 {
     m_control.Add({{"name", name}}).Set(value);
--- a/tarragontrail/observe/metrics.hpp
+++ b/tarragontrail/observe/metrics.hpp
@@ -38,18 +38,22 @@
     /// Counts a retry or a resumed stream.
     void count_retry(const std::string& kind);
 
+    /// Counts an upstream's response by its framing and by what ended it.
+    void count_upstream_response(const std::string& framing, const std::string& end);
+
     /// Sets a gauge of the control duties, for example messages or bytes by role.
     void set_control(const std::string& name, double value);
 
 private:
-    std::shared_ptr<prometheus::Registry> m_registry;          ///< All families.
-    prometheus::Family<prometheus::Counter>& m_requests;       ///< By outcome.
-    prometheus::Family<prometheus::Counter>& m_decisions;      ///< By reason.
-    prometheus::Family<prometheus::Counter>& m_limit_refusals; ///< By reason.
-    prometheus::Family<prometheus::Counter>& m_retries;        ///< By kind.
-    prometheus::Family<prometheus::Counter>& m_prompt_tokens;  ///< Cached or recomputed.
-    prometheus::Family<prometheus::Gauge>& m_control;          ///< By name.
-    prometheus::Histogram& m_first_token;                      ///< Seconds.
+    std::shared_ptr<prometheus::Registry> m_registry;              ///< All families.
+    prometheus::Family<prometheus::Counter>& m_requests;           ///< By outcome.
+    prometheus::Family<prometheus::Counter>& m_decisions;          ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_limit_refusals;     ///< By reason.
+    prometheus::Family<prometheus::Counter>& m_retries;            ///< By kind.
+    prometheus::Family<prometheus::Counter>& m_prompt_tokens;      ///< Cached or recomputed.
+    prometheus::Family<prometheus::Counter>& m_upstream_responses; ///< By framing and end.
+    prometheus::Family<prometheus::Gauge>& m_control;              ///< By name.
+    prometheus::Histogram& m_first_token;                          ///< Seconds.
 };
 
 } // namespace tarragontrail::observe
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -63,7 +63,7 @@
     std::uint64_t cache_isolation_id() const;
     void record_cached_parts(const selection& chosen);
 
-    void on_head(std::uint64_t attempt, const net::http_response& head);
+    void on_head(std::uint64_t attempt, const net::http_response& head, net::body_framing framing);
     void on_body(std::uint64_t attempt, std::string_view chunk);
     void on_complete(std::uint64_t attempt);
     void on_failed(std::uint64_t attempt, const net::call_failure& failure);
@@ -77,6 +77,8 @@
     void record_weights_version(const response_metadata& metadata);
     void forward_events();
     void release_upstream(attempt_outcome outcome);
+    void record_response_end(const char* cause);
+    const char* framing_name() const noexcept;
     bool is_repeatable() const;
     bool retry_after_error();
     std::optional<core::duration> request_retry(core::execution execution, std::uint64_t attempts);
@@ -117,6 +119,8 @@
     bool m_first_byte_received = false; ///< The current attempt's first byte has arrived.
     response_mode m_mode = response_mode::none; ///< Of the current attempt.
     net::http_response m_head;                  ///< Response head of the current attempt.
+    std::optional<net::body_framing> m_framing; ///< Of the last response that began.
+    const char* m_response_end = "none";        ///< What ended the last response, for logs.
     std::string m_body;                         ///< Body bytes in buffered mode.
     event_framer m_framer;                      ///< Splits the current attempt's event stream.
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -7,7 +7,8 @@
 
 namespace tarragontrail::relay {
 
-void relay_session::on_head(std::uint64_t attempt, const net::http_response& head)
+void relay_session::on_head(std::uint64_t attempt, const net::http_response& head,
+                            net::body_framing framing)
 {
     if (m_ended || attempt != m_attempt)
     {
@@ -36,6 +37,7 @@
         return;
     }
     m_head = head;
+    m_framing = framing;
     if (metadata.m_is_event_stream && metadata.m_status == 200)
     {
         m_mode = response_mode::events;
@@ -128,6 +130,7 @@
         on_connection_lost("ended_inside_event");
         return;
     }
+    record_response_end("whole");
     const unsigned status = m_head.result_int();
     if (m_mode == response_mode::buffered && status >= 500 && is_repeatable() &&
         retry_after_error())
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -85,6 +85,7 @@
 void relay_session::on_connection_lost(const char* cause)
 {
     upstream& current = *m_selection.m_upstream;
+    record_response_end(cause);
     ++m_sends;
     ++m_possible_executions;
     current.m_health.on_failure(core::runtime_clock::now());
@@ -93,6 +94,7 @@
     observe::log("lost", {{"request", m_request.m_id},
                           {"upstream", current.m_record.m_name},
                           {"cause", cause},
+                          {"framing", framing_name()},
                           {"answering", m_response_started}});
     if (m_response_started && !(m_mode == response_mode::events && is_resumable_stream()))
     {
@@ -304,6 +306,17 @@
         core::scaled(duration - current.m_mean_request_time, newest_weight);
 }
 
+void relay_session::record_response_end(const char* cause)
+{
+    m_response_end = cause;
+    m_state.m_metrics.count_upstream_response(framing_name(), cause);
+}
+
+const char* relay_session::framing_name() const noexcept
+{
+    return m_framing ? net::to_string(*m_framing) : "none";
+}
+
 bool relay_session::is_resumable_stream() const
 {
     return m_route->m_kind == request_kind::stream && m_route->m_resumable;
@@ -375,6 +388,8 @@
                   {"upstream", m_selection.m_upstream ? m_selection.m_upstream->m_record.m_name
                                                       : std::string("none")},
                   {"attempts", m_attempt},
+                  {"framing", framing_name()},
+                  {"response_end", m_response_end},
                   {"first_byte_ms", rounded_milliseconds(m_time_to_first_byte)},
                   {"events", m_events_sent},
                   {"pause_ms", rounded_milliseconds(m_max_event_gap)},
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -16,7 +16,10 @@
         : m_session(std::move(session)), m_attempt(attempt)
     {}
 
-    void on_head(const net::http_response& head) override { m_session->on_head(m_attempt, head); }
+    void on_head(const net::http_response& head, net::body_framing framing) override
+    {
+        m_session->on_head(m_attempt, head, framing);
+    }
 
     void on_body(std::string_view chunk) override { m_session->on_body(m_attempt, chunk); }
 
@@ -226,6 +229,8 @@
     m_held_since.reset();
     m_attempt_started = core::runtime_clock::now();
     m_mode = response_mode::none;
+    m_framing.reset();
+    m_response_end = "none";
     m_first_byte_received = false;
     m_body.clear();
     m_framer.clear();
--- a/unit_tests/stand_ins/loop_client.hpp
+++ b/unit_tests/stand_ins/loop_client.hpp
@@ -58,12 +58,18 @@
 class stream_recorder : public net::call_listener
 {
 public:
-    void on_head(const net::http_response& head) override { m_status = head.result_int(); }
+    void on_head(const net::http_response& head, net::body_framing framing) override
+    {
+        m_status = head.result_int();
+        m_framing = framing;
+    }
+
     void on_body(std::string_view piece) override { m_bytes.append(piece); }
     void on_complete() override { m_ended = true; }
     void on_failed(const net::call_failure&) override { m_failed = true; }
 
     unsigned m_status = 0;
+    net::body_framing m_framing = net::body_framing::length;
     std::string m_bytes;
     bool m_ended = false;
     bool m_failed = false;
