Pass an answer that ends with its connection on in the same way

Cause: the end of a response reached relay_session without its framing, and http_exchange could only send a length or chunks, so that every ordinary close became a claim that nothing proved.

http_exchange::begin_until_close starts a response whose end is the ordinary close of the connection; relay_session uses it for each answer, stream or plain or error, that came so. As an ordinary close now means something, every other end resets the connection, also that of the process: the socket lingers for no time until the response is written whole.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -73,6 +73,9 @@
 
     ~server_connection()
     {
+        // The destructor of a socket closes in the ordinary way, whatever was set for its close.
+        error_code ignored;
+        m_socket.close(ignored);
         set_busy(false);
         m_shared->m_connections.erase(this);
     }
@@ -129,6 +132,22 @@
         enqueue(text.str());
     }
 
+    void begin_until_close(http_response head)
+    {
+        if (m_answered)
+        {
+            return;
+        }
+        m_answered = true;
+        m_until_close = true;
+        m_keep_alive = false;
+        set_reset_on_close(true);
+        finish_head(head);
+        std::ostringstream text;
+        text << head.base();
+        enqueue(text.str());
+    }
+
     void write(std::string_view piece)
     {
         if (piece.empty() || m_complete)
@@ -140,6 +159,11 @@
             drop(close_cause::backlog_full);
             return;
         }
+        if (m_until_close)
+        {
+            enqueue(piece);
+            return;
+        }
         enqueue(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
     }
 
@@ -150,7 +174,14 @@
             return;
         }
         m_complete = true;
-        enqueue("0\r\n\r\n");
+        if (!m_until_close)
+        {
+            enqueue("0\r\n\r\n");
+        }
+        else if (!m_writing && m_socket.is_open())
+        {
+            on_response_sent();
+        }
     }
 
     void abort() { drop(close_cause::aborted); }
@@ -323,7 +354,7 @@
         watch_for_close();
     }
 
-    void enqueue(const std::string& bytes)
+    void enqueue(std::string_view bytes)
     {
         if (!m_socket.is_open())
         {
@@ -382,6 +413,10 @@
         set_busy(false);
         if (!m_keep_alive)
         {
+            if (m_until_close)
+            {
+                set_reset_on_close(false);
+            }
             // Only our side closes first, so that the client reads the whole answer.
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -438,6 +473,18 @@
         }
     }
 
+    /// Sets whether a close resets the connection, so that the client sees no ordinary end.
+    void set_reset_on_close(bool reset)
+    {
+        error_code error;
+        m_socket.set_option(tcp::socket::linger(reset, 0), error);
+        if (error)
+        {
+            observe::log("socket_option_failed",
+                         {{"option", "linger"}, {"reason", error.message()}});
+        }
+    }
+
     void set_busy(bool busy)
     {
         if (m_is_busy == busy)
@@ -472,6 +519,7 @@
     bool m_writing = false;                 ///< A write is pending.
     bool m_keep_alive = false;              ///< Connection serves another request.
     bool m_answered = false;                ///< Response has begun.
+    bool m_until_close = false;             ///< The end of the connection ends the response.
     bool m_complete = false;                ///< Response is whole.
     bool m_timed_out = false;               ///< Read deadline has passed.
 };
@@ -504,6 +552,14 @@
         }
     }
 
+    void begin_until_close(http_response head) override
+    {
+        if (is_current())
+        {
+            m_connection->begin_until_close(std::move(head));
+        }
+    }
+
     void write(std::string_view piece) override
     {
         if (is_current())
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -64,10 +64,14 @@
     /// Starts a chunked response.
     virtual void begin_stream(http_response head) = 0;
 
-    /// Sends one piece of a chunked response.
+    /// Starts a response whose end is the ordinary close of its connection. Any other end of the
+    /// connection, that of this process included, resets it.
+    virtual void begin_until_close(http_response head) = 0;
+
+    /// Sends one piece of a response that was started.
     virtual void write(std::string_view piece) = 0;
 
-    /// Ends a chunked response.
+    /// Ends a response that was started.
     virtual void end_stream() = 0;
 
     /// Drops the connection so that the client sees a broken response.
@@ -76,7 +80,7 @@
     /// Calls `handler` once when the connection closes before the response is complete.
     virtual void on_client_gone(close_handler handler) = 0;
 
-    /// Bytes of a chunked response that the client has not taken yet.
+    /// Bytes of a response that the client has not taken yet.
     virtual std::size_t unsent_bytes() const = 0;
 };
 
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -73,6 +73,7 @@
     void on_deadline();
     void on_client_gone(net::close_cause cause);
 
+    void begin_response();
     void on_first_byte();
     void record_weights_version(const response_metadata& metadata);
     void forward_events();
@@ -124,6 +125,7 @@
     std::string m_body;                         ///< Body bytes in buffered mode.
     event_framer m_framer;                      ///< Splits the current attempt's event stream.
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
+    bool m_ends_with_close = false; ///< The response to the caller ends with its connection.
     std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event forwarded.
     core::duration m_time_to_first_byte{}; ///< From arrival until the first byte is forwarded.
     core::time_point m_last_event_time{};  ///< When the last event was forwarded.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -70,8 +70,7 @@
         if (m_body.size() > m_state.m_session_settings.m_buffer_limit_bytes)
         {
             m_mode = response_mode::piped;
-            m_response_started = true;
-            m_exchange->begin_stream(m_state.m_codec.forward_head(m_head));
+            begin_response();
             m_exchange->write(m_body);
             m_bytes_sent += m_body.size();
             m_body.clear();
@@ -86,6 +85,21 @@
     }
 }
 
+/// Begins the response to the caller. Its end may claim no more than the upstream's: one that only
+/// the close of its connection ends is passed on in the same way.
+void relay_session::begin_response()
+{
+    m_response_started = true;
+    m_ends_with_close = m_framing == net::body_framing::until_close;
+    net::http_response head = m_state.m_codec.forward_head(m_head);
+    if (m_ends_with_close)
+    {
+        m_exchange->begin_until_close(std::move(head));
+        return;
+    }
+    m_exchange->begin_stream(std::move(head));
+}
+
 /// Forwards complete events; skips those that a resumed run sends again.
 void relay_session::forward_events()
 {
@@ -99,10 +113,9 @@
         }
         if (!m_response_started)
         {
-            m_response_started = true;
             m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
             m_state.m_metrics.note_first_token(m_time_to_first_byte);
-            m_exchange->begin_stream(m_state.m_codec.forward_head(m_head));
+            begin_response();
         }
         const core::time_point now = core::runtime_clock::now();
         if (m_events_sent++ > 0)
@@ -141,16 +154,21 @@
     if (m_mode == response_mode::buffered)
     {
         m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
-        net::http_response response = m_state.m_codec.forward_head(m_head);
         m_bytes_sent = m_body.size();
-        response.body() = std::move(m_body);
-        m_exchange->respond(std::move(response));
-        end(status, "answered");
-        return;
+        if (m_framing != net::body_framing::until_close)
+        {
+            net::http_response response = m_state.m_codec.forward_head(m_head);
+            response.body() = std::move(m_body);
+            m_exchange->respond(std::move(response));
+            end(status, "answered");
+            return;
+        }
+        begin_response();
+        m_exchange->write(m_body);
     }
     if (!m_response_started)
     {
-        m_exchange->begin_stream(m_state.m_codec.forward_head(m_head));
+        begin_response();
     }
     m_exchange->write(m_framer.remainder());
     m_exchange->end_stream();
