End no resumed stream with a last chunk that its upstream did not prove

The response had begun in chunks, so the close of the second engine cannot be passed on as it is. Such a run now counts as one that may have been executed: another one goes on after the last event if attempts and retry budget allow it, otherwise the response is broken off and the caller may resume. The upstream's health is left alone, as an ordinary close is no fault.

--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -69,6 +69,7 @@
     void on_failed(std::uint64_t attempt, const net::call_failure& failure);
     void on_not_executed();
     void on_connection_lost(const char* cause);
+    void on_end_unproven();
     void on_overdue();
     void on_deadline();
     void on_client_gone(net::close_cause cause);
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -143,6 +143,12 @@
         on_connection_lost("ended_inside_event");
         return;
     }
+    const bool is_closed_only = m_framing == net::body_framing::until_close;
+    if (is_closed_only && m_response_started && !m_ends_with_close)
+    {
+        on_end_unproven();
+        return;
+    }
     record_response_end("whole");
     const unsigned status = m_head.result_int();
     if (m_mode == response_mode::buffered && status >= 500 && is_repeatable() &&
@@ -155,7 +161,7 @@
     {
         m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
         m_bytes_sent = m_body.size();
-        if (m_framing != net::body_framing::until_close)
+        if (!is_closed_only)
         {
             net::http_response response = m_state.m_codec.forward_head(m_head);
             response.body() = std::move(m_body);
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -104,6 +104,20 @@
     retry_or_end(core::execution::unknown, refusal_reason::outcome_unknown);
 }
 
+/// The upstream closed the connection of a resumed run between two events. That does not prove the
+/// response whole, and the caller has been promised a frame that says whether it is.
+void relay_session::on_end_unproven()
+{
+    record_response_end("unproven");
+    ++m_sends;
+    ++m_possible_executions;
+    release_upstream(attempt_outcome::abandoned);
+    observe::log("end_unproven", {{"request", m_request.m_id},
+                                  {"upstream", m_selection.m_upstream->m_record.m_name},
+                                  {"events", m_events_sent}});
+    retry_or_end(core::execution::unknown, refusal_reason::outcome_unknown);
+}
+
 void relay_session::retry_or_end(core::execution execution, refusal_reason reason)
 {
     const bool executions_left = m_possible_executions < m_route->m_max_attempts;
