Take an unframed stream without an event for a lost answer

A request begins to run with its first token, so a stream without an event proves nothing. It counts as lost: a request that may run again is sent elsewhere within the retry budget, any other one gets 502.

Before: unframed_resumable_stream_without_an_event_is_asked_for_elsewhere failed, and the matrix test at 'close right after the head'.

--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -144,6 +144,11 @@
         return;
     }
     const bool is_closed_only = m_framing == net::body_framing::until_close;
+    if (is_closed_only && m_mode == response_mode::events && !m_first_byte_received)
+    {
+        on_connection_lost("closed_before_event");
+        return;
+    }
     if (is_closed_only && m_response_started && !m_ends_with_close)
     {
         on_end_unproven();
