Join no other answer to a stream that a resumed run is to go on with

An answer over the buffer limit was written between the chunks of the stream and ended with a last chunk, so that the caller read bytes of another answer in a complete frame. Such an answer is now cancelled at its head, and the stream is broken off.

--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -36,9 +36,17 @@
         on_connection_lost("foreign_answer");
         return;
     }
+    const bool is_stream = metadata.m_is_event_stream && metadata.m_status == 200;
+    if (m_response_started && !is_stream)
+    {
+        // Its bytes belong to no event of the stream that the caller is reading.
+        m_call->cancel();
+        on_connection_lost("resumed_without_stream");
+        return;
+    }
     m_head = head;
     m_framing = framing;
-    if (metadata.m_is_event_stream && metadata.m_status == 200)
+    if (is_stream)
     {
         m_mode = response_mode::events;
         return;
