Tell a reset from an ordinary close when the write of a request reports it

A socket reports an error once, to whichever operation comes first: the write took the reset, and the read behind it found an ordinary end. The client now remembers a failed write, and a response that only the close of its connection ends is then broken off.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -213,6 +213,7 @@
                               // The server may have answered before it stopped reading: the read
                               // side tells.
                               self->m_sent = !error;
+                              self->m_write_failed = error.failed();
                               if (error && error != boost::asio::error::operation_aborted)
                               {
                                   observe::log("request_cut", {{"server", self->server_name()},
@@ -320,6 +321,13 @@
 
     void complete()
     {
+        // A socket reports its error once: after a failed write, a reset reads as an ordinary
+        // close.
+        if (m_write_failed && m_parser->need_eof())
+        {
+            fail(call_fault::reset);
+            return;
+        }
         m_timer.cancel();
         // An answer that came before the whole request was sent leaves the rest of it in the way.
         if (m_parser->keep_alive() && m_sent)
@@ -452,9 +460,10 @@
     core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
     std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
     std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
-    bool m_discarding = false; ///< The rest of the response is read for nobody.
-    bool m_timed_out = false;  ///< A deadline closed the connection.
-    bool m_sent = false;       ///< The whole request is written.
+    bool m_discarding = false;   ///< The rest of the response is read for nobody.
+    bool m_timed_out = false;    ///< A deadline closed the connection.
+    bool m_sent = false;         ///< The whole request is written.
+    bool m_write_failed = false; ///< The rest of the request could not be written.
 };
 
 const char* to_string(body_framing framing) noexcept
