Break off an unframed answer whose upstream has crashed

An answer that only the close has ended now waits for one connection to its upstream. Where nothing listens any more it counts as lost: a resumable stream goes on elsewhere, any other answer is broken off, and the crash is evidence for the attribution. An upstream that is leaving is not asked, as it may stop listening before its last answers end.

Unframed answers cost one connection each, and their end comes a round trip later.

--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -70,6 +70,8 @@
     void on_not_executed();
     void on_connection_lost(const char* cause);
     void on_end_unproven();
+    void confirm_upstream_is_there();
+    void finish_response();
     void on_overdue();
     void on_deadline();
     void on_client_gone(net::close_cause cause);
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/relay/relay_session.hpp"
 
+#include "tarragontrail/net/connection_probe.hpp"
 #include "tarragontrail/observe/log.hpp"
 #include "tarragontrail/relay/log_times.hpp"
 
@@ -151,12 +152,54 @@
         on_connection_lost("ended_inside_event");
         return;
     }
-    const bool is_closed_only = m_framing == net::body_framing::until_close;
-    if (is_closed_only && m_mode == response_mode::events && !m_first_byte_received)
+    if (m_framing != net::body_framing::until_close)
+    {
+        finish_response();
+        return;
+    }
+    if (m_mode == response_mode::events && !m_first_byte_received)
     {
         on_connection_lost("closed_before_event");
         return;
     }
+    confirm_upstream_is_there();
+}
+
+/// The connections of a process that crashes are closed in the ordinary way too, so an answer that
+/// only the close has ended counts as broken off when nothing listens at its upstream any more.
+void relay_session::confirm_upstream_is_there()
+{
+    const upstream& current = *m_selection.m_upstream;
+    if (current.m_leaving_since)
+    {
+        // One that leaves may stop listening before its last answers end.
+        finish_response();
+        return;
+    }
+    net::probe_connection(m_state.m_context, current.m_record.m_endpoint,
+                          m_state.m_session_settings.m_end_probe_limit,
+                          [weak = weak_from_this(), attempt = m_attempt](net::probe_result result) {
+                              const auto self = weak.lock();
+                              if (!self || self->m_ended || attempt != self->m_attempt)
+                              {
+                                  return;
+                              }
+                              if (result != net::probe_result::refused)
+                              {
+                                  self->finish_response();
+                                  return;
+                              }
+                              const upstream_record ended = self->m_selection.m_upstream->m_record;
+                              self->on_connection_lost("upstream_crashed");
+                              self->m_state.m_crash_attribution.on_connection_refused(
+                                  ended.m_id, ended.m_started, core::runtime_clock::now());
+                          });
+}
+
+/// Passes on the end of a response that is whole as far as its upstream tells.
+void relay_session::finish_response()
+{
+    const bool is_closed_only = m_framing == net::body_framing::until_close;
     if (is_closed_only && m_response_started && !m_ends_with_close)
     {
         on_end_unproven();
