Claim no length for a service's answer that only its connection ended

`fetch` now tells the framing, the answer keeps whether its end is proven, also in its stored row (format 2; rows of format 1 are read as before), and an unproven one is passed on until the close of the connection. Streams of tarragontrail-entry end with an event of their own and were right.

The stand-in service has a flag for such answers.

--- a/stand_ins/service_server.cpp
+++ b/stand_ins/service_server.cpp
@@ -45,8 +45,17 @@
     const nlohmann::json body{{"service", m_settings.m_name},
                               {"execution", m_executions},
                               {"path", net::target_of(request)}};
-    run_after(m_context, m_settings.m_network_delay,
-              [exchange, body] { reply(*exchange, 200, body); });
+    const bool is_unframed = m_random.unit() < m_settings.m_unframed;
+    run_after(m_context, m_settings.m_network_delay, [exchange, body, is_unframed] {
+        if (!is_unframed)
+        {
+            reply(*exchange, 200, body);
+            return;
+        }
+        exchange->begin_until_close(net::make_json_response(200, {}));
+        exchange->write(body.dump());
+        exchange->end_stream();
+    });
 }
 
 nlohmann::json service_server::stats() const
--- a/tarragontrail/config/generated_service_settings.cpp
+++ b/tarragontrail/config/generated_service_settings.cpp
@@ -10,13 +10,16 @@
 DEFINE_uint64(network_delay, 0, "Delay added to each response.");
 DEFINE_double(crash_after_run, 0.0,
               "Fraction of executions whose connection is dropped without an answer.");
+DEFINE_double(
+    unframed, 0.0,
+    "Fraction of answers with neither a length nor chunks, which end with their connection.");
 DEFINE_double(refuse, 0.0, "Fraction of calls refused with status 503 and not executed.");
 DEFINE_uint64(seed, 1, "Seed of the random faults.");
 
 namespace tarragontrail::config {
 namespace {
 
-constexpr std::array<setting_description, 8> descriptions{{
+constexpr std::array<setting_description, 9> descriptions{{
     {"name", "string", "service-1", "Name in answers and log lines."},
     {"address", "string", "127.0.0.1", "Numeric address to bind."},
     {"port", "integer", "9200", "TCP port."},
@@ -24,6 +27,8 @@
     {"network_delay", "duration_ms", "0", "Delay added to each response."},
     {"crash_after_run", "number", "0.0",
      "Fraction of executions whose connection is dropped without an answer."},
+    {"unframed", "number", "0.0",
+     "Fraction of answers with neither a length nor chunks, which end with their connection."},
     {"refuse", "number", "0.0", "Fraction of calls refused with status 503 and not executed."},
     {"seed", "integer", "1", "Seed of the random faults."},
 }};
@@ -49,6 +54,8 @@
     settings.m_network_delay = std::chrono::milliseconds(FLAGS_network_delay);
     check_range("crash_after_run", static_cast<double>(FLAGS_crash_after_run), 0, 1);
     settings.m_crash_after_run = FLAGS_crash_after_run;
+    check_range("unframed", static_cast<double>(FLAGS_unframed), 0, 1);
+    settings.m_unframed = FLAGS_unframed;
     check_range("refuse", static_cast<double>(FLAGS_refuse), 0, 1);
     settings.m_refuse = FLAGS_refuse;
     check_range("seed", static_cast<double>(FLAGS_seed), 0, 1e+18);
--- a/tarragontrail/config/generated_service_settings.hpp
+++ b/tarragontrail/config/generated_service_settings.hpp
@@ -18,6 +18,8 @@
     std::chrono::milliseconds m_network_delay{0}; ///< Delay added to each response.
     double m_crash_after_run =
         0.0; ///< Fraction of executions whose connection is dropped without an answer.
+    double m_unframed = 0.0;  ///< Fraction of answers with neither a length nor chunks, which end
+                              ///< with their connection.
     double m_refuse = 0.0;    ///< Fraction of calls refused with status 503 and not executed.
     std::uint64_t m_seed = 1; ///< Seed of the random faults.
 };
--- a/tarragontrail/entry/call_session.cpp
+++ b/tarragontrail/entry/call_session.cpp
@@ -84,6 +84,7 @@
     answer.m_status = result.m_response.result_int();
     answer.m_headers = net::header_value(result.m_response, "Content-Type");
     answer.m_body = result.m_response.body();
+    answer.m_is_end_proven = result.m_framing != net::body_framing::until_close;
     m_control.call_answered(m_request->m_id, attempt, std::move(answer));
 }
 
@@ -100,8 +101,17 @@
     {
         response.set("Idempotent-Replayed", "true");
     }
-    response.body() = answer.m_body;
-    m_exchange->respond(std::move(response));
+    if (answer.m_is_end_proven)
+    {
+        response.body() = answer.m_body;
+        m_exchange->respond(std::move(response));
+    }
+    else
+    {
+        m_exchange->begin_until_close(std::move(response));
+        m_exchange->write(answer.m_body);
+        m_exchange->end_stream();
+    }
     close();
 }
 
--- a/tarragontrail/idempotency/call_row.cpp
+++ b/tarragontrail/idempotency/call_row.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-constexpr std::uint64_t call_row_format = 1;
+constexpr std::uint64_t call_row_format = 2;
+
+/// Rows of this format do not tell whether the end of the answer is proven.
+constexpr std::uint64_t format_without_proof = 1;
 
 } // namespace
 
@@ -28,6 +31,7 @@
     wire::put_field(fields, row.m_answer.m_headers);
     wire::put_field(fields, row.m_answer.m_body);
     wire::put_field(fields, row.m_object);
+    wire::put_field(fields, row.m_answer.m_is_end_proven);
     std::string bytes;
     nlohmann::json::to_cbor(fields, bytes);
     return bytes;
@@ -52,9 +56,13 @@
         reader.get(row.m_answer.m_headers);
         reader.get(row.m_answer.m_body);
         reader.get(row.m_object);
+        if (format != format_without_proof)
+        {
+            reader.get(row.m_answer.m_is_end_proven);
+        }
         reader.expect_end();
-        if (format != call_row_format || row.m_state < call_state::intended ||
-            row.m_state > call_state::unknown)
+        if (format < format_without_proof || format > call_row_format ||
+            row.m_state < call_state::intended || row.m_state > call_state::unknown)
         {
             throw call_row_error("call row has an unknown format or state");
         }
--- a/tarragontrail/idempotency/call_types.hpp
+++ b/tarragontrail/idempotency/call_types.hpp
@@ -27,6 +27,8 @@
     std::uint64_t m_status = 0;
     std::string m_headers; ///< Header block passed to the caller.
     std::string m_body;
+    /// False when only the close of its connection ended the response.
+    bool m_is_end_proven = true;
 
     bool operator==(const service_answer&) const = default;
 };
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -107,9 +107,10 @@
         : m_on_result(std::move(on_result))
     {}
 
-    void on_head(const http_response& head, body_framing /*framing*/) override
+    void on_head(const http_response& head, body_framing framing) override
     {
         m_result.m_response = head;
+        m_result.m_framing = framing;
     }
 
     void on_body(std::string_view piece) override { m_result.m_response.body().append(piece); }
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -125,9 +125,10 @@
     /// Result of `fetch`: a whole response or the failure.
     struct fetch_result
     {
-        bool m_ok = false;        ///< A whole response has arrived.
-        http_response m_response; ///< Valid when m_ok is true.
-        call_failure m_failure;   ///< Valid when m_ok is false.
+        bool m_ok = false;                             ///< A whole response has arrived.
+        http_response m_response;                      ///< Valid when m_ok is true.
+        body_framing m_framing = body_framing::length; ///< Same; how the response marked its end.
+        call_failure m_failure;                        ///< Valid when m_ok is false.
     };
 
     /// Starts a call whose response is gathered whole.
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -91,7 +91,7 @@
                        *self.options.engine_flag)
         for service in self.services:
             self.spawn("stand-in-service", service["name"], f"--name={service['name']}",
-                       f"--port={service['port']}", *service.get("flags", []))
+                       f"--port={service['port']}", *service.get("flags", []), *self.options.service_flag)
         self.wait("platform", self.platform, "/stats")
         for entry in self.entries:
             caller, peer, admin, _ = entry["ports"]
@@ -209,6 +209,7 @@
     parser.add_argument("name")
     parser.add_argument("--entry-flag", action="append", default=[])
     parser.add_argument("--engine-flag", action="append", default=[])
+    parser.add_argument("--service-flag", action="append", default=[])
     parser.add_argument("--logs")
     parser.add_argument("--base-port", type=int, default=19000)
     words = sys.argv[1:]
--- a/unit_tests/processes/failure_test.cpp
+++ b/unit_tests/processes/failure_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(stream_survives_engine_crash_and_entry_kill);
     CPPUNIT_TEST(withdrawn_key_stops_everywhere_with_store_down);
     CPPUNIT_TEST(calls_run_once_over_outage_repeats_and_lost_replies);
+    CPPUNIT_TEST(unframed_service_answer_gets_no_length);
     CPPUNIT_TEST(graceful_shutdown_cuts_no_request);
     CPPUNIT_TEST(poison_request_is_quarantined_and_others_finish);
     CPPUNIT_TEST_SUITE_END();
@@ -186,6 +187,24 @@
         }
     }
 
+    /// The stored answer claims no more either.
+    void unframed_service_answer_gets_no_length()
+    {
+        m_fleet = std::make_unique<test::process_fleet>(
+            "small", std::vector<std::string>{"--service-flag=--unframed=1"});
+        CPPUNIT_ASSERT_EQUAL(200U, ask(0, test::completion_body("warm", 1, 2)).m_status);
+        for (const std::string replayed : {"", "true"})
+        {
+            const test::process_answer answer =
+                m_fleet->call("POST", m_fleet->entry(0), "/orders", R"({"tyre":1})",
+                              with(court, "Idempotency-Key", "unframed"));
+            CPPUNIT_ASSERT_EQUAL(200U, answer.m_status);
+            CPPUNIT_ASSERT_EQUAL(replayed, answer.m_replayed);
+            CPPUNIT_ASSERT_EQUAL(std::string("until_close"),
+                                 std::string(net::to_string(answer.m_framing)));
+        }
+    }
+
     void calls_run_once_over_outage_repeats_and_lost_replies()
     {
         m_fleet = std::make_unique<test::process_fleet>("small");
--- a/unit_tests/processes/process_fleet.cpp
+++ b/unit_tests/processes/process_fleet.cpp
@@ -28,8 +28,9 @@
         : m_answer(std::move(answer)), m_on_piece(std::move(on_piece)), m_done(std::move(done))
     {}
 
-    void on_head(const net::http_response& head, net::body_framing /*framing*/) override
+    void on_head(const net::http_response& head, net::body_framing framing) override
     {
+        m_answer->m_framing = framing;
         m_answer->m_status = head.result_int();
         m_answer->m_replayed = net::header_value(head, "Idempotent-Replayed");
     }
--- a/unit_tests/processes/process_fleet.hpp
+++ b/unit_tests/processes/process_fleet.hpp
@@ -21,7 +21,9 @@
     bool m_whole = false;   ///< The response ended as HTTP says.
     bool m_ended = false;   ///< It ended, whole or not.
     std::string m_replayed; ///< Idempotent-Replayed header.
-    std::string m_failure;  ///< Stage and fault of a call that did not end as HTTP says.
+    /// How the response marked its end.
+    net::body_framing m_framing = net::body_framing::length;
+    std::string m_failure; ///< Stage and fault of a call that did not end as HTTP says.
 };
 
 /// Text of a streamed completion and how far it came.
