Soak: answers with neither length nor chunks, with every end

Answers now have a length, chunks or no frame, and end whole, between two events, inside one or right behind the head, by a close, a reset or the crash of the engine, which closes connections like the end of a process and refuses new ones. An ordinary close may end an answer early at the caller only where an engine made that close itself. A finding about a request that still runs no longer fails in the soak.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -134,7 +134,7 @@
         self.judge(request, headers)
         if request.status in checks.PROMISES:
             await asyncio.sleep(min(float(headers.get("retry-after", "0")), 1) + self.rng.uniform(0.02, 0.3))
-        return headers.get("connection", "").lower() != "close"
+        return headers.get("connection", "").lower() != "close" and not wire.ends_with_close(headers)
 
     def judge(self, request, headers):
         if request.status not in ANSWERS:
@@ -149,15 +149,19 @@
         if headers.get("x-response-seal") != wire.digest("seal", request.id):
             self.run.checks.finding("MIXED", f"{request}: the seal is not its own", request.id)
         if len(request.plan) == 2:
-            body = await wire.read_body(reader, headers)
-            if body != engines.plain_body(request.id, int(request.plan[1])):
-                self.run.checks.finding("MIXED", f"{request}: the body is not its own", request.id)
-            return
-        expected = b"".join(engines.event(request.id, number) for number in range(1, int(request.plan[1]) + 1))
-        seen = b""
-        while piece := await wire.read_chunk(reader):
-            seen += piece
-            if not expected.startswith(seen):
-                break
-        if seen != expected:
-            self.run.checks.finding("MIXED", f"{request}: events {seen[-120:]!r} of {len(expected)} bytes", request.id)
+            expected = engines.plain_body(request.id, int(request.plan[1]))
+        else:
+            expected = b"".join(engines.event(request.id, number) for number in range(1, int(request.plan[1]) + 1))
+        if wire.ends_with_close(headers):
+            seen = await reader.read()
+            request.is_short = len(seen) < len(expected) and expected.startswith(seen)
+        elif "content-length" in headers:
+            seen = await wire.read_body(reader, headers)
+        else:
+            seen = b""
+            while piece := await wire.read_chunk(reader):
+                seen += piece
+                if not expected.startswith(seen):
+                    break
+        if seen != expected and not request.is_short:
+            self.run.checks.finding("MIXED", f"{request}: {seen[-120:]!r} of {len(expected)} bytes", request.id)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -60,6 +60,8 @@
         self.outcome = "running"
         self.withdrawn_at = None
         self.idle_limit = 0.0
+        # An ordinary close ended the answer before its last byte; only an engine's close allows that.
+        self.is_short = False
 
     def end(self, outcome):
         self.outcome, self.ended_at = outcome, time.monotonic()
@@ -67,7 +69,8 @@
     def __str__(self):
         return (f"{self.id} {self.route} at {self.instance.name} via {self.link or 'direct'}: {self.outcome} "
                 f"{self.status or ''} age={self.sent_at - self.opened_at:.3f}s idle={self.idle:.3f}s "
-                f"request={self.number} of its connection sent={self.sent_at:.3f} ended={self.ended_at:.3f}")
+                f"request={self.number} of its connection sent={self.sent_at:.3f} "
+                f"ended={'no' if self.ended_at is None else f'{self.ended_at:.3f}'}")
 
 
 class Checks:
@@ -118,6 +121,8 @@
             self.settle_cut(request, executed)
         elif request.outcome == "hung":
             self.settle_hung(request)
+        if request.is_short:
+            self.settle_short(request, executed)
         if request.status in PROMISES and executed:
             self.finding("PROMISE", f"{request}: promised not to have run", request.id)
         most = 2 if request.route in ("idem", "res", "open") else 1
@@ -176,6 +181,19 @@
             if request is not None:
                 self.finding("UNANSWERED", f"{request}: read and not answered", request.id)
 
+    def settle_short(self, request, executed):
+        """An ordinary close passes on that of an engine; not a reset, nor the end of a crashed process."""
+        self.counts["short"] += 1
+        if any(one.proves_ordinary_close() for one in executed):
+            return
+        crashed = any(one.state == "crashed" for one in executed)
+        targets = [request.instance.name, *(f"link:{one.engine}" for one in executed)]
+        if crashed and self.faults.during(targets, request.sent_at - SOUND_S, request.ended_at):
+            # A stopped instance, or one behind a broken link, finds the engine's successor at its address.
+            self.counts["short_excused"] += 1
+            return
+        self.finding("MIXED", f"{request}: a close that no engine made ended it early", request.id)
+
     def settle_cut(self, request, executed):
         causes, engine_faults = self.break_causes(request, executed)
         was_late = request.ended_at - request.sent_at > request.timeout - 0.25
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -144,10 +144,43 @@
         self.assertEqual(self.read(request, own, engines.plain_body("x-2", 20)), {"MIXED": 1})
         self.assertEqual(self.read(request, {**own, "x-response-seal": "other"}, body), {"MIXED": 1})
 
+    def test_short_answer_needs_an_ordinary_close_of_its_engine(self):
+        for framing, end, state, found in (("close", "closed", "truncated", {}), ("close", "reset", "truncated", {"MIXED": 1}),
+                                           ("close", "crashed", "crashed", {"MIXED": 1}), ("length", "closed", "truncated", {"MIXED": 1}),
+                                           ("close", None, "running", {"MIXED": 1})):
+            self.arrive(state)
+            self.checks.arrivals["x-1"][0].framing, self.checks.arrivals["x-1"][0].end = framing, end
+            short = self.request("answered", "gen", 200)
+            short.is_short = True
+            self.assertEqual(self.found(short), found, (framing, end))
+
+    def test_pause_excuses_a_crash_that_passed_for_an_end(self):
+        self.checks.faults.end(self.checks.faults.begin("r00", "pause"))
+        self.arrive("crashed")
+        short = self.request("answered", "gen", 200)
+        short.is_short = True
+        self.assertEqual(self.found(short), {})
+
+    def test_answer_that_its_connection_ends_may_be_short_but_not_another(self):
+        request = self.request("answered", status=200)
+        own = {"x-response-seal": wire.digest("seal", "x-1")}
+        body = engines.plain_body("x-1", 20)
+        self.assertEqual(self.read(request, own, body), {})
+        self.assertFalse(request.is_short)
+        self.assertEqual(self.read(request, own, body[:7]), {})
+        self.assertTrue(request.is_short)
+        request.is_short = False
+        for wrong in (body + b"x", b"x" + body[:7]):
+            self.assertEqual(self.read(request, own, wrong), {"MIXED": 1})
+
+    def test_finding_about_a_running_request_can_be_written(self):
+        running = checks.Request("x-1", "once", self.instance, None, time.monotonic(), 2, 0.7, 2.0)
+        self.assertIn("ended=no", str(running))
+
     def test_stream_is_complete_and_in_order(self):
         request = self.request("answered", "gen", 200)
         request.plan = ["0", "3", "0"]
-        own = {"x-response-seal": wire.digest("seal", "x-1")}
+        own = {"x-response-seal": wire.digest("seal", "x-1"), "transfer-encoding": "chunked"}
 
         def body(*numbers):
             return b"".join(wire.chunk(engines.event("x-1", number)) for number in numbers) + wire.chunk(b"")
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -9,6 +9,8 @@
 KEEP_ALIVE_S = 6
 MODEL = "model-1"
 EVENT_STREAM = "text/event-stream"
+# How an answer says where it ends; with "close" only its connection does.
+FRAMINGS = ("length", "chunks", "close")
 
 
 def plain_body(request_id, size):
@@ -30,10 +32,17 @@
         self.at = time.monotonic()
         self.state = "running"
         self.answered_at = None
+        self.framing = None
+        # How the answer's connection ended: None while it goes on or when its frame is whole.
+        self.end = None
         self.resumed = "last-event-id" in headers
 
+    def proves_ordinary_close(self):
+        """Whether the close of the connection is all that ended the answer, and looks like its end."""
+        return self.framing == "close" and self.end == "closed"
+
     def __str__(self):
-        return f"{self.engine} at {self.at:.3f} {self.state}"
+        return f"{self.engine} at {self.at:.3f} {self.state} framing={self.framing} end={self.end}"
 
 
 class Engine:
@@ -47,7 +56,9 @@
         self.id = None
         self.fault = None
         self.server = None
+        self.link = None
         self.connections = set()
+        self.running = set()
         self.leaving = False
 
     async def start(self, same_id=False):
@@ -57,6 +68,8 @@
         self.born = int(time.time() * 1000)
         self.leaving = False
         self.server = await asyncio.start_server(self.serve, *self.listen, backlog=1024)
+        if self.link is not None:
+            await self.link.set_target_down(False)
         self.register()
 
     def register(self):
@@ -67,13 +80,16 @@
             row.update(stage="prefill_decode", models=[{"name": MODEL, "version": 1, "adapters": []}])
         self.run.store.put("servers", self.id, row)
 
-    def crash(self):
-        """Refuses connections from now on; all open ones are reset."""
+    async def crash(self, with_reset=True):
+        """Refuses connections from now on; all open ones are reset, or closed as a process's end does."""
         if self.server is not None:
             self.server.close()
             self.server = None
+        await self.link.set_target_down(True)
+        for arrival in self.running:
+            arrival.state = arrival.end = "crashed"
         for transport in list(self.connections):
-            wire.reset(transport)
+            wire.reset(transport) if with_reset else transport.close()
 
     def unregister(self):
         self.run.store.remove("servers", self.id)
@@ -119,18 +135,77 @@
         if fault == "late":
             await asyncio.sleep(self.rng.uniform(0.5, 4))
         plan = headers["x-soak"].split(",")
-        await asyncio.sleep(int(plan[0]) / 1000)
-        keep = not self.leaving and self.rng.random() > 0.01
-        head = {"X-Request-Id": request_id, "X-Response-Seal": wire.digest("seal", request_id),
+        self.running.add(arrival)
+        try:
+            await asyncio.sleep(int(plan[0]) / 1000)
+            return await self.answer_run(arrival, plan, headers, writer, fault == "truncate", fault == "extra")
+        finally:
+            self.running.discard(arrival)
+
+    async def answer_run(self, arrival, plan, headers, writer, is_cut, has_extra):
+        """Sends the answer of a request that runs, or the first part of it; False when the connection ends."""
+        is_stream = len(plan) == 3
+        if is_stream:
+            first = int(headers.get("last-event-id", "0")) + 1
+            pieces = [event(arrival.id, number) for number in range(first, int(plan[1]) + 1)]
+        else:
+            pieces = [plain_body(arrival.id, int(plan[1]))]
+        gap = int(plan[2]) / 1000 if is_stream else 0
+        arrival.framing = self.rng.choices(FRAMINGS, (40, 40, 20))[0]
+        keep = not self.leaving and arrival.framing != "close" and self.rng.random() > 0.01
+        writer.write(self.answer_head(arrival, is_stream, sum(map(len, pieces)), keep))
+        # An answer is also cut where it looks whole: between two events, or right behind its head.
+        cut_at = self.rng.randint(0, len(pieces)) if is_cut else None
+        for number, data in enumerate(pieces):
+            if number == cut_at:
+                if self.rng.random() < 0.5:
+                    writer.write(self.framed(arrival, data[:len(data) // 2]))
+                break
+            if arrival.state == "crashed":
+                return False
+            writer.write(self.framed(arrival, data))
+            await writer.drain()
+            if arrival.answered_at is None:
+                arrival.answered_at = time.monotonic()
+            await asyncio.sleep(gap)
+        if arrival.state == "crashed":
+            return False
+        if cut_at is not None:
+            return await self.cut(arrival, writer)
+        if arrival.framing == "chunks":
+            writer.write(wire.chunk(b""))
+        if has_extra and keep:
+            writer.write(wire.message("HTTP/1.1 200 OK", {"X-Request-Id": "stray"}, plain_body("stray", 40)))
+        arrival.state, arrival.answered_at = "answered", arrival.answered_at or time.monotonic()
+        if arrival.framing == "close":
+            arrival.end = "closed"
+        return keep
+
+    async def cut(self, arrival, writer):
+        """Ends a connection before the answer on it is whole."""
+        arrival.state = "truncated"
+        await writer.drain()
+        arrival.end = self.rng.choice(("closed", "reset"))
+        if arrival.end == "reset":
+            wire.reset(writer.transport)
+        return False
+
+    def answer_head(self, arrival, is_stream, size, keep):
+        head = {"X-Request-Id": arrival.id, "X-Response-Seal": wire.digest("seal", arrival.id),
                 "Keep-Alive": f"timeout={KEEP_ALIVE_S}"}
         if not keep:
             head["Connection"] = "close"
-        if len(plan) == 2:
-            done = await self.answer_plain(arrival, int(plan[1]), head, writer, fault)
-        else:
-            first = int(headers.get("last-event-id", "0")) + 1
-            done = await self.answer_stream(arrival, plan, first, head, writer, fault)
-        return keep and done
+        if is_stream:
+            head.update({"Content-Type": EVENT_STREAM, "X-Weight-Versions": "1"})
+        if arrival.framing == "length":
+            head["Content-Length"] = size
+        elif arrival.framing == "chunks":
+            head["Transfer-Encoding"] = "chunked"
+        return wire.head("HTTP/1.1 200 OK", head)
+
+    @staticmethod
+    def framed(arrival, data):
+        return wire.chunk(data) if arrival.framing == "chunks" and data else data
 
     def decline(self, arrival, status, writer, more):
         arrival.state = "not_executed"
@@ -147,40 +222,3 @@
         head = {"Content-Type": "application/json", "X-Instance-Id": self.id}
         writer.write(wire.message("HTTP/1.1 200 OK", head, json.dumps(document).encode()))
         return True
-
-    async def answer_plain(self, arrival, size, head, writer, fault):
-        body = plain_body(arrival.id, size)
-        answer = wire.message("HTTP/1.1 200 OK", head, body)
-        if fault == "truncate" and self.rng.random() < 0.5:
-            writer.write(answer[:self.rng.randrange(len(answer))])
-            await writer.drain()
-            arrival.state = "truncated"
-            return False
-        writer.write(answer)
-        if fault == "extra" and self.rng.random() < 0.5:
-            stray = plain_body("stray", 40)
-            writer.write(wire.message("HTTP/1.1 200 OK", {**head, "X-Request-Id": "stray"}, stray))
-        arrival.state, arrival.answered_at = "answered", time.monotonic()
-        return True
-
-    async def answer_stream(self, arrival, plan, first, head, writer, fault):
-        count, gap = int(plan[1]), int(plan[2]) / 1000
-        lines = [f"{name}: {value}" for name, value in head.items()]
-        lines += [f"Content-Type: {EVENT_STREAM}", "Transfer-Encoding: chunked", "X-Weight-Versions: 1"]
-        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
-        cut_at = self.rng.randint(first, count) if fault == "truncate" and first <= count else None
-        for number in range(first, count + 1):
-            data = event(arrival.id, number)
-            if number == cut_at:
-                writer.write(wire.chunk(data[:len(data) // 2]))
-                await writer.drain()
-                arrival.state = "truncated"
-                return False
-            writer.write(wire.chunk(data))
-            await writer.drain()
-            if arrival.answered_at is None:
-                arrival.answered_at = time.monotonic()
-            await asyncio.sleep(gap)
-        writer.write(wire.chunk(b""))
-        arrival.state = "answered"
-        return True
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -150,7 +150,7 @@
             entry = self.log.begin(engine.name, kind)
             self.run.checks.counts[f"fault_engine_{kind}"] += 1
             if kind == "crash":
-                engine.crash()
+                await engine.crash(with_reset=rng.random() < 0.5)
                 gone = rng.random() < 0.5
                 await asyncio.sleep(rng.uniform(0.3, 3))
                 if gone:
@@ -165,7 +165,7 @@
                 engine.register()
                 await asyncio.sleep(rng.uniform(2.5, 4))
                 engine.unregister()
-                engine.crash()
+                await engine.crash()
                 await engine.start()
             else:
                 engine.fault = kind
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -15,6 +15,15 @@
         self.cut = set()
         self.pipes = set()
         self.server = None
+        self.target_down = False
+
+    async def set_target_down(self, down):
+        """Refuses connections while nothing listens at the target."""
+        self.target_down = down
+        if down:
+            self.stop_listening()
+        elif self.server is None:
+            await self.start()
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -53,7 +62,7 @@
                 pipe.reset()
             else:
                 pipe.flush()
-        if self.server is None:
+        if self.server is None and not self.target_down:
             await self.start()
 
 
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -101,7 +101,7 @@
             shown = (f"{self.network}.{50 + number}", 8080)
             service = "gen" if number % 2 else "plain"
             engine = engines.Engine(number, service, own, shown, self)
-            await self.add_link(f"link:{engine.name}", shown, own)
+            engine.link = await self.add_link(f"link:{engine.name}", shown, own)
             await engine.start()
             self.engines.append(engine)
         for number in range(self.options.instances):
--- a/tools/soak/wire.py
+++ b/tools/soak/wire.py
@@ -30,8 +30,13 @@
     return (await reader.readexactly(size + 2))[:size]
 
 
+def ends_with_close(headers):
+    """Whether only the end of its connection ends an answer."""
+    return "content-length" not in headers and "transfer-encoding" not in headers
+
+
 async def read_body(reader, headers):
-    """Whole body of a message."""
+    """Whole body of a message with a frame."""
     if headers.get("transfer-encoding", "").lower() != "chunked":
         return await reader.readexactly(int(headers.get("content-length", "0")))
     pieces = []
@@ -40,16 +45,21 @@
     return b"".join(pieces)
 
 
+def head(first_line, headers):
+    """Bytes of a message's head."""
+    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
 def message(first_line, headers, body=b"", in_chunks=False):
     """Bytes of a message with a length, or in two chunks."""
-    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
-    lines.append("Transfer-Encoding: chunked" if in_chunks else f"Content-Length: {len(body)}")
-    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    frame = {"Transfer-Encoding": "chunked"} if in_chunks else {"Content-Length": len(body)}
+    start = head(first_line, {**headers, **frame})
     if not in_chunks:
-        return head + body
+        return start + body
     middle = (len(body) + 1) // 2
     pieces = [piece for piece in (body[:middle], body[middle:]) if piece]
-    return head + b"".join(chunk(piece) for piece in pieces) + chunk(b"")
+    return start + b"".join(chunk(piece) for piece in pieces) + chunk(b"")
 
 
 def chunk(data):
