--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -48,6 +48,8 @@
 {
     if (m_state.m_routes && config.m_version <= m_state.m_routes->config().m_version)
     {
+        observe::log("config_passed_over", {{"version", config.m_version},
+                                            {"in_force", m_state.m_routes->config().m_version}});
         return;
     }
     const core::time_point now = core::runtime_clock::now();
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -77,6 +77,7 @@
         const auto& whole = std::get<table_rows>(answer);
         m_last_version = whole.m_version;
         const std::vector<table_row> changes = m_mirror.replace(whole.m_rows, whole.m_version);
+        log_dropped_rows(whole.m_version);
         if (!changes.empty())
         {
             m_on_change(changes, true);
@@ -110,6 +111,7 @@
         const auto& changed = std::get<table_rows>(answer);
         m_last_version = std::max(m_last_version, changed.m_version);
         const std::vector<table_row> changes = m_mirror.apply(changed.m_rows);
+        log_dropped_rows(changed.m_version);
         if (!changes.empty())
         {
             m_on_change(changes, true);
@@ -142,6 +144,21 @@
     m_consecutive_failures = 0;
 }
 
+/// Logs rows of the store that were dropped as older than those of the copy.
+void table_follower::log_dropped_rows(std::uint64_t version)
+{
+    const std::uint64_t dropped = m_mirror.dropped_rows() - m_logged_dropped_rows;
+    if (dropped == 0)
+    {
+        return;
+    }
+    m_logged_dropped_rows = m_mirror.dropped_rows();
+    observe::log("rows_dropped", {{"table", to_string(m_table)},
+                                  {"rows", dropped},
+                                  {"store_version", version},
+                                  {"version", m_mirror.newest_version()}});
+}
+
 void table_follower::schedule(std::chrono::milliseconds delay, void (table_follower::*step)())
 {
     m_timer.run_after(delay, [this, step] { (this->*step)(); });
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -58,6 +58,7 @@
     void follow();
     void on_failure(const store_failure& failure);
     void on_success();
+    void log_dropped_rows(std::uint64_t version);
     void schedule(std::chrono::milliseconds delay, void (table_follower::*step)());
 
     table_store& m_store;
@@ -68,6 +69,7 @@
     net::timer m_timer;
     std::uint64_t m_last_version = 0; ///< Version to follow from.
     std::uint64_t m_consecutive_failures = 0;
+    std::uint64_t m_logged_dropped_rows = 0;
     bool m_active = true;        ///< This instance follows the store itself.
     bool m_call_pending = false; ///< A call is in progress or scheduled.
 };
--- a/tarragontrail/relay/table_mirror.cpp
+++ b/tarragontrail/relay/table_mirror.cpp
@@ -66,6 +66,7 @@
     table_row& known = found->second;
     if (row.m_version < known.m_version)
     {
+        ++m_dropped_rows;
         return false;
     }
     const bool changed = known.m_deleted != row.m_deleted || known.m_value != row.m_value;
--- a/tarragontrail/relay/table_mirror.hpp
+++ b/tarragontrail/relay/table_mirror.hpp
@@ -34,6 +34,9 @@
     /// Newest version of any row, deleted ones included.
     std::uint64_t newest_version() const noexcept { return m_newest_version; }
 
+    /// Rows not applied as the copy had a newer version of them.
+    std::uint64_t dropped_rows() const noexcept { return m_dropped_rows; }
+
     /// Rows that are not deleted.
     std::vector<table_row> rows() const;
 
@@ -45,6 +48,7 @@
 
     std::map<std::string, table_row> m_rows; ///< By key, deleted ones included.
     std::uint64_t m_newest_version = 0;
+    std::uint64_t m_dropped_rows = 0;
     bool m_complete = false;
 };
 
