End the duty with the store's era, and let fences grow over all eras

After a return of the store from an older copy versions are lower, so engines would refuse each order until they had grown again; a write on the condition of a number could hit another row with the same number; and a successor that reads the older row could order beside the last holder.

The fence is made of era and number. A new era ends the duty: the last holder takes it again at once, others wait for the length of a lease. A condition on a version of an ended era does not hold, without a call; where only the answer tells of the return, the write counts as lost and gives no duty.

--- a/tarragontrail/core/store_version.hpp
+++ b/tarragontrail/core/store_version.hpp
@@ -18,4 +18,12 @@
     auto operator<=>(const store_version&) const = default;
 };
 
+/// Fencing number of a holder whose row has this version; grows with the version over all eras.
+constexpr std::uint64_t fencing_number(const store_version& version) noexcept
+{
+    // Room for 10^12 transactions an era, and for 8,192 eras in the 53 bits that JSON numbers keep.
+    constexpr unsigned number_bits = 40;
+    return (version.m_era << number_bits) | version.m_number;
+}
+
 } // namespace tarragontrail::core
--- a/tarragontrail/placement/duty_lease.cpp
+++ b/tarragontrail/placement/duty_lease.cpp
@@ -10,31 +10,57 @@
 void duty_lease::on_row(const std::optional<duty_row>& row, const core::store_version& version,
                         core::time_point now)
 {
-    if (version < m_version || (version == m_version && m_row == row))
+    if (version < m_version || (version == m_version && m_row == row && m_is_row_known))
     {
         return;
     }
+    begin_era(version.m_era, now);
+    // The first row of an era may be as old as the copy; a later one has been written since.
+    m_was_holder = m_was_holder && !m_is_row_known;
     m_row = row;
     m_version = version;
     m_row_first_seen = now;
+    m_is_row_known = true;
     if (!row || !is_own(*row))
     {
         m_fence = 0;
         return;
     }
     // The row may also be the effect of a write whose answer was lost. It gives the lease, too,
-    // unless an upstream has refused its fencing number.
-    if (version.m_number != m_refused_fence)
+    // unless an upstream has refused its fencing number, or it was written for a row of another
+    // era.
+    const std::uint64_t fence = core::fencing_number(version);
+    if (fence != m_refused_fence && version.m_era == m_requested_era)
     {
-        m_fence = version.m_number;
+        m_fence = fence;
         m_held_since = m_requested_at;
     }
 }
 
+void duty_lease::begin_era(std::uint64_t era, core::time_point now)
+{
+    if (era <= m_version.m_era)
+    {
+        return;
+    }
+    if (m_version.m_era == 0 && !m_row)
+    {
+        // The first era that is seen ends none.
+        m_requested_era = era;
+        m_version = {era, 0};
+        return;
+    }
+    m_was_holder = m_fence != 0 || m_was_holder;
+    m_era_settled = now + m_settings.m_duration;
+    m_is_row_known = false;
+    m_fence = 0;
+    m_version = {era, 0};
+}
+
 std::optional<duty_write> duty_lease::acquire_or_renew(const holder_status& holder,
                                                        core::time_point now)
 {
-    if (m_writing || now < m_retry_at)
+    if (m_writing || !m_is_row_known || now < m_retry_at)
     {
         return std::nullopt;
     }
@@ -50,6 +76,7 @@
     }
     m_writing = true;
     m_requested_at = now;
+    m_requested_era = m_version.m_era;
     return duty_write{duty_row{m_self, m_started, ++m_sequence}, m_version};
 }
 
@@ -95,6 +122,10 @@
 
 bool duty_lease::may_acquire(const holder_status& holder, core::time_point now) const
 {
+    if (now < m_era_settled && !m_was_holder)
+    {
+        return false;
+    }
     if (!m_row || m_row->m_holder == m_self)
     {
         return true;
--- a/tarragontrail/placement/duty_lease.hpp
+++ b/tarragontrail/placement/duty_lease.hpp
@@ -22,7 +22,7 @@
     bool m_upstreams_check_fences = true; ///< Whether upstreams refuse older fencing numbers.
 };
 
-/// Row of the lease; its version in the table is the fencing number of the holder.
+/// Row of the lease; its version in the table gives the fencing number of the holder.
 struct duty_row
 {
     core::instance_id m_holder{};  ///< Instance that holds the lease.
@@ -53,15 +53,21 @@
 /// seen, and no renewals are written. If they do not, the lease expires m_duration after its last
 /// write was requested, and a successor waits for twice that time over an unchanged row. Times must
 /// come from a clock that also advances while the machine is suspended.
+///
+/// A return of the table store from an older copy ends the lease. The last holder may take it again
+/// at once; others wait for m_duration first, as its row may be lost while it still gives orders.
 class duty_lease
 {
 public:
     duty_lease(duty_lease_settings settings, core::instance_id self, core::incarnation started);
 
-    /// Sets the row as read from the table; none when it does not exist.
+    /// Sets the row as read from the table; none, with number zero, when it does not exist.
     void on_row(const std::optional<duty_row>& row, const core::store_version& version,
                 core::time_point now);
 
+    /// The table store has come back from an older copy: the row is not known until it is read.
+    void begin_era(std::uint64_t era, core::time_point now);
+
     /// Called while there are orders to give. Returns the write to make when the lease can be
     /// acquired or must be renewed.
     std::optional<duty_write> acquire_or_renew(const holder_status& holder, core::time_point now);
@@ -97,8 +103,13 @@
     duty_lease_settings m_settings;
     core::instance_id m_self;
     core::incarnation m_started;
-    std::optional<duty_row> m_row;       ///< Last row read.
-    core::store_version m_version;       ///< Version of m_row.
+    std::optional<duty_row> m_row; ///< Last row read.
+    core::store_version m_version; ///< Version of m_row.
+    bool m_is_row_known = true;    ///< The row was read in the present era.
+    bool m_was_holder = false;     ///< The lease was held when the last era ended.
+    /// Others than the last holder wait until then.
+    core::time_point m_era_settled = core::time_point::min();
+    std::uint64_t m_requested_era = 0;   ///< Era of the version that the last write expects.
     core::time_point m_row_first_seen{}; ///< When m_row was first seen at m_version.
     std::uint64_t m_sequence = 0;        ///< Number of writes requested by this object.
     std::uint64_t m_fence = 0;           ///< Zero when the lease is not held.
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -44,6 +44,7 @@
                 on_rows(table, rows, from_store);
             });
     }
+    follower(followed_table::fleet).on_new_era([this] { on_fleet_restored(); });
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
     m_state.m_part_crashes.set_sender(this);
@@ -188,6 +189,7 @@
     {
         each->begin_era(era);
     }
+    m_rollout.begin_era(era);
 }
 
 /// Requests a table from a peer that has a newer version than the store or its readers delivered.
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -70,6 +70,7 @@
     void on_rows_news(const wire::rows_news& update);
     void on_rows(followed_table table, const std::vector<table_row>& rows, bool from_store);
     void on_fleet_rows(const std::vector<table_row>& rows);
+    void on_fleet_restored();
     void begin_era(std::uint64_t era);
     void register_self();
     void run_periodic_checks();
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -222,4 +222,15 @@
     }
 }
 
+/// Rows of the new era matter here also where their values are those of before.
+void fleet_service::on_fleet_restored()
+{
+    const table_mirror& mirror = follower(followed_table::fleet).mirror();
+    on_fleet_rows(mirror.rows());
+    if (mirror.find(weights_rollout_coordinator::row_key) == nullptr)
+    {
+        m_rollout.on_row(std::nullopt, {mirror.era(), 0});
+    }
+}
+
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/weights_rollout_coordinator.cpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.cpp
@@ -36,6 +36,11 @@
     m_rollout.stop();
 }
 
+void weights_rollout_coordinator::begin_era(std::uint64_t era)
+{
+    m_lease.begin_era(era, lease_clock_now());
+}
+
 void weights_rollout_coordinator::on_row(const std::optional<placement::duty_row>& row,
                                          const core::store_version& version)
 {
--- a/tarragontrail/relay/weights_rollout_coordinator.hpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.hpp
@@ -48,6 +48,9 @@
     /// Stops sending orders; the instance does not acquire the lease again.
     void stop();
 
+    /// The table store has come back from an older copy of itself.
+    void begin_era(std::uint64_t era);
+
     /// The lease's row was read from the table store.
     void on_row(const std::optional<placement::duty_row>& row, const core::store_version& version);
 
--- a/unit_tests/platform/restored_store_test.cpp
+++ b/unit_tests/platform/restored_store_test.cpp
@@ -3,6 +3,7 @@
 #include "unit_tests/platform/restorable_store.hpp"
 #include "unit_tests/stand_ins/loop_client.hpp"
 
+#include <atomic>
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(change_is_seen_that_versions_have_passed_before_the_next_call);
     CPPUNIT_TEST(change_is_seen_between_two_returns_within_one_outage);
     CPPUNIT_TEST(other_row_under_the_same_version_is_seen);
+    CPPUNIT_TEST(condition_on_a_row_of_an_ended_era_does_not_hold);
     CPPUNIT_TEST_SUITE_END();
 
     test::loop_client m_loop;
@@ -107,6 +109,32 @@
         expect("a", "6");
     }
 
+    /// Neither where the return is known, nor where only the answer of the write tells of it.
+    void condition_on_a_row_of_an_ended_era_does_not_hold()
+    {
+        const auto copy = lose_some_changes();
+        m_server.restore(copy);
+        m_server.put("fleet", "duty", "other");
+        const core::store_version same_number{1, m_server.m_now.m_version};
+        using outcome = relay::row_write_result::outcome;
+        for (int round = 0; round < 2; ++round)
+        {
+            std::atomic<int> found{-1};
+            m_home.post([this, &found, same_number] {
+                m_client->write("duty", "own", same_number,
+                                [&found](const relay::row_write_result& written) {
+                                    found = static_cast<int>(written.m_outcome);
+                                });
+            });
+            m_loop.run_until([&found] { return found >= 0; });
+            CPPUNIT_ASSERT(found != static_cast<int>(outcome::applied));
+            // The first write may have come before the client knew of the return.
+            m_server.put("op", "a", "seen");
+            expect("a", "seen");
+        }
+        CPPUNIT_ASSERT(m_server.m_writes <= 1);
+    }
+
     void other_row_under_the_same_version_is_seen()
     {
         m_server.restore(lose_some_changes());
