Write the instance's own rows again after the store has come back

An instance that had started then stayed unknown to all that start later, and a quarantine of a part was forgotten with the last process that knew it. With the first whole table of a new era an instance writes its own row again where it is missing or older, the finder of a quarantine its row, and three seconds later any other instance that knows it.

New tests: two of quarantine_rows; they were not run against the code before, which lacks their interface. Registration has no test of its own.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -81,19 +81,23 @@
 /// Writes the row from which other instances learn of this one.
 void fleet_service::register_self()
 {
-    const std::string key =
-        std::string(member_prefix) + std::to_string(core::value_of(m_self.m_instance));
-    m_store.write(key, wire::encode(m_self), std::nullopt, [this](const row_write_result& written) {
-        observe::log("registered",
-                     {{"applied", written.m_outcome == row_write_result::outcome::applied},
-                      {"version", written.m_version.m_number}});
-        if (written.m_outcome == row_write_result::outcome::applied)
-        {
-            return;
-        }
-        m_register_timer.run_after(m_settings.m_registration_retry_delay,
-                                   [this] { register_self(); });
-    });
+    m_store.write(
+        own_key(), wire::encode(m_self), std::nullopt, [this](const row_write_result& written) {
+            observe::log("registered",
+                         {{"applied", written.m_outcome == row_write_result::outcome::applied},
+                          {"version", written.m_version.m_number}});
+            if (written.m_outcome == row_write_result::outcome::applied)
+            {
+                return;
+            }
+            m_register_timer.run_after(m_settings.m_registration_retry_delay,
+                                       [this] { register_self(); });
+        });
+}
+
+std::string fleet_service::own_key() const
+{
+    return std::string(member_prefix) + std::to_string(core::value_of(m_self.m_instance));
 }
 
 /// Updates state that changes with time alone.
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -73,6 +73,7 @@
     void on_fleet_restored();
     void begin_era(std::uint64_t era);
     void register_self();
+    std::string own_key() const;
     void run_periodic_checks();
     void update_store_reader(core::time_point now);
     void share_crash_reports();
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -222,7 +222,8 @@
     }
 }
 
-/// Rows of the new era matter here also where their values are those of before.
+/// Rows of the new era matter here also where their values are those of before, and what this
+/// instance wrote may be lost.
 void fleet_service::on_fleet_restored()
 {
     const table_mirror& mirror = follower(followed_table::fleet).mirror();
@@ -231,6 +232,13 @@
     {
         m_rollout.on_row(std::nullopt, {mirror.era(), 0});
     }
+    const table_row* own = mirror.find(own_key());
+    if (own == nullptr || own->m_value != wire::encode(m_self))
+    {
+        register_self();
+    }
+    m_quarantine_rows.begin_era(
+        [&mirror](const std::string& key) { return mirror.find(key) != nullptr; });
 }
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/quarantine_rows.cpp
+++ b/tarragontrail/relay/quarantine_rows.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_delay{400};
+/// Time that the instance which found a quarantine has to write its row again.
+constexpr std::chrono::milliseconds rewrite_delay{3'000};
 /// Notices of one quarantine differ by the time that they were on their way.
 constexpr std::chrono::milliseconds renewal_margin{60'000};
 /// Written rows are forgotten beyond this number; a repeated write does no harm.
@@ -35,7 +37,7 @@
 } // namespace
 
 quarantine_rows::quarantine_rows(boost::asio::io_context& context, table_store& store)
-    : m_store(store), m_retry_timer(context)
+    : m_store(store), m_retry_timer(context), m_rewrite_timer(context)
 {}
 
 void quarantine_rows::write(const recovery::part_quarantine_notice& notice)
@@ -54,7 +56,7 @@
     m_rows[key] = {
         wire::encode(wire::part_quarantine_entry{
             notice.m_parts, static_cast<std::uint64_t>(until.count()), notice.m_crashes}),
-        until};
+        until, false, false, true};
     send(key);
 }
 
@@ -68,10 +70,30 @@
         m_rows.erase(key);
         return std::nullopt;
     }
-    m_rows[key] = {{}, until, true};
+    const bool is_own = m_rows.contains(key) && m_rows.at(key).m_is_own;
+    m_rows[key] = {wire::encode(entry), until, true, false, is_own};
     return recovery::part_quarantine_notice{entry.m_parts, left, entry.m_crashes};
 }
 
+void quarantine_rows::begin_era(const std::function<bool(const std::string& key)>& has_row)
+{
+    for (auto& [key, row] : m_rows)
+    {
+        row.m_is_written = has_row(key);
+        if (!row.m_is_written && row.m_is_own && !row.m_is_sent)
+        {
+            send(key);
+        }
+    }
+    m_rewrite_timer.run_after(rewrite_delay, [this] { write_missing(); });
+}
+
+void quarantine_rows::write_missing()
+{
+    std::erase_if(m_rows, [](const auto& entry) { return entry.second.m_until <= unix_time(); });
+    retry();
+}
+
 void quarantine_rows::send(const std::string& key)
 {
     pending_row& row = m_rows.at(key);
--- a/tarragontrail/relay/quarantine_rows.hpp
+++ b/tarragontrail/relay/quarantine_rows.hpp
@@ -5,6 +5,7 @@
 #include "tarragontrail/relay/platform_interface.hpp"
 #include "tarragontrail/wire/generated_messages.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -22,6 +23,10 @@
     /// Writes a quarantine unless its row lasts as long; repeats a write that failed.
     void write(const recovery::part_quarantine_notice& notice);
 
+    /// The table store has come back from an older copy: writes rows again that it lacks. Those of
+    /// other instances follow later, if nobody else has written them.
+    void begin_era(const std::function<bool(const std::string& key)>& has_row);
+
     /// Quarantine of a row of the fleet's table; nothing when it is over.
     std::optional<recovery::part_quarantine_notice>
     on_row(const std::string& key, const wire::part_quarantine_entry& entry);
@@ -34,14 +39,17 @@
         std::chrono::milliseconds m_until{}; ///< End of the quarantine, since 1970.
         bool m_is_written = false;           ///< The store has the row.
         bool m_is_sent = false;              ///< A write is under way.
+        bool m_is_own = false;               ///< This instance found the quarantine.
     };
 
     void send(const std::string& key);
     void retry();
+    void write_missing();
 
     table_store& m_store;
     std::map<std::string, pending_row> m_rows; ///< By key.
     net::timer m_retry_timer;
+    net::timer m_rewrite_timer; ///< Until missing rows of other instances are written.
 };
 
 } // namespace tarragontrail::relay
--- a/unit_tests/relay/quarantine_rows_test.cpp
+++ b/unit_tests/relay/quarantine_rows_test.cpp
@@ -53,6 +53,8 @@
     CPPUNIT_TEST(quarantine_that_is_over_is_not_taken_up);
     CPPUNIT_TEST(repeated_notice_is_written_once);
     CPPUNIT_TEST(later_quarantine_of_the_same_parts_is_written);
+    CPPUNIT_TEST(lost_row_is_written_again_at_once_by_its_finder);
+    CPPUNIT_TEST(lost_row_is_written_again_by_others_when_its_finder_is_gone);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -71,7 +73,38 @@
         return fresh.on_row(key, std::get<wire::part_quarantine_entry>(wire::decode(value)));
     }
 
+    std::function<bool(const std::string&)> has_row()
+    {
+        return [this](const std::string& key) { return m_store.m_rows.contains(key); };
+    }
+
 public:
+    void lost_row_is_written_again_at_once_by_its_finder()
+    {
+        m_quarantines.write(m_notice);
+        m_quarantines.begin_era(has_row());
+        CPPUNIT_ASSERT_EQUAL(1, m_store.m_writes);
+        m_store.m_rows.clear();
+        m_quarantines.begin_era(has_row());
+        CPPUNIT_ASSERT_EQUAL(2, m_store.m_writes);
+        CPPUNIT_ASSERT(read_afresh().has_value());
+    }
+
+    void lost_row_is_written_again_by_others_when_its_finder_is_gone()
+    {
+        m_quarantines.write(m_notice);
+        const auto [key, value] = *m_store.m_rows.begin();
+        quarantine_rows other(m_context, m_store);
+        other.on_row(key, std::get<wire::part_quarantine_entry>(wire::decode(value)));
+        m_store.m_rows.clear();
+        other.begin_era(has_row());
+        CPPUNIT_ASSERT_EQUAL(1, m_store.m_writes);
+        m_context.restart();
+        m_context.run_one_for(5s);
+        CPPUNIT_ASSERT_EQUAL(2, m_store.m_writes);
+        CPPUNIT_ASSERT(read_afresh().has_value());
+    }
+
     void restarted_fleet_finds_its_quarantines()
     {
         m_quarantines.write(m_notice);
