Doubt rows of upstreams that contradict what was known before the store came back

Cause: the copy that the store came back to has the engine's row of before, "ready", and the newer era made it count as news.

A row of a newer era that brings back an upstream which has left, or an earlier start of it, is doubted until the upstream has written more rows, or until the store has kept the row for 5 s: rows of silent upstreams are deleted sooner. Within an era the store's word holds as before.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -75,12 +75,12 @@
     {
         if (row.m_deleted)
         {
-            remove_upstream(core::id_of<core::upstream_id>(row.m_key));
+            remove_upstream(core::id_of<core::upstream_id>(row.m_key), row.m_version.m_era);
             continue;
         }
         try
         {
-            apply_upstream(m_reader.read_upstream_row(row));
+            on_upstream_row(m_reader.read_upstream_row(row), row.m_version.m_era);
         }
         catch (const document_error& failure)
         {
@@ -89,7 +89,70 @@
     }
 }
 
-void document_applier::apply_upstream(const upstream_record& record)
+void document_applier::on_timer(core::time_point now)
+{
+    for (auto entry = m_doubted_rows.begin(); entry != m_doubted_rows.end();)
+    {
+        if (now < entry->second.m_until)
+        {
+            ++entry;
+            continue;
+        }
+        const doubted_row kept = std::move(entry->second);
+        entry = m_doubted_rows.erase(entry);
+        apply_upstream(kept.m_record, kept.m_era);
+    }
+}
+
+void document_applier::on_upstream_row(const upstream_record& record, std::uint64_t era)
+{
+    const auto known = m_state.m_upstreams.find(record.m_id);
+    if (known && is_doubted(*known, record, era, core::runtime_clock::now()))
+    {
+        observe::log("upstream_doubted", {{"name", record.m_name},
+                                          {"era", era},
+                                          {"reports", record.m_reports},
+                                          {"leaving", known->m_leaving_since.has_value()}});
+        return;
+    }
+    m_doubted_rows.erase(record.m_id);
+    apply_upstream(record, era);
+}
+
+/// Whether the row contradicts what is known and may be part of the copy that the store returned
+/// to.
+bool document_applier::is_doubted(const upstream& known, const upstream_record& record,
+                                  std::uint64_t era, core::time_point now)
+{
+    const bool is_same_start = record.m_started == known.m_record.m_started;
+    const bool is_back = is_same_start && known.m_leaving_since && !record.m_leaving;
+    if (!is_back && record.m_started >= known.m_record.m_started)
+    {
+        return false;
+    }
+    const auto found = m_doubted_rows.find(record.m_id);
+    if (found == m_doubted_rows.end())
+    {
+        if (era <= known.m_era)
+        {
+            return false;
+        }
+        m_doubted_rows[record.m_id] = {record, era,
+                                       std::max(known.m_record.m_reports, record.m_reports),
+                                       now + m_settings.m_doubt_limit};
+        return true;
+    }
+    doubted_row& doubted = found->second;
+    if (is_same_start && record.m_reports > doubted.m_reports)
+    {
+        return false;
+    }
+    doubted.m_record = record;
+    doubted.m_era = era;
+    return true;
+}
+
+void document_applier::apply_upstream(const upstream_record& record, std::uint64_t era)
 {
     const core::time_point now = core::runtime_clock::now();
     const auto known = m_state.m_upstreams.find(record.m_id);
@@ -113,7 +176,9 @@
         }
         m_state.m_cached_parts.clear_holder(record.m_id);
     }
-    if (!m_state.m_upstreams.apply(updated, now))
+    const bool has_changed = m_state.m_upstreams.apply(updated, now);
+    m_state.m_upstreams.find(record.m_id)->m_era = era;
+    if (!has_changed)
     {
         return;
     }
@@ -126,8 +191,9 @@
                                                              updated.m_models.front().m_version)}});
 }
 
-void document_applier::remove_upstream(core::upstream_id id)
+void document_applier::remove_upstream(core::upstream_id id, std::uint64_t era)
 {
+    m_doubted_rows.erase(id);
     const core::time_point now = core::runtime_clock::now();
     const auto known = m_state.m_upstreams.find(id);
     if (!known)
@@ -140,6 +206,7 @@
     }
     observe::log("upstream_gone", {{"name", known->m_record.m_name},
                                    {"leaving", known->m_leaving_since.has_value()}});
+    known->m_era = era;
     m_state.m_upstreams.remove(id, now);
 }
 
--- a/tarragontrail/relay/document_applier.hpp
+++ b/tarragontrail/relay/document_applier.hpp
@@ -5,12 +5,25 @@
 
 namespace tarragontrail::relay {
 
+/// Settings of document_applier.
+struct document_applier_settings
+{
+    /// A row of an upstream that contradicts what was known before the table store came back from
+    /// an older copy is believed after this time: rows of silent upstreams are deleted sooner.
+    std::chrono::milliseconds m_doubt_limit{5'000};
+};
+
 /// Applies the documents that operators and upstreams write to the table store.
+///
+/// A table store that comes back from an older copy has rows that say less than is known: that an
+/// upstream serves which has left since, or that an earlier start of it runs. Such a row is doubted
+/// until the upstream has written a newer one.
 class document_applier
 {
 public:
-    document_applier(relay_state& state, const document_reader& reader)
-        : m_state(state), m_reader(reader)
+    document_applier(relay_state& state, const document_reader& reader,
+                     document_applier_settings settings = {})
+        : m_state(state), m_reader(reader), m_settings(settings)
     {}
 
     /// Applies changed rows of the operators' table.
@@ -19,14 +32,31 @@
     /// Applies changed rows of the upstreams' table.
     void on_upstream_rows(const std::vector<table_row>& rows);
 
+    /// Believes doubted rows that the table store has kept for the doubt limit.
+    void on_timer(core::time_point now);
+
 private:
+    /// Row of an upstream that may be older than what is known of it.
+    struct doubted_row
+    {
+        upstream_record m_record;
+        std::uint64_t m_era = 0;     ///< Era of the table store that has the row.
+        std::uint64_t m_reports = 0; ///< The upstream has written more rows than these since.
+        core::time_point m_until;    ///< The row is believed then.
+    };
+
     void apply_operator_row(const table_row& row);
     void apply_config(relay_config config);
-    void apply_upstream(const upstream_record& record);
-    void remove_upstream(core::upstream_id id);
+    void on_upstream_row(const upstream_record& record, std::uint64_t era);
+    bool is_doubted(const upstream& known, const upstream_record& record, std::uint64_t era,
+                    core::time_point now);
+    void apply_upstream(const upstream_record& record, std::uint64_t era);
+    void remove_upstream(core::upstream_id id, std::uint64_t era);
 
     relay_state& m_state;
     const document_reader& m_reader;
+    document_applier_settings m_settings;
+    std::map<core::upstream_id, doubted_row> m_doubted_rows;
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -112,6 +112,7 @@
     }
     m_registry.set_own_status(
         {m_self.m_started, is_ready(), m_leaving, is_table_store_reachable()});
+    m_document_applier.on_timer(now);
     m_state.m_upstreams.remove_departed(m_settings.m_departed_retention, now);
     const std::size_t alive = m_registry.alive_count(now);
     if (alive != m_state.m_live_instances)
--- a/tarragontrail/relay/upstream_record.hpp
+++ b/tarragontrail/relay/upstream_record.hpp
@@ -33,6 +33,7 @@
     std::uint64_t m_slots = 1;                   ///< Requests that it runs concurrently.
     bool m_leaving = false;                      ///< Accepts no new requests.
     core::incarnation m_started{};               ///< Grows with each start under the same name.
+    std::uint64_t m_reports = 0;                 ///< Rows that it has written since its start.
     std::chrono::milliseconds m_cold_duration{}; ///< It is slow for this long after its start.
     std::vector<model_weights> m_models;         ///< Models in memory; empty for a plain service.
 
--- a/tarragontrail/relay/upstream_table.cpp
+++ b/tarragontrail/relay/upstream_table.cpp
@@ -45,6 +45,8 @@
     }
 
     upstream& known = *found->second;
+    // A report that repeats the last one is no change.
+    known.m_record.m_reports = record.m_reports;
     if (known.m_record == record && (known.m_leaving_since.has_value() == record.m_leaving))
     {
         return false;
--- a/tarragontrail/relay/upstream_table.hpp
+++ b/tarragontrail/relay/upstream_table.hpp
@@ -23,6 +23,8 @@
     upstream_health m_health;
     /// Set when it accepts no new requests or its record is gone.
     std::optional<core::time_point> m_leaving_since;
+    /// Era of the table store in which its last row was written or deleted.
+    std::uint64_t m_era = 0;
     /// It loads new weights and gets no requests until then.
     core::time_point m_loading_weights_until = core::time_point::min();
     /// Exponential moving average of the duration of a request.
