--- a/unit_tests/platform/restorable_store.hpp
+++ b/unit_tests/platform/restorable_store.hpp
@@ -55,10 +55,20 @@
         }
     }
 
-    bool m_is_away = false;  ///< Calls get 503.
-    std::uint64_t m_era = 1; ///< In all answers.
-    copy m_now;              ///< What the store has.
-    int m_writes = 0;        ///< Transactions that arrived.
+    /// Sends the answers of writes that were held back.
+    void release_answers()
+    {
+        for (const held_answer& held : std::exchange(m_held, {}))
+        {
+            held.m_exchange->respond(held.m_response);
+        }
+    }
+
+    bool m_is_away = false;           ///< Calls get 503.
+    bool m_is_holding_writes = false; ///< Writes take effect, and their answers are held back.
+    std::uint64_t m_era = 1;          ///< In all answers.
+    copy m_now;                       ///< What the store has.
+    int m_writes = 0;                 ///< Transactions that arrived.
 
 private:
     using json = nlohmann::json;
@@ -70,18 +80,30 @@
         core::time_point m_end; ///< When it is answered without rows.
     };
 
+    /// Answer of a write that is sent later.
+    struct held_answer
+    {
+        std::shared_ptr<net::http_exchange> m_exchange;
+        net::http_response m_response;
+    };
+
     void end_waits()
     {
         answer_waiting();
         m_wait_timer.run_after(std::chrono::milliseconds(20), [this] { end_waits(); });
     }
 
-    void answer(net::http_exchange& exchange, unsigned status, json document)
+    net::http_response make_answer(unsigned status, json document) const
     {
         document["ver"] = m_now.m_version;
         net::http_response response = net::make_json_response(status, document.dump());
         response.set("Store-Era", std::to_string(m_era));
-        exchange.respond(std::move(response));
+        return response;
+    }
+
+    void answer(net::http_exchange& exchange, unsigned status, const json& document) const
+    {
+        exchange.respond(make_answer(status, document));
     }
 
     void serve(const std::shared_ptr<net::http_exchange>& exchange)
@@ -99,7 +121,7 @@
         }
         if (net::path_of(target) == "/-/rows-tx")
         {
-            transact(*exchange);
+            transact(exchange);
             return;
         }
         const std::chrono::milliseconds wait(std::stoull(net::query_value(target, "wait-ms")));
@@ -129,10 +151,10 @@
         }
     }
 
-    void transact(net::http_exchange& exchange)
+    void transact(const std::shared_ptr<net::http_exchange>& exchange)
     {
         ++m_writes;
-        const json call = json::parse(exchange.request().body());
+        const json call = json::parse(exchange->request().body());
         for (const json& expected : call.at("expected"))
         {
             const auto found = m_now.m_rows.find({expected.at("table"), expected.at("key")});
@@ -141,7 +163,7 @@
                                               : found->second.second;
             if (version != expected.at("ver").get<std::uint64_t>())
             {
-                answer(exchange, 412, {{"rows", json::array()}});
+                answer(*exchange, 412, {{"rows", json::array()}});
                 return;
             }
         }
@@ -151,7 +173,14 @@
                 platform::from_base64(row.at("value").get<std::string>()), m_now.m_version + 1};
         }
         ++m_now.m_version;
-        answer(exchange, 200, json::object());
+        if (m_is_holding_writes)
+        {
+            m_held.push_back({exchange, make_answer(200, json::object())});
+        }
+        else
+        {
+            answer(*exchange, 200, json::object());
+        }
         answer_waiting();
     }
 
@@ -180,6 +209,7 @@
 
     net::timer m_wait_timer;
     std::vector<waiting_call> m_waiting;
+    std::vector<held_answer> m_held;
     net::http_server m_server;
 };
 
--- a/unit_tests/platform/restored_store_test.cpp
+++ b/unit_tests/platform/restored_store_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(change_is_seen_between_two_returns_within_one_outage);
     CPPUNIT_TEST(other_row_under_the_same_version_is_seen);
     CPPUNIT_TEST(condition_on_a_row_of_an_ended_era_does_not_hold);
+    CPPUNIT_TEST(write_that_an_ended_era_acknowledged_does_not_count_as_kept);
     CPPUNIT_TEST_SUITE_END();
 
     test::loop_client m_loop;
@@ -135,6 +136,28 @@
         CPPUNIT_ASSERT(m_server.m_writes <= 1);
     }
 
+    /// The acknowledgement may arrive after the answer that tells of the return.
+    void write_that_an_ended_era_acknowledged_does_not_count_as_kept()
+    {
+        using outcome = relay::row_write_result::outcome;
+        const auto copy = lose_some_changes();
+        std::atomic<int> found{-1};
+        m_server.m_is_holding_writes = true;
+        m_home.post([this, &found] {
+            m_client->write("member", "own", std::nullopt,
+                            [&found](const relay::row_write_result& written) {
+                                found = static_cast<int>(written.m_outcome);
+                            });
+        });
+        m_loop.run_until([this] { return m_server.m_writes == 1; });
+        m_server.restore(copy);
+        m_server.put("op", "a", "seen");
+        expect("a", "seen");
+        m_server.release_answers();
+        m_loop.run_until([&found] { return found >= 0; });
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(outcome::unknown), found.load());
+    }
+
     void other_row_under_the_same_version_is_seen()
     {
         m_server.restore(lose_some_changes());
