Keep instances as members that send heartbeats while the store has lost their rows

Cause: rows that nobody has written again within 2.5 s count as deleted, and a member was removed with its row, though nothing deletes members' rows but a return.

A member whose heartbeats arrive stays; it writes its row again when it reaches the store.

--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -177,8 +177,9 @@
         {
             if (is_member)
             {
-                m_registry.remove(core::instance_id{
-                    std::strtoull(row.m_key.c_str() + member_prefix.size(), nullptr, 10)});
+                m_registry.remove(core::instance_id{std::strtoull(
+                                      row.m_key.c_str() + member_prefix.size(), nullptr, 10)},
+                                  core::runtime_clock::now());
                 members_changed = true;
             }
             continue;
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -25,9 +25,9 @@
     return true;
 }
 
-void instance_registry::remove(core::instance_id instance)
+void instance_registry::remove(core::instance_id instance, core::time_point now)
 {
-    if (instance == m_self.m_instance)
+    if (instance == m_self.m_instance || is_alive(instance, now))
     {
         return;
     }
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -51,8 +51,9 @@
     /// Adds or updates a member; returns true when its row has changed.
     bool apply(const fleet_member& member);
 
-    /// Removes an instance whose row was deleted.
-    void remove(core::instance_id instance);
+    /// Removes an instance whose row is gone, unless it is alive: the table store may have lost the
+    /// row by a return from an older copy, and the instance may be cut off from the store.
+    void remove(core::instance_id instance, core::time_point now);
 
     /// Records a status report; returns true when the instance has restarted since its last one.
     bool on_status(core::instance_id instance, const instance_status& status, core::time_point now);
