Look for lost rows of an instance also when its first read is of a later era

Cause: its row was acknowledged by the era before, and the search for lost rows ran only where a whole table of that era had been read. The row of an earlier start, written late, stayed as well.

The instance compares the version under which its row was acknowledged with that of the table it has: a table as new as that has the row, or has lost it. The first whole table counts as the first of its era too, so that the lease learns that it has no row.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -44,7 +44,7 @@
                 on_rows(table, rows, from_store);
             });
     }
-    follower(followed_table::fleet).on_new_era([this] { on_fleet_restored(); });
+    follower(followed_table::fleet).on_new_era([this] { on_fleet_table_of_new_era(); });
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
     m_state.m_part_crashes.set_sender(this);
@@ -81,20 +81,40 @@
 /// Writes the row from which other instances learn of this one.
 void fleet_service::register_self()
 {
+    m_is_registering = true;
     m_store.write(
         own_key(), wire::encode(m_self), std::nullopt, [this](const row_write_result& written) {
-            observe::log("registered",
-                         {{"applied", written.m_outcome == row_write_result::outcome::applied},
-                          {"version", written.m_version.m_number}});
-            if (written.m_outcome == row_write_result::outcome::applied)
+            const bool is_applied = written.m_outcome == row_write_result::outcome::applied;
+            observe::log("registered", {{"applied", is_applied},
+                                        {"era", written.m_version.m_era},
+                                        {"version", written.m_version.m_number}});
+            if (!is_applied)
             {
+                m_register_timer.run_after(m_settings.m_registration_retry_delay,
+                                           [this] { register_self(); });
                 return;
             }
-            m_register_timer.run_after(m_settings.m_registration_retry_delay,
-                                       [this] { register_self(); });
+            m_is_registering = false;
+            m_registered_version = written.m_version;
         });
 }
 
+/// Writes this instance's row again when the table has lost it, or has that of an earlier start.
+void fleet_service::check_registration()
+{
+    const table_mirror& mirror = follower(followed_table::fleet).mirror();
+    if (m_is_registering || !mirror.is_complete() ||
+        mirror.newest_version() < m_registered_version)
+    {
+        return;
+    }
+    const table_row* own = mirror.find(own_key());
+    if (own == nullptr || own->m_value != wire::encode(m_self))
+    {
+        register_self();
+    }
+}
+
 std::string fleet_service::own_key() const
 {
     return std::string(member_prefix) + std::to_string(core::value_of(m_self.m_instance));
@@ -112,6 +132,7 @@
     }
     m_registry.set_own_status(
         {m_self.m_started, is_ready(), m_leaving, is_table_store_reachable()});
+    check_registration();
     m_document_applier.on_timer(now);
     m_state.m_upstreams.remove_departed(m_settings.m_departed_retention, now);
     const std::size_t alive = m_registry.alive_count(now);
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -70,9 +70,10 @@
     void on_rows_news(const wire::rows_news& update);
     void on_rows(followed_table table, const std::vector<table_row>& rows, bool from_store);
     void on_fleet_rows(const std::vector<table_row>& rows);
-    void on_fleet_restored();
+    void on_fleet_table_of_new_era();
     void begin_era(std::uint64_t era);
     void register_self();
+    void check_registration();
     std::string own_key() const;
     void run_periodic_checks();
     void update_store_reader(core::time_point now);
@@ -96,6 +97,10 @@
     quarantine_rows m_quarantine_rows;
     net::timer m_check_timer;
     net::timer m_register_timer;
+    /// Version of this instance's row, as the table store acknowledged it last.
+    core::store_version m_registered_version;
+    /// A write of this instance's row is under way or due.
+    bool m_is_registering = false;
     /// The instance is shutting down.
     bool m_leaving = false;
     /// Readiness that was logged last.
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -223,9 +223,9 @@
     }
 }
 
-/// Rows of the new era matter here also where their values are those of before, and what this
-/// instance wrote may be lost.
-void fleet_service::on_fleet_restored()
+/// Rows matter here also where their values are those of an earlier era, and what this instance
+/// wrote may be lost.
+void fleet_service::on_fleet_table_of_new_era()
 {
     const table_mirror& mirror = follower(followed_table::fleet).mirror();
     on_fleet_rows(mirror.rows());
@@ -233,11 +233,7 @@
     {
         m_rollout.on_row(std::nullopt, {mirror.era(), 0});
     }
-    const table_row* own = mirror.find(own_key());
-    if (own == nullptr || own->m_value != wire::encode(m_self))
-    {
-        register_self();
-    }
+    check_registration();
     m_quarantine_rows.begin_era(
         [&mirror](const std::string& key) { return mirror.find(key) != nullptr; });
 }
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -75,10 +75,11 @@
 void table_follower::apply_whole(const std::vector<table_row>& rows,
                                  const core::store_version& version, bool from_store)
 {
-    const bool is_new_era = m_mirror.is_complete() && version.m_era > m_mirror.era();
+    const bool is_first = !m_mirror.is_complete();
+    const bool is_return = !is_first && version.m_era > m_mirror.era();
     std::vector<table_row> changes = m_mirror.replace(rows, version);
     log_dropped_rows(version);
-    if (is_new_era)
+    if (is_return)
     {
         std::erase_if(changes, [this](const table_row& row) {
             if (row.m_deleted)
@@ -98,7 +99,7 @@
     {
         m_on_change(changes, from_store);
     }
-    if (is_new_era && m_on_new_era)
+    if ((is_first || is_return) && m_on_new_era)
     {
         m_on_new_era();
     }
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -43,7 +43,7 @@
     table_follower(boost::asio::io_context& context, table_store& store, followed_table table,
                    table_follower_settings settings, change_handler on_change);
 
-    /// Sets who is told when the whole table of a newer era was applied, after its changes.
+    /// Sets who is told when the first whole table of an era was applied, after its changes.
     void on_new_era(std::function<void()> handler) { m_on_new_era = std::move(handler); }
 
     /// The store has come back from an older copy: what is under way says nothing about it.
--- a/unit_tests/relay/restored_fleet_test.cpp
+++ b/unit_tests/relay/restored_fleet_test.cpp
@@ -121,6 +121,9 @@
 class restored_fleet_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(restored_fleet_test);
+    CPPUNIT_TEST(own_row_is_written_again_that_was_acknowledged_before_the_first_read);
+    CPPUNIT_TEST(own_row_is_written_once_without_a_return);
+    CPPUNIT_TEST(own_row_of_an_earlier_start_is_replaced);
     CPPUNIT_TEST(living_instance_stays_a_member_when_its_row_is_lost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +139,40 @@
         m_first.reset();
     }
 
+    void own_row_is_written_again_that_was_acknowledged_before_the_first_read()
+    {
+        m_first->m_service.start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_first->m_store.m_writes.size());
+        m_first->m_store.acknowledge(0, {1, 50});
+        m_first->m_store.answer_read(followed_table::fleet, table_rows{{}, {2, 20}});
+        m_context.run_for(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_first->m_store.m_writes.size());
+        CPPUNIT_ASSERT_EQUAL(m_first->row({}).m_key, m_first->m_store.m_writes[1].m_key);
+    }
+
+    void own_row_is_written_once_without_a_return()
+    {
+        m_first->m_service.start();
+        m_first->m_store.answer_read(followed_table::fleet, table_rows{{}, {1, 20}});
+        m_first->m_store.acknowledge(0, {1, 50});
+        m_context.run_for(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_first->m_store.m_writes.size());
+    }
+
+    /// A write of an earlier start may take effect late.
+    void own_row_of_an_earlier_start_is_replaced()
+    {
+        m_first->m_service.start();
+        m_first->m_store.acknowledge(0, {1, 50});
+        fleet_member earlier = m_first->m_member;
+        earlier.m_started = core::incarnation{0};
+        m_first->m_store.answer_read(
+            followed_table::fleet,
+            table_rows{{{m_first->row({}).m_key, wire::encode(earlier), {1, 51}, false}}, {1, 51}});
+        m_context.run_for(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_first->m_store.m_writes.size());
+    }
+
     void living_instance_stays_a_member_when_its_row_is_lost()
     {
         fleet_member other = m_first->m_member;
