Take the duty after a return only by a lease that still holds, where upstreams check no fences

Cause: after a return the last holder may take the lease at once, and one whose lease had lapsed long ago counted as such; a process that starts after the return saw no row and no reason to wait, while the holder whose row is lost still gives orders.

Only a lease that holds at the moment of the return gives the right to be first. Without fencing at the upstreams a new process waits for one lease as the others do; with it nothing changes, since later fences are higher.

--- a/tarragontrail/placement/duty_lease.cpp
+++ b/tarragontrail/placement/duty_lease.cpp
@@ -43,14 +43,15 @@
     {
         return;
     }
-    if (m_version.m_era == 0 && !m_row)
+    const bool is_first = m_version.m_era == 0 && !m_row;
+    if (is_first && m_settings.m_upstreams_check_fences)
     {
-        // The first era that is seen ends none.
+        // Upstreams refuse a holder of an earlier era.
         m_requested_era = era;
         m_version = {era, 0};
         return;
     }
-    m_was_holder = m_fence != 0 || m_was_holder;
+    m_was_holder = is_held(now) || m_was_holder;
     m_era_settled = now + m_settings.m_duration;
     m_is_row_known = false;
     m_fence = 0;
--- a/unit_tests/placement/weights_rollout_test.cpp
+++ b/unit_tests/placement/weights_rollout_test.cpp
@@ -167,6 +167,8 @@
     CPPUNIT_TEST(refused_fence_ends_the_duty);
     CPPUNIT_TEST(fence_grows_over_a_return_of_the_store);
     CPPUNIT_TEST(others_wait_after_a_return_of_the_store);
+    CPPUNIT_TEST(lapsed_holder_waits_after_a_return_of_the_store);
+    CPPUNIT_TEST(new_instance_waits_without_fences);
     CPPUNIT_TEST(write_for_a_row_of_an_ended_era_gives_no_duty);
     CPPUNIT_TEST(duty_is_taken_again_when_its_row_is_lost);
     CPPUNIT_TEST_SUITE_END();
@@ -306,6 +308,36 @@
         CPPUNIT_ASSERT(other.acquire_or_renew({}, now + settings.m_duration));
     }
 
+    /// A lease that has lapsed gives no right to be first after a return.
+    void lapsed_holder_waits_after_a_return_of_the_store()
+    {
+        duty_lease_settings settings;
+        settings.m_upstreams_check_fences = false;
+        duty_lease lease(settings, first, started);
+        core::time_point now{1h};
+        CPPUNIT_ASSERT(lease.acquire_or_renew({}, now));
+        lease.on_written({1, 40}, now);
+        now += settings.m_duration;
+        CPPUNIT_ASSERT(!lease.is_held(now));
+        lease.begin_era(2, now);
+        lease.on_row(std::nullopt, {2, 0}, now);
+        CPPUNIT_ASSERT(!lease.acquire_or_renew({}, now + settings.m_duration - 1ms));
+        CPPUNIT_ASSERT(lease.acquire_or_renew({}, now + settings.m_duration));
+    }
+
+    /// The row of a holder that still gives orders may be lost by a return before the start.
+    void new_instance_waits_without_fences()
+    {
+        duty_lease_settings settings;
+        settings.m_upstreams_check_fences = false;
+        duty_lease lease(settings, first, started);
+        const core::time_point now{1h};
+        lease.begin_era(2, now);
+        lease.on_row(std::nullopt, {2, 0}, now);
+        CPPUNIT_ASSERT(!lease.acquire_or_renew({}, now + settings.m_duration - 1ms));
+        CPPUNIT_ASSERT(lease.acquire_or_renew({}, now + settings.m_duration));
+    }
+
     void write_for_a_row_of_an_ended_era_gives_no_duty()
     {
         duty_lease lease({}, first, started);
