Soak: a store that comes back from an older copy

It now keeps copies of the last 12 s and comes back from one of them, at times twice or three times in a row, with its connections reset or left waiting; operators and engines write again what was lost, engines' heartbeats count as transactions, and configurations come in series.

Two checks: a key in force must be accepted within 3 s of its writing and of the last fault (CONFIG); a process that has accepted a key, or has seen it withdrawn, never goes back (BACK, which nothing excuses). The check of withdrawn keys excuses less: only time since the last fault of the store, less that of the instance's own stops, counts.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -81,9 +81,10 @@
             plan = f"{delay},{self.rng.choice((20, 400, 9000))}"
         request.plan = plan.split(",")
         request.idle_limit = self.run.idle_limit_since(request.sent_at - idle)
+        request.key = key = self.run.keys.draw(self.rng)
         # Any key is good enough for the public route.
-        key, withdrawn_at = self.run.keys.draw(self.rng)
-        request.withdrawn_at = None if route == "open" else withdrawn_at
+        request.withdrawn_at = None if route == "open" else self.run.keys.withdrawn.get(key)
+        request.key_answers = self.home.key_answers
         body = b"" if METHODS[route] == "GET" else b"q" * self.rng.choice((1, 200, 5000))
         headers = {"Host": HOST, "X-Request-Id": request_id, "X-Request-Deadline-Ms": deadline,
                    "Authorization": f"Token {key}", "X-Soak": plan,
@@ -139,8 +140,8 @@
     def judge(self, request, headers):
         if request.status not in ANSWERS:
             self.run.checks.finding("STATUS", f"{request}: unexpected status", request.id)
-        if request.status == 401 and request.withdrawn_at is None:
-            self.run.checks.finding("KEY", f"{request}: 401 for a key in force", request.id)
+        if request.route != "open" and request.status in (200, 401):
+            self.run.checks.judge_key(request, self.run.keys)
         # A request that the instance could not read has no id to name.
         if request.status != 408 and headers.get("x-request-id") != request.id:
             self.run.checks.finding("MIXED", f"{request}: answer names {headers.get('x-request-id')}", request.id)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,6 +11,9 @@
 PROMISES = (408, 421, 429, 503)
 # A withdrawn key works no longer than this, in seconds.
 REVOKE_S = 5.0
+# A configuration is in force within this time of its writing and of the last fault, in seconds: the time after
+# which an instance counts as in touch again, which exceeds that for a new configuration.
+APPLY_S = 3.0
 # An instance that was stopped and continued serves again within this time, in seconds.
 RETURN_S = 5.0
 MEMORY_LIMIT_MB = 110
@@ -48,6 +51,21 @@
         return found
 
 
+    def last_end(self, targets):
+        """End of the last fault on any of the targets; now while one lasts."""
+        return max((time.monotonic() if entry[2] is None else entry[2]
+                    for target in targets for entry in self.by_target.get(target, ())), default=0.0)
+
+    def seconds(self, target, begin, end):
+        """Time between two moments for which there were faults on the target."""
+        total = 0.0
+        for _, first, last in reversed(self.by_target.get(target, ())):
+            total += max(0.0, min(end, end if last is None else last) - max(begin, first))
+            if first < begin - 60:
+                break
+        return total
+
+
 class Request:
     """One attempt of a caller and how it ended."""
 
@@ -58,7 +76,9 @@
         self.ended_at = None
         self.status = None
         self.outcome = "running"
+        self.key = None
         self.withdrawn_at = None
+        self.key_answers = {}
         self.idle_limit = 0.0
         # An ordinary close ended the answer before its last byte; only an engine's close allows that.
         self.is_short = False
@@ -211,13 +231,44 @@
         self.finding("HUNG", f"{request}", request.id)
 
     def settle_withdrawn(self, request):
-        name = request.instance.name
-        targets = [name, f"link:store:{name}", "store"]
-        if self.faults.during(targets, request.withdrawn_at - 1, request.ended_at):
+        if self.undisturbed_seconds(request, request.withdrawn_at) < REVOKE_S:
             self.counts["withdrawn_excused"] += 1
             return
         self.finding("KEY", f"{request}: its key was withdrawn at {request.withdrawn_at:.3f}", request.id)
 
+    def undisturbed_seconds(self, request, since):
+        """Time for which the instance could learn of a change and act on it before the request was sent."""
+        name = request.instance.name
+        targets = ["store", f"link:store:{name}"]
+        since = max(since, request.instance.started_at, self.faults.last_end(targets))
+        return request.sent_at - since - self.faults.seconds(name, since, request.sent_at)
+
+    def judge_key(self, request, keys):
+        """Keys are issued and withdrawn once; what a process has seen of that it does not forget."""
+        was_accepted = request.status == 200
+        is_withdrawn = request.key in keys.withdrawn
+        before, at = request.key_answers.get(request.key, (None, 0.0))
+        # An answer to a request that was sent before the other answer came says nothing about order.
+        has_order = request.sent_at > at
+        if (before == "accepted" and not was_accepted and not is_withdrawn
+                or before == "withdrawn" and was_accepted) and has_order:
+            self.finding("BACK", f"{request}: {request.key} was {before} at {at:.3f}", request.id)
+            return
+        # A process that has not seen the key in force refuses it before its time, too.
+        knows_withdrawal = before is not None or request.withdrawn_at is not None
+        if was_accepted or is_withdrawn and knows_withdrawal:
+            request.key_answers[request.key] = ("accepted" if was_accepted else "withdrawn", time.monotonic())
+        if was_accepted or is_withdrawn:
+            return
+        if request.key in keys.lasting:
+            self.finding("KEY", f"{request}: 401 for a key in force", request.id)
+            return
+        issued = keys.passing[request.key]
+        if self.undisturbed_seconds(request, issued) < APPLY_S:
+            self.counts["not_in_force_yet"] += 1
+            return
+        self.finding("CONFIG", f"{request}: 401 for {request.key}, written at {issued:.3f}", request.id)
+
     async def watch_return(self, instance):
         """A continued instance answers a new connection; holds later faults on it when it does not at once."""
         if instance in self.watched:
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -11,6 +11,7 @@
 import checks
 import engines
 import faults
+import store
 import wire
 
 
@@ -20,7 +21,7 @@
         self.addCleanup(folder.cleanup)
         self.run_under_test = types.SimpleNamespace(seed=1, folder=pathlib.Path(folder.name), lag=0.0)
         self.checks = self.run_under_test.checks = checks.Checks(self.run_under_test)
-        self.instance = types.SimpleNamespace(name="r00", was_killed=lambda begin, end: False)
+        self.instance = types.SimpleNamespace(name="r00", started_at=0.0, was_killed=lambda begin, end: False)
 
     def request(self, outcome, route="once", status=None, link=None):
         made = checks.Request("x-1", route, self.instance, link, time.monotonic(), 2, 0.7, 2.0)
@@ -121,9 +122,67 @@
         keys = faults.Keys()
         keys.rotate()
         generator = types.SimpleNamespace(random=lambda: 0.0, choice=lambda items: items[0])
-        self.assertIsNone(keys.draw(generator)[1])
-        keys.withdrawn = [(key, at - checks.REVOKE_S - 1) for key, at in keys.withdrawn]
-        self.assertIsNotNone(keys.draw(generator)[1])
+        self.assertNotIn(keys.draw(generator), keys.withdrawn)
+        keys.withdrawn = {key: at - checks.REVOKE_S - 1 for key, at in keys.withdrawn.items()}
+        self.assertIn(keys.draw(generator), keys.withdrawn)
+
+    def judged(self, keys, key, *statuses, gap=1e-6, withdrawn_at=None):
+        """Findings about requests with one key, one after the other, at one process."""
+        self.checks.findings.clear()
+        answers = {}
+        for status in statuses:
+            request = self.request("answered", "idem", status)
+            request.key, request.key_answers = key, answers
+            request.withdrawn_at = withdrawn_at
+            request.sent_at = time.monotonic() + gap
+            self.checks.judge_key(request, keys)
+        return dict(self.checks.findings)
+
+    def test_process_neither_forgets_a_key_nor_takes_a_withdrawn_one_again(self):
+        keys = faults.Keys()
+        self.assertEqual(self.judged(keys, "passing-0", 401, 200, 200), {})
+        self.assertEqual(self.judged(keys, "passing-0", 200, 401), {"BACK": 1})
+        self.assertEqual(self.judged(keys, "passing-0", 200, 401, gap=-1), {})
+        keys.rotate()
+        self.assertEqual(self.judged(keys, "passing-0", 200, 401, 401), {})
+        self.assertEqual(self.judged(keys, "passing-0", 200, 401, 200), {"BACK": 1})
+        self.assertEqual(self.judged(keys, "passing-0", 401, 200, withdrawn_at=1.0), {"BACK": 1})
+        # The process may not have seen the key in force by then.
+        self.assertEqual(self.judged(keys, "passing-0", 401, 200), {})
+        # Neither the store nor the instance's own stop excuses it.
+        self.checks.faults.begin("store", "return")
+        self.assertEqual(self.judged(keys, "passing-0", 200, 401, 200), {"BACK": 1})
+
+    def test_key_is_in_force_in_time_where_nothing_disturbs(self):
+        keys = faults.Keys()
+        self.assertEqual(self.judged(keys, "lasting-1", 401), {"KEY": 1})
+        self.assertEqual(self.judged(keys, "passing-0", 401), {})
+        keys.passing["passing-0"] -= checks.APPLY_S + 1
+        self.assertEqual(self.judged(keys, "passing-0", 401), {"CONFIG": 1})
+        # A stop of the instance adds its time to the bound, no more.
+        stop = self.checks.faults.begin("r00", "pause")
+        self.checks.faults.end(stop)
+        stop[1:] = [time.monotonic() - 2.0, time.monotonic() - 1.9]
+        self.assertEqual(self.judged(keys, "passing-0", 401), {"CONFIG": 1})
+        stop[2] += 1.5
+        self.assertEqual(self.judged(keys, "passing-0", 401), {})
+        self.checks.faults.end(self.checks.faults.begin("store", "return"))
+        self.assertEqual(self.judged(keys, "passing-0", 401), {})
+
+    def test_returned_store_gives_versions_out_again(self):
+        async def play():
+            kept = store.Store(None)
+            kept.put("op", "a", 1)
+            await asyncio.sleep(0.05)
+            kept.put("op", "a", 2)
+            kept.put("op", "b", 1)
+            newest = kept.version
+            kept.come_back(0.03)
+            kept.put("op", "c", 1)
+            answer = await kept.follow({"table": "op", "after": str(newest), "wait-ms": "0"})
+            rows = kept.read_rows({"table": "op"})[1]
+            return answer[0], [(row["key"], row["ver"]) for row in rows["rows"]], kept.era
+        self.assertEqual(asyncio.run(play()), (410, [("a", 1), ("c", 2)], 2))
 
     def read(self, request, headers, body):
         async def read():
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -52,7 +52,7 @@
         self.name = f"e{number}"
         self.service, self.listen, self.shown, self.run = service, listen, shown, run
         self.rng = run.rng(self.name)
-        self.starts = 0
+        self.starts = self.reports = 0
         self.id = None
         self.fault = None
         self.server = None
@@ -65,7 +65,7 @@
         self.starts += 1
         if self.id is None or not same_id:
             self.id = f"i-{self.name}-{self.starts}"
-        self.born = int(time.time() * 1000)
+        self.born, self.reports = int(time.time() * 1000), 0
         self.leaving = False
         self.server = await asyncio.start_server(self.serve, *self.listen, backlog=1024)
         if self.link is not None:
@@ -73,12 +73,21 @@
         self.register()
 
     def register(self):
+        self.run.store.put("servers", self.id, self.describe())
+
+    def renew_row(self):
+        """What an engine writes at each heartbeat."""
+        if self.server is not None and self.run.store.fault != "down":
+            self.run.store.renew("servers", self.id, self.describe())
+
+    def describe(self):
+        self.reports += 1
         row = {"service": self.service, "address": "%s:%d" % self.shown, "zone": "zone-a", "version": "v1",
                "slots": 64, "state": "draining" if self.leaving else "ready", "cold-remaining-ms": 0,
-               "sequence": self.starts, "born": self.born}
+               "sequence": self.reports, "born": self.born}
         if self.service == "gen":
             row.update(stage="prefill_decode", models=[{"name": MODEL, "version": 1, "adapters": []}])
-        self.run.store.put("servers", self.id, row)
+        return row
 
     async def crash(self, with_reset=True):
         """Refuses connections from now on; all open ones are reset, or closed as a process's end does."""
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,9 +5,15 @@
 import time
 
 import checks
+import engines
 
 IDLE_TIMEOUTS_S = (0.3, 0.45, 0.7, 1.0, 1.5, 2.0)
 ROUTE_TIMEOUTS_S = (1.5, 2.0, 3.0)
+# Operators and engines have written what the store lost within this time of its return, in seconds.
+REWRITE_S = 2.0
+# Rows of silent engines are removed within this time of the store's return, in seconds.
+LAPSE_S = 3.6
+HEARTBEAT_S = 1.2
 
 
 class Keys:
@@ -15,20 +21,25 @@
 
     def __init__(self):
         self.lasting = ["lasting-1", "lasting-2"]
-        self.passing = ["passing-0"]
-        self.withdrawn = []
+        self.passing = {"passing-0": time.monotonic()}
+        self.withdrawn = {}
         self.issued = 1
 
     def rotate(self):
         """Withdraws the oldest passing key and issues another; counts from the store's next write."""
-        self.withdrawn = [*self.withdrawn[-7:], (self.passing.pop(0), time.monotonic())]
-        self.passing.append(f"passing-{self.issued}")
+        oldest = next(iter(self.passing))
+        del self.passing[oldest]
+        self.withdrawn[oldest] = time.monotonic()
+        self.passing[f"passing-{self.issued}"] = time.monotonic()
         self.issued += 1
 
     def draw(self, rng):
-        """A key and, for one that no instance may accept any more, when it was withdrawn."""
-        old = [one for one in self.withdrawn if time.monotonic() - one[1] > checks.REVOKE_S]
-        return rng.choice(old) if old and rng.random() < 0.05 else (rng.choice(self.lasting), None)
+        """A key that holds for good, one that may be withdrawn later, or one that no instance may accept."""
+        lot = rng.random()
+        old = [key for key, at in self.withdrawn.items() if time.monotonic() - at > checks.REVOKE_S]
+        if old and lot < 0.1:
+            return rng.choice(old[-8:])
+        return rng.choice(list(self.passing)) if lot > 0.7 else rng.choice(self.lasting)
 
 
 def configuration(run, version):
@@ -69,6 +80,7 @@
             yield self.trouble_engine(engine, run.rng(f"fault-{engine.name}"))
         for link in run.links:
             yield self.trouble_link(link, run.rng(f"fault-{link.name}"))
+        yield self.renew_rows()
         yield self.trouble_store(run.rng("fault-store"))
         yield self.change_configuration(run.rng("configuration"))
 
@@ -187,15 +199,18 @@
             self.log.end(entry)
 
     async def trouble_store(self, rng):
-        if "store" not in self.run.kinds:
-            return
+        kinds = ["down", "slow", "lose", "reset", "history"] if "store" in self.run.kinds else []
+        if "returns" in self.run.kinds:
+            kinds += ["return", "return", "return"]
         store = self.run.store
-        while True:
-            await asyncio.sleep(rng.uniform(6, 20) * self.run.calm)
-            kind = rng.choice(("down", "slow", "lose", "reset", "history"))
+        while kinds:
+            await asyncio.sleep(rng.uniform(5, 16) * self.run.calm)
+            kind = rng.choice(kinds)
             entry = self.log.begin("store", kind)
             self.run.checks.counts["fault_store"] += 1
-            if kind == "reset":
+            if kind == "return":
+                await self.return_from_copies(store, rng)
+            elif kind == "reset":
                 store.reset_connections()
             elif kind == "history":
                 store.discard_history()
@@ -205,12 +220,61 @@
                 store.fault = None
             self.log.end(entry)
 
+    async def renew_rows(self):
+        while True:
+            for engine in self.run.engines:
+                engine.renew_row()
+                await asyncio.sleep(HEARTBEAT_S / len(self.run.engines))
+
+    async def return_from_copies(self, store, rng):
+        """The store is away and comes back older, at times again before all has been written again."""
+        for _ in range(rng.choice((1, 1, 1, 2, 3))):
+            self.run.checks.counts["store_returns"] += 1
+            if rng.random() < 0.7:
+                store.reset_connections()
+            store.fault = "down"
+            await asyncio.sleep(rng.choice((0.0, rng.uniform(0, 0.4), rng.uniform(0, 2.5))))
+            store.come_back(rng.uniform(0.3, 10))
+            store.fault = None
+            rewriting = self.run.spawn(self.write_again(rng))
+            await asyncio.sleep(rng.uniform(0, 2 * REWRITE_S))
+        await rewriting
+
+    async def write_again(self, rng):
+        """What operators and engines do once the store is back."""
+        await asyncio.sleep(rng.uniform(0, REWRITE_S / 2))
+        self.write_configuration()
+        self.write_weights()
+        for engine in self.run.engines:
+            await asyncio.sleep(rng.uniform(0, REWRITE_S / 2 / len(self.run.engines)))
+            if engine.server is not None:
+                engine.register()
+        self.run.spawn(self.remove_lapsed_rows())
+
+    async def remove_lapsed_rows(self):
+        store = self.run.store
+        await asyncio.sleep(LAPSE_S - REWRITE_S)
+        present = {engine.id for engine in self.run.engines if engine.server is not None}
+        for table, key in list(store.rows):
+            if table == "servers" and key not in present:
+                store.remove(table, key)
+
+    def write_weights(self):
+        self.run.store.put("op", f"version/{engines.MODEL}", {"model": engines.MODEL, "version": 1})
+
     def write_configuration(self):
         self.run.store.put("op", "config", configuration(self.run, self.version))
 
     async def change_configuration(self, rng):
+        left_of_series = 0
         while True:
-            await asyncio.sleep(rng.uniform(2, 8) * self.run.calm)
+            if left_of_series == 0 and rng.random() < 0.2:
+                left_of_series = rng.randint(5, 25)
+            if left_of_series > 0:
+                left_of_series -= 1
+                await asyncio.sleep(rng.uniform(0.05, 0.4))
+            else:
+                await asyncio.sleep(rng.uniform(2, 8) * self.run.calm)
             self.version += rng.randint(1, 4)
             if rng.random() < 0.6:
                 self.run.idle_timeout = rng.choice(IDLE_TIMEOUTS_S)
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -30,7 +30,10 @@
         self.held_for_check = False
         self.killed = False
         self.continued_at = 0.0
+        self.started_at = 0.0
         self.killed_at = []
+        # What this process made of each key: whether it was accepted, and when the last answer came.
+        self.key_answers = {}
         self.log_path = run.folder / f"{self.name}.log"
         self.scanned = 0
 
@@ -42,6 +45,8 @@
                  "store": "%s:%d" % self.store, "fencing": "true", "lease": 3000,
                  "grace_seconds": self.run.grace, "drain": 2500, "weights_limit": 8000, "retry_ratio": 0.2,
                  "retry_slack": 400, "retry_window_seconds": 10, "log_bytes_per_second": 4_000_000}
+        self.key_answers = {}
+        self.started_at = time.monotonic()
         command = [str(self.run.binary), *(f"--{name}={value}" for name, value in flags.items())]
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -29,7 +29,7 @@
 START_S = 20
 # Time for which an instance may still use an older configuration, in seconds.
 CONFIGURATION_S = 15
-ALL_KINDS = "process,links,engines,store"
+ALL_KINDS = "process,links,engines,store,returns"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -95,7 +95,7 @@
     async def start(self):
         await self.start_store()
         self.schedule.write_configuration()
-        self.store.put("op", f"version/{engines.MODEL}", {"model": engines.MODEL, "version": 1})
+        self.schedule.write_weights()
         for number in range(self.options.engines):
             own = (f"{self.network}.{10 + number}", 8080)
             shown = (f"{self.network}.{50 + number}", 8080)
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's store: rows-get, rows-feed and rows-tx over tables op, servers, fleet."""
 import asyncio
 import base64
+import collections
 import json
 import time
 import urllib.parse
@@ -8,6 +9,8 @@
 import wire
 
 PAGE_ROWS = 500
+# The store can come back from a copy that is at most this old, in seconds.
+COPIES_S = 12
 
 
 class Store:
@@ -18,6 +21,8 @@
         self.rows = {}
         self.version = 0
         self.history_from = 0
+        self.era = 1
+        self.copies = collections.deque([(time.monotonic(), {}, 0)])
         self.fault = None
         self.changed = asyncio.Event()
         self.connections = set()
@@ -34,11 +39,36 @@
         self.version += 1
         self.write(table, key, value)
 
+    def renew(self, table, key, document):
+        """A transaction that replaces a row by one like it: it counts, and is no change."""
+        self.version += 1
+        if (table, key) in self.rows:
+            value = base64.b64encode(json.dumps(document).encode()).decode()
+            self.rows[(table, key)] = (value, self.rows[(table, key)][1])
+
     def write(self, table, key, value):
         self.rows[(table, key)] = (value, self.version)
+        self.copies.append((time.monotonic(), dict(self.rows), self.version))
+        while self.copies[1][0] < time.monotonic() - COPIES_S:
+            self.copies.popleft()
+        self.wake()
+
+    def wake(self):
+        """Calls that wait for changes look again."""
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
+    def come_back(self, lost_s):
+        """Loses what was written in the last seconds; versions go back and are given out again."""
+        moment = time.monotonic() - lost_s
+        while len(self.copies) > 1 and self.copies[-1][0] > moment:
+            self.copies.pop()
+        _, rows, self.version = self.copies[-1]
+        self.rows = dict(rows)
+        self.history_from = min(self.history_from, self.version)
+        self.era += 1
+        self.wake()
+
     def remove(self, table, key):
         if self.rows.get((table, key), (None, 0))[0] is not None:
             self.put_raw(table, key, None)
@@ -79,7 +109,8 @@
             wire.reset(writer.transport)
             return False
         text = json.dumps(document).encode()
-        writer.write(wire.message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"}, text))
+        head = {"Content-Type": "application/json", "Store-Era": self.era}
+        writer.write(wire.message(f"HTTP/1.1 {status} X", head, text))
         await writer.drain()
         return True
 
@@ -113,7 +144,7 @@
         table, after = query["table"], int(query["after"])
         end = time.monotonic() + min(int(query["wait-ms"]), 30_000) / 1000
         while True:
-            if after < self.history_from:
+            if not self.history_from <= after <= self.version:
                 return 410, self.stamp({})
             keys = [(version, key) for (of, key), (_, version) in self.rows.items()
                     if of == table and version > after]
