Tell instances that start after a return of the configuration in force

Operators' documents have versions of their own, by which they are applied whatever era their row is from. Heartbeats carry the version of the configuration in force; an instance that has an older one under a table as new as its peer's asks for the rows, and gets with the copy those in force that the copy lacks. staleness_detector is a template, so that one logic serves tables and documents. Heartbeats grow by a few bytes.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -30,31 +30,49 @@
     operator_document document = m_reader.read_operator_row(row);
     if (auto* config = std::get_if<relay_config>(&document))
     {
-        apply_config(std::move(*config));
+        if (apply_config(std::move(*config)))
+        {
+            m_rows_in_force[row.m_key] = row;
+        }
         return;
     }
     const auto* target = std::get_if<target_weights>(&document);
     if (target != nullptr && m_state.m_target_weights[target->m_model].add_version(
                                  target->m_version, core::runtime_clock::now()))
     {
+        m_rows_in_force[row.m_key] = row;
         observe::log("weights_named", {{"model", target->m_model},
                                        {"version", static_cast<std::uint64_t>(target->m_version)},
                                        {"row", row.m_version.m_number}});
     }
 }
 
-/// Applies a configuration unless one at least as new is in force.
-void document_applier::apply_config(relay_config config)
+std::vector<table_row> document_applier::rows_missing_from(const table_mirror& operators) const
+{
+    std::vector<table_row> missing;
+    for (const auto& [key, row] : m_rows_in_force)
+    {
+        const table_row* kept = operators.find(key);
+        if (kept == nullptr || kept->m_value != row.m_value)
+        {
+            missing.push_back(row);
+        }
+    }
+    return missing;
+}
+
+/// Applies a configuration unless one at least as new is in force; returns whether it did.
+bool document_applier::apply_config(relay_config config)
 {
     if (m_state.m_routes && config.m_version == m_state.m_routes->config().m_version)
     {
-        return;
+        return false;
     }
     if (m_state.m_routes && config.m_version < m_state.m_routes->config().m_version)
     {
         observe::log("config_passed_over", {{"version", config.m_version},
                                             {"in_force", m_state.m_routes->config().m_version}});
-        return;
+        return false;
     }
     const core::time_point now = core::runtime_clock::now();
     for (const workspace& entry : config.m_workspaces)
@@ -67,6 +85,7 @@
                                      {"routes", config.m_routes.size()},
                                      {"workspaces", config.m_workspaces.size()}});
     m_state.m_routes = std::make_shared<const route_table>(std::move(config));
+    return true;
 }
 
 void document_applier::on_upstream_rows(const std::vector<table_row>& rows)
--- a/tarragontrail/relay/document_applier.hpp
+++ b/tarragontrail/relay/document_applier.hpp
@@ -17,7 +17,8 @@
 ///
 /// A table store that comes back from an older copy has rows that say less than is known: that an
 /// upstream serves which has left since, or that an earlier start of it runs. Such a row is doubted
-/// until the upstream has written a newer one.
+/// until the upstream has written a newer one. Operators' documents have versions of their own, by
+/// which they are applied regardless of the era of their row.
 class document_applier
 {
 public:
@@ -29,6 +30,9 @@
     /// Applies changed rows of the operators' table.
     void on_operator_rows(const std::vector<table_row>& rows);
 
+    /// Operators' rows in force that a copy of their table lacks or has in an older form.
+    std::vector<table_row> rows_missing_from(const table_mirror& operators) const;
+
     /// Applies changed rows of the upstreams' table.
     void on_upstream_rows(const std::vector<table_row>& rows);
 
@@ -46,7 +50,7 @@
     };
 
     void apply_operator_row(const table_row& row);
-    void apply_config(relay_config config);
+    bool apply_config(relay_config config);
     void on_upstream_row(const upstream_record& record, std::uint64_t era);
     bool is_doubted(const upstream& known, const upstream_record& record, std::uint64_t era,
                     core::time_point now);
@@ -56,6 +60,7 @@
     relay_state& m_state;
     const document_reader& m_reader;
     document_applier_settings m_settings;
+    std::map<std::string, table_row> m_rows_in_force; ///< Operators' rows, by key.
     std::map<core::upstream_id, doubted_row> m_doubted_rows;
 };
 
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -103,8 +103,7 @@
 void fleet_service::check_registration()
 {
     const table_mirror& mirror = follower(followed_table::fleet).mirror();
-    if (m_is_registering || !mirror.is_complete() ||
-        mirror.newest_version() < m_registered_version)
+    if (m_is_registering || !mirror.is_complete() || mirror.newest_version() < m_registered_version)
     {
         return;
     }
@@ -115,6 +114,11 @@
     }
 }
 
+std::uint64_t fleet_service::configuration_in_force() const
+{
+    return m_state.m_routes ? m_state.m_routes->config().m_version : 0;
+}
+
 std::string fleet_service::own_key() const
 {
     return std::string(member_prefix) + std::to_string(core::value_of(m_self.m_instance));
@@ -199,10 +203,10 @@
     heartbeat.m_state.m_ready = is_ready();
     heartbeat.m_state.m_leaving = m_leaving;
     heartbeat.m_state.m_store_reached = is_table_store_reachable();
-    heartbeat.m_versions =
-        wire::table_versions{follower(followed_table::operators).mirror().newest_version(),
-                             follower(followed_table::upstreams).mirror().newest_version(),
-                             follower(followed_table::fleet).mirror().newest_version()};
+    heartbeat.m_versions = wire::table_versions{
+        follower(followed_table::operators).mirror().newest_version(),
+        follower(followed_table::upstreams).mirror().newest_version(),
+        follower(followed_table::fleet).mirror().newest_version(), configuration_in_force()};
     heartbeat.m_since_order = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_rollout.since_own_order().value_or(no_order_age));
 }
@@ -232,6 +236,14 @@
             m_exchange.send_to(peer, wire::rows_request{table});
         }
     }
+    // With a table as new as the peer's, only a return of the store explains an older document.
+    if (versions.m_operators <= follower(followed_table::operators).mirror().newest_version() &&
+        m_configuration_staleness.on_peer_version(versions.m_configuration,
+                                                  configuration_in_force(), now))
+    {
+        m_exchange.send_to(
+            peer, wire::rows_request{static_cast<std::uint64_t>(followed_table::operators)});
+    }
 }
 
 void fleet_service::on_order_age(core::duration age, core::time_point now)
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -75,6 +75,7 @@
     void register_self();
     void check_registration();
     std::string own_key() const;
+    std::uint64_t configuration_in_force() const;
     void run_periodic_checks();
     void update_store_reader(core::time_point now);
     void share_crash_reports();
@@ -93,7 +94,9 @@
     /// One for each table.
     std::array<std::unique_ptr<table_follower>, followed_table_count> m_followers;
     /// One for each table.
-    std::array<staleness_detector, followed_table_count> m_staleness_detectors;
+    std::array<staleness_detector<core::store_version>, followed_table_count> m_staleness_detectors;
+    /// Of the configuration in force, by the version of its document.
+    staleness_detector<std::uint64_t> m_configuration_staleness;
     quarantine_rows m_quarantine_rows;
     net::timer m_check_timer;
     net::timer m_register_timer;
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -96,10 +96,21 @@
         return;
     }
     const table_mirror& mirror = m_followers[request.m_table]->mirror();
-    if (mirror.is_complete())
+    if (!mirror.is_complete())
     {
-        m_exchange.send_to(
-            from, wire::rows_answer{request.m_table, mirror.newest_version(), mirror.rows()});
+        return;
+    }
+    m_exchange.send_to(from,
+                       wire::rows_answer{request.m_table, mirror.newest_version(), mirror.rows()});
+    if (followed_table{request.m_table} != followed_table::operators)
+    {
+        return;
+    }
+    // Documents in force that the store has lost by a return, until operators write them again.
+    const std::vector<table_row> newer = m_document_applier.rows_missing_from(mirror);
+    if (!newer.empty())
+    {
+        m_exchange.send_to(from, wire::rows_news{request.m_table, newer});
     }
 }
 
@@ -125,6 +136,11 @@
         return;
     }
     m_followers[update.m_table]->apply_changes(update.m_rows);
+    if (followed_table{update.m_table} == followed_table::operators)
+    {
+        // The copy of the table drops rows of ended eras; the documents in them may be in force.
+        m_document_applier.on_operator_rows(update.m_rows);
+    }
 }
 
 void fleet_service::on_rows(followed_table table, const std::vector<table_row>& rows,
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -812,6 +812,7 @@
     fields.push_back(to_fields(value.m_operators));
     fields.push_back(to_fields(value.m_upstreams));
     fields.push_back(to_fields(value.m_fleet));
+    put_field(fields, value.m_configuration);
     return fields;
 }
 
@@ -820,6 +821,7 @@
     from_fields(field_reader(fields.next(), 0), value.m_operators);
     from_fields(field_reader(fields.next(), 0), value.m_upstreams);
     from_fields(field_reader(fields.next(), 0), value.m_fleet);
+    fields.get(value.m_configuration);
     fields.expect_end();
 }
 
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -181,9 +181,10 @@
 /// Newest versions that an instance knows of the followed tables.
 struct table_versions
 {
-    store_version m_operators; ///< Operators' table.
-    store_version m_upstreams; ///< Upstreams' table.
-    store_version m_fleet;     ///< Fleet's table.
+    store_version m_operators;       ///< Operators' table.
+    store_version m_upstreams;       ///< Upstreams' table.
+    store_version m_fleet;           ///< Fleet's table.
+    std::uint64_t m_configuration{}; ///< Configuration in force; zero before the first one.
 };
 
 /// Regular word of an instance to the others of its region.
--- a/unit_tests/platform/codec_test.cpp
+++ b/unit_tests/platform/codec_test.cpp
@@ -243,7 +243,8 @@
              R"({"name":"w","kv-store-addr":"10.0.0.9:86","zone":"d1"}],"limits":)"
              R"({"max-body-bytes":99},"tenants":[{"name":"c","api-keys":["k"],"unit":"tokens",)"
              R"("rate-per-s":10,"burst":20,"isolated":true}]})",
-             4, false});
+             {1, 4},
+             false});
         const auto& config = std::get<relay::relay_config>(document);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, config.m_version);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, config.m_routes.front().m_targets.size());
--- a/unit_tests/relay/followers_test.cpp
+++ b/unit_tests/relay/followers_test.cpp
@@ -175,7 +175,7 @@
 
     void newer_table_is_requested_from_a_peer()
     {
-        staleness_detector detector;
+        staleness_detector<core::store_version> detector;
         const core::time_point now{1h};
         CPPUNIT_ASSERT(!detector.on_peer_version({1, 8}, {1, 8}, now));
         CPPUNIT_ASSERT(!detector.on_peer_version({1, 9}, {1, 8}, now));
@@ -187,7 +187,7 @@
 
     void lagging_peers_do_not_hide_a_newer_one()
     {
-        staleness_detector detector;
+        staleness_detector<core::store_version> detector;
         core::time_point now{1h};
         bool requested = false;
         for (int round = 0; round < 5; ++round)
--- a/unit_tests/relay/restored_fleet_test.cpp
+++ b/unit_tests/relay/restored_fleet_test.cpp
@@ -106,6 +106,20 @@
                 wire::encode(m_member), version, false};
     }
 
+    /// Answers a read of the operators' table that has a configuration.
+    void answer_configuration(std::uint64_t number, const core::store_version& version)
+    {
+        const std::string value = fmt::format(
+            R"({{"version":{},"routes":[],"services":[],"limits":{{}},"tenants":[]}})", number);
+        m_store.answer_read(followed_table::operators,
+                            table_rows{{{"config", value, version, false}}, version});
+    }
+
+    std::uint64_t configuration_in_force() const
+    {
+        return m_state.m_routes ? m_state.m_routes->config().m_version : 0;
+    }
+
     platform::caller_codec m_codec;
     platform::document_decoder m_decoder{{{"zone-a", "r"}}};
     scripted_store m_store;
@@ -125,6 +139,7 @@
     CPPUNIT_TEST(own_row_is_written_once_without_a_return);
     CPPUNIT_TEST(own_row_of_an_earlier_start_is_replaced);
     CPPUNIT_TEST(living_instance_stays_a_member_when_its_row_is_lost);
+    CPPUNIT_TEST(instance_that_starts_after_the_return_gets_the_configuration_in_force);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -186,6 +201,36 @@
         registry.remove(other.m_instance, now + 1min);
         CPPUNIT_ASSERT(!registry.members().contains(other.m_instance));
     }
+
+    /// The store has an older one until its operators write again.
+    void instance_that_starts_after_the_return_gets_the_configuration_in_force()
+    {
+        test_instance second(m_context, 2);
+        const auto answer_fleet = [&](test_instance& instance, const core::store_version& version) {
+            instance.m_store.answer_read(
+                followed_table::fleet,
+                table_rows{{m_first->row(version), second.row(version)}, version});
+        };
+        m_first->m_service.start();
+        m_first->answer_configuration(82, {1, 40});
+        answer_fleet(*m_first, {1, 40});
+        m_first->m_store.m_on_era(2);
+        m_first->answer_configuration(59, {2, 20});
+        answer_fleet(*m_first, {2, 20});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{82}, m_first->configuration_in_force());
+
+        second.m_service.start();
+        second.answer_configuration(59, {2, 20});
+        answer_fleet(second, {2, 20});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{59}, second.configuration_in_force());
+        const auto give_up = std::chrono::steady_clock::now() + 20s;
+        while (second.configuration_in_force() != 82 && std::chrono::steady_clock::now() < give_up)
+        {
+            m_context.run_one_for(50ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{82}, second.configuration_in_force());
+        m_context.stop();
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restored_fleet_test, "relay");
