Send no chunks to callers that speak HTTP/1.0

Cause: a stream was chunked whatever the request's version.

A stream to an HTTP/1.0 caller ends with its connection: the ordinary close where its end is proven, a reset where it was broken off.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -124,6 +124,11 @@
         {
             return;
         }
+        if (!m_client_reads_chunks)
+        {
+            begin_until_close(std::move(head));
+            return;
+        }
         m_answered = true;
         finish_head(head);
         head.chunked(true);
@@ -518,6 +523,7 @@
     bool m_reading = false;                 ///< A request is arriving.
     bool m_writing = false;                 ///< A write is pending.
     bool m_keep_alive = false;              ///< Connection serves another request.
+    bool m_client_reads_chunks = true;      ///< False for HTTP/1.0.
     bool m_answered = false;                ///< Response has begun.
     bool m_until_close = false;             ///< The end of the connection ends the response.
     bool m_complete = false;                ///< Response is whole.
@@ -617,6 +623,7 @@
     ++m_requests;
     http_request request = m_parser->release();
     m_keep_alive = request.keep_alive();
+    m_client_reads_chunks = request.version() >= 11;
     m_answered = false;
     m_complete = false;
     m_on_gone = nullptr;
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -61,7 +61,8 @@
     /// Sends a whole response; the last call on this exchange.
     virtual void respond(http_response response) = 0;
 
-    /// Starts a chunked response.
+    /// Starts a chunked response; for a client that speaks HTTP/1.0, one that ends with its
+    /// connection.
     virtual void begin_stream(http_response head) = 0;
 
     /// Starts a response whose end is the ordinary close of its connection. Any other end of the
--- a/unit_tests/net/until_close_test.cpp
+++ b/unit_tests/net/until_close_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/TestAssert.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 using namespace tarragontrail;
 
@@ -23,7 +24,14 @@
               [this](std::shared_ptr<net::http_exchange> exchange) {
                   net::http_response head;
                   head.result(200);
-                  exchange->begin_until_close(std::move(head));
+                  if (exchange->request().version() < 11)
+                  {
+                      exchange->begin_stream(std::move(head));
+                  }
+                  else
+                  {
+                      exchange->begin_until_close(std::move(head));
+                  }
                   exchange->write("part");
                   m_exchange = std::move(exchange);
               },
@@ -47,6 +55,8 @@
     CPPUNIT_TEST(response_until_close_ends_with_an_ordinary_close);
     CPPUNIT_TEST(aborted_response_until_close_is_reset);
     CPPUNIT_TEST(response_until_close_of_a_server_that_ends_is_reset);
+    CPPUNIT_TEST(stream_to_an_old_client_has_no_chunks);
+    CPPUNIT_TEST(aborted_stream_to_an_old_client_is_reset);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -54,12 +64,12 @@
     std::unique_ptr<until_close_server> m_server;
     std::string m_seen;
 
-    void ask()
+    void ask(const char* version = "1.1")
     {
         m_server = std::make_unique<until_close_server>();
         m_client.connect({boost::asio::ip::address_v4::loopback(), m_server->m_server.port()});
-        boost::asio::write(m_client, boost::asio::buffer(std::string(
-                                         "GET / HTTP/1.1\r\nHost: one.example\r\n\r\n")));
+        boost::asio::write(m_client, boost::asio::buffer(fmt::format(
+                                         "GET / HTTP/{}\r\nHost: one.example\r\n\r\n", version)));
         m_server->run();
         CPPUNIT_ASSERT(m_server->m_exchange);
     }
@@ -87,6 +97,26 @@
         CPPUNIT_ASSERT(m_seen.find("Content-Length") == std::string::npos);
     }
 
+    void stream_to_an_old_client_has_no_chunks()
+    {
+        ask("1.0");
+        m_server->m_exchange->write("s");
+        m_server->m_exchange->end_stream();
+        m_server->m_context.restart();
+        m_server->run();
+        CPPUNIT_ASSERT_EQUAL(boost::system::error_code(boost::asio::error::eof), read_to_end());
+        CPPUNIT_ASSERT(m_seen.ends_with("\r\n\r\nparts"));
+        CPPUNIT_ASSERT(m_seen.find("chunked") == std::string::npos);
+    }
+
+    void aborted_stream_to_an_old_client_is_reset()
+    {
+        ask("1.0");
+        m_server->m_exchange->abort();
+        CPPUNIT_ASSERT_EQUAL(boost::system::error_code(boost::asio::error::connection_reset),
+                             read_to_end());
+    }
+
     void aborted_response_until_close_is_reset()
     {
         ask();
