Lint only sources whose included files have changed since they passed

A source that has passed is passed over while its own content, that of all files it includes, the checks and the linter's version are as they were; the build's notes tell what it includes, so that a fresh clone checks everything.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -15,10 +15,14 @@
 # Only sources under the linter's reach: the websocketpp object is C++17 library glue.
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -v websocket_codec)
 if [ $# -gt 0 ]; then sources=("$@"); fi
-printf '%s\n' "${sources[@]}" | xargs -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet 2>&1 |
+tools/lint_passed.py pending "$build" "${sources[@]}" >"$build/lint_pending.txt"
+mapfile -t pending <"$build/lint_pending.txt"
+echo "lint: ${#pending[@]} of ${#sources[@]} sources have changed since they passed, or include what has"
+printf '%s\n' "${pending[@]}" | xargs -r -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet 2>&1 |
   grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header|^$' | tee "$build/lint.log" || true
 if grep -qE '(error|warning):' "$build/lint.log"; then
   echo "lint: findings above"
   exit 1
 fi
+tools/lint_passed.py record "$build"
 echo "lint: clean"
