Doubt older rows of upstreams anew when the store comes back twice

Cause: the doubt about its row ended 5 s after the first return, and the second one had given the row its time again.

Each whole table of a new era begins the limit of all doubts anew.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -108,6 +108,14 @@
     }
 }
 
+void document_applier::on_upstreams_restored(core::time_point now)
+{
+    for (auto& [id, doubted] : m_doubted_rows)
+    {
+        doubted.m_until = now + m_settings.m_doubt_limit;
+    }
+}
+
 void document_applier::on_timer(core::time_point now)
 {
     for (auto entry = m_doubted_rows.begin(); entry != m_doubted_rows.end();)
--- a/tarragontrail/relay/document_applier.hpp
+++ b/tarragontrail/relay/document_applier.hpp
@@ -36,6 +36,9 @@
     /// Applies changed rows of the upstreams' table.
     void on_upstream_rows(const std::vector<table_row>& rows);
 
+    /// The table store has come back from an older copy of the upstreams' table.
+    void on_upstreams_restored(core::time_point now);
+
     /// Believes doubted rows that the table store has kept for the doubt limit.
     void on_timer(core::time_point now);
 
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -45,6 +45,9 @@
             });
     }
     follower(followed_table::fleet).on_new_era([this] { on_fleet_table_of_new_era(); });
+    follower(followed_table::upstreams).on_new_era([this] {
+        m_document_applier.on_upstreams_restored(core::runtime_clock::now());
+    });
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
     m_state.m_part_crashes.set_sender(this);
--- a/unit_tests/platform/restored_upstreams_test.cpp
+++ b/unit_tests/platform/restored_upstreams_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(lapsed_upstream_of_the_same_era_serves_again);
     CPPUNIT_TEST(row_of_an_earlier_start_does_not_count);
     CPPUNIT_TEST(row_that_the_store_keeps_is_believed_in_the_end);
+    CPPUNIT_TEST(doubt_begins_anew_with_a_second_return);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context;
@@ -105,6 +106,21 @@
         CPPUNIT_ASSERT(!upstream().m_leaving_since.has_value());
     }
 
+    /// The store may have deleted the row in between, and have it again.
+    void doubt_begins_anew_with_a_second_return()
+    {
+        core::runtime_clock::pause();
+        report({1, 4}, "ready", 3);
+        remove({1, 9});
+        report({2, 6}, "ready", 3);
+        core::runtime_clock::advance(std::chrono::seconds(4));
+        m_applier.on_upstreams_restored(core::runtime_clock::now());
+        core::runtime_clock::advance(std::chrono::seconds(4));
+        m_applier.on_timer(core::runtime_clock::now());
+        core::runtime_clock::resume();
+        CPPUNIT_ASSERT(upstream().m_leaving_since.has_value());
+    }
+
     void row_of_an_earlier_start_does_not_count()
     {
         report({1, 4}, "ready", 3, 7);
