Soak: open a link once when a fault on it ends while its engine starts

Two tasks saw the link closed and bound its address, one after a "refuse" fault on it, one for an engine that started again. The link now opens under a lock.

Evidence: checks_test::test_link_that_opens_for_two_reasons_at_once_listens_once failed before (3 of 3 runs) and passes.

--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -11,6 +11,7 @@
 import checks
 import engines
 import faults
+import proxy
 import store
 import wire
 
@@ -169,6 +170,15 @@
         self.checks.faults.end(self.checks.faults.begin("store", "return"))
         self.assertEqual(self.judged(keys, "passing-0", 401), {})
 
+    def test_link_that_opens_for_two_reasons_at_once_listens_once(self):
+        async def play():
+            link = proxy.Link("link:e0", ("127.15.0.1", 8080), ("127.15.0.2", 8080))
+            await link.set_target_down(True)
+            await asyncio.gather(link.set_target_down(False), link.clear())
+            self.assertIsNotNone(link.server)
+            link.stop_listening()
+        asyncio.run(play())
+
     def test_returned_store_gives_versions_out_again(self):
         async def play():
             kept = store.Store(None)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -16,18 +16,22 @@
         self.pipes = set()
         self.server = None
         self.target_down = False
+        # A fault that ends and an engine that starts open the link at the same time.
+        self.opening = asyncio.Lock()
 
     async def set_target_down(self, down):
         """Refuses connections while nothing listens at the target."""
         self.target_down = down
         if down:
             self.stop_listening()
-        elif self.server is None:
+        else:
             await self.start()
 
     async def start(self):
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Pipe(self, "up"), *self.listen, backlog=512)
+        async with self.opening:
+            if self.server is None:
+                self.server = await loop.create_server(lambda: Pipe(self, "up"), *self.listen, backlog=512)
 
     def stop_listening(self):
         if self.server is not None:
@@ -62,7 +66,7 @@
                 pipe.reset()
             else:
                 pipe.flush()
-        if self.server is None and not self.target_down:
+        if not self.target_down:
             await self.start()
 
 
