Lint: fail when a linter was stopped, and record nothing

Cause: the script looked at the linter's text alone and dropped its exit status, which did no harm before results were kept.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -18,11 +18,18 @@
 tools/lint_passed.py pending "$build" "${sources[@]}" >"$build/lint_pending.txt"
 mapfile -t pending <"$build/lint_pending.txt"
 echo "lint: ${#pending[@]} of ${#sources[@]} sources have changed since they passed, or include what has"
-printf '%s\n' "${pending[@]}" | xargs -r -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet 2>&1 |
-  grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header|^$' | tee "$build/lint.log" || true
+# xargs ends with 123 when a linter has findings, and otherwise when one was stopped or not found.
+status=0
+printf '%s\n' "${pending[@]}" | xargs -r -P "${LINT_JOBS:-8}" -n 2 clang-tidy -p "$build" --quiet \
+  >"$build/lint.raw" 2>&1 || status=$?
+grep -vE '^[0-9]+ warnings? generated|^Suppressed|^Use -header|^$' "$build/lint.raw" | tee "$build/lint.log" || true
 if grep -qE '(error|warning):' "$build/lint.log"; then
   echo "lint: findings above"
   exit 1
 fi
+if [ "$status" -ne 0 ]; then
+  echo "lint: a linter did not end, or found no file to check (xargs: $status)"
+  exit 1
+fi
 tools/lint_passed.py record "$build"
 echo "lint: clean"
