Failing test: a connection that is idle when its time grows is closed early

What callers saw: a connection that the configuration in force lets them reuse is closed, and a request that crosses the close is lost. Cause: the idle deadline is set once, with the limit at the last answer. Its counterpart for a time that shrinks passes.

--- /dev/null
+++ b/unit_tests/net/changed_limits_test.cpp
@@ -0,0 +1,153 @@
+#include "tarragontrail/net/http_server.hpp"
+#include "tarragontrail/net/timer.hpp"
+#include "unit_tests/stand_ins/loop_client.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace tarragontrail;
+using namespace std::chrono_literals;
+
+/// Limits that change while connections are open. The clock is paused.
+class changed_limits_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(changed_limits_test);
+    CPPUNIT_TEST(connection_that_is_idle_when_its_time_grows_is_kept_for_the_longer_time);
+    CPPUNIT_TEST(connection_that_is_idle_when_its_time_shrinks_is_kept_for_the_earlier_time);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::chrono::milliseconds shorter = 100ms;
+    static constexpr std::chrono::milliseconds longer = 1'000ms;
+
+    test::loop_client m_loop;
+    boost::asio::io_context& m_context = m_loop.m_context;
+    net::http_server_settings m_settings;
+    std::unique_ptr<net::http_server> m_server;
+    std::vector<std::shared_ptr<net::http_exchange>> m_taken; // each request that was handed on
+
+    /// Handles everything that is due.
+    void run_what_is_due()
+    {
+        std::this_thread::sleep_for(5 * net::runtime_wait_traits::paused_poll);
+        m_context.restart();
+        while (m_context.run_one_for(5ms) > 0)
+        {}
+    }
+
+    static std::string request_text(const std::string& body)
+    {
+        return fmt::format("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{}",
+                           body.size(), body);
+    }
+
+    void connect(net::tcp::socket& socket)
+    {
+        socket.connect(net::make_endpoint("127.0.0.1", m_server->port()));
+        run_what_is_due();
+    }
+
+    void send(net::tcp::socket& socket, const std::string& bytes)
+    {
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        run_what_is_due();
+    }
+
+    /// What has arrived on a connection, or the reason of its end.
+    std::string receive(net::tcp::socket& socket)
+    {
+        run_what_is_due();
+        std::string received(65'536, '\0');
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        received.resize(socket.read_some(boost::asio::buffer(received), error));
+        return error && error != boost::asio::error::would_block ? error.message() : received;
+    }
+
+    void answer_last(const std::string& body)
+    {
+        m_taken.back()->respond(net::make_json_response(200, body));
+    }
+
+    /// A connection on which one request was answered.
+    void keep(net::tcp::socket& socket)
+    {
+        connect(socket);
+        send(socket, request_text("one"));
+        answer_last("first");
+        CPPUNIT_ASSERT(receive(socket).ends_with("first"));
+    }
+
+    void change_idle_time(std::chrono::milliseconds limit)
+    {
+        m_settings.m_keep_alive_timeout = limit;
+        m_server->update(m_settings);
+    }
+
+    void advance(std::chrono::milliseconds time)
+    {
+        core::runtime_clock::advance(time);
+        run_what_is_due();
+    }
+
+    void expect_next_is_answered(net::tcp::socket& socket)
+    {
+        const std::size_t taken = m_taken.size();
+        send(socket, request_text("two"));
+        CPPUNIT_ASSERT_EQUAL(taken + 1, m_taken.size());
+        answer_last("second");
+        CPPUNIT_ASSERT(receive(socket).ends_with("second"));
+    }
+
+public:
+    void setUp() override
+    {
+        core::runtime_clock::pause();
+        m_settings.m_keep_alive_timeout = shorter;
+        m_server = std::make_unique<net::http_server>(
+            m_context, net::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), m_settings,
+            [this](const std::shared_ptr<net::http_exchange>& exchange) {
+                m_taken.push_back(exchange);
+            },
+            [](net::request_fault fault) {
+                return net::make_json_response(400 + static_cast<unsigned>(fault), "{}");
+            });
+    }
+
+    void tearDown() override
+    {
+        m_taken.clear();
+        m_server.reset();
+        core::runtime_clock::resume();
+    }
+
+    void connection_that_is_idle_when_its_time_grows_is_kept_for_the_longer_time()
+    {
+        net::tcp::socket socket(m_context);
+        keep(socket);
+        advance(shorter / 2);
+        change_idle_time(longer);
+        advance(longer * 4 / 5 - shorter / 2);
+        CPPUNIT_ASSERT_EQUAL(std::string(), receive(socket));
+        expect_next_is_answered(socket);
+    }
+
+    void connection_that_is_idle_when_its_time_shrinks_is_kept_for_the_earlier_time()
+    {
+        change_idle_time(longer);
+        net::tcp::socket socket(m_context);
+        keep(socket);
+        advance(shorter / 2);
+        change_idle_time(shorter);
+        advance(longer * 4 / 5 - shorter / 2);
+        CPPUNIT_ASSERT_EQUAL(std::string(), receive(socket));
+        advance(longer / 5 + 1ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("End of file"), receive(socket));
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(changed_limits_test, "net");
