Server: keep an idle connection for the longest idle time since its last answer

Change: a change of the limits moves the idle deadline of each idle connection that now may last longer; one that shrinks moves none, as the caller may have been told the longer time.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -194,6 +194,15 @@
 
     void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
 
+    /// A client may use an idle connection for as long as the longest limit since its last answer.
+    void on_limits_changed()
+    {
+        if (m_idle && m_shared->m_settings.m_keep_alive_timeout > m_idle_limit)
+        {
+            arm_idle_timer();
+        }
+    }
+
     /// The handler of the current request is gone and cannot answer it any more, so the server
     /// does; a response that has begun is broken off.
     void on_abandoned() noexcept
@@ -222,8 +231,11 @@
     /// Waits for the first byte of the next request on a kept connection.
     void wait_for_request()
     {
-        arm_timer(m_shared->m_settings.m_keep_alive_timeout, &server_connection::on_idle_timeout);
+        m_idle = true;
+        m_idle_since = core::runtime_clock::now();
+        arm_idle_timer();
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+            self->m_idle = false;
             if (error)
             {
                 self->close(close_cause::client_closed);
@@ -322,7 +334,7 @@
     }
 
     /// Each deadline has a handler of its own, so that none has to guess what it was set for.
-    void arm_timer(std::chrono::milliseconds timeout, void (server_connection::*on_expiry)())
+    void arm_timer(core::duration timeout, void (server_connection::*on_expiry)())
     {
         const core::time_point due = core::runtime_clock::now() + timeout;
         m_timer.run_at(due, [weak = weak_from_this(), due, on_expiry] {
@@ -335,6 +347,13 @@
         });
     }
 
+    void arm_idle_timer()
+    {
+        m_idle_limit = m_shared->m_settings.m_keep_alive_timeout;
+        const core::duration passed = core::runtime_clock::now() - m_idle_since;
+        arm_timer(m_idle_limit - passed, &server_connection::on_idle_timeout);
+    }
+
     void on_idle_timeout()
     {
         error_code ignored;
@@ -343,10 +362,9 @@
             // A request has arrived, and the handler that reads it is due.
             return;
         }
-        observe::log("idle_connection_closed",
-                     {{"requests", m_requests},
-                      {"limit_ms", m_shared->m_settings.m_keep_alive_timeout.count()},
-                      {"timer_late_ms", m_timer_lateness.count()}});
+        observe::log("idle_connection_closed", {{"requests", m_requests},
+                                                {"limit_ms", m_idle_limit.count()},
+                                                {"timer_late_ms", m_timer_lateness.count()}});
         close(close_cause::idle_timeout);
     }
 
@@ -560,6 +578,9 @@
     std::chrono::milliseconds m_timer_lateness{}; ///< Of the last deadline that passed.
     std::array<char, 4096> m_discard{};           ///< Bytes read while lingering.
     std::uint64_t m_requests = 0;                 ///< Requests taken on this connection.
+    core::time_point m_idle_since{};              ///< Start of the wait for the next request.
+    std::chrono::milliseconds m_idle_limit{};     ///< Longest wait since then.
+    bool m_idle = false;                          ///< No byte of the next request has arrived.
     bool m_is_busy = false;                       ///< A request or its response is under way.
     bool m_reading = false;                       ///< A request is arriving.
     bool m_writing = false;                       ///< A write is pending.
@@ -795,6 +816,10 @@
 void http_server::update(const http_server_settings& settings)
 {
     m_listener->m_shared->m_settings = settings;
+    for (server_connection* connection : m_listener->m_shared->m_connections)
+    {
+        connection->on_limits_changed();
+    }
 }
 
 std::size_t http_server::connection_count() const
