Failing tests: a request is held to the limits of before it began

What callers saw: a request within the limits of the configuration in force is refused (413 or 431) and its connection closed. Cause: the parser with its limits is made when the connection is accepted or its last answer is written, however long before the request's first byte.

--- a/unit_tests/net/changed_limits_test.cpp
+++ b/unit_tests/net/changed_limits_test.cpp
@@ -19,10 +19,16 @@
     CPPUNIT_TEST_SUITE(changed_limits_test);
     CPPUNIT_TEST(connection_that_is_idle_when_its_time_grows_is_kept_for_the_longer_time);
     CPPUNIT_TEST(connection_that_is_idle_when_its_time_shrinks_is_kept_for_the_earlier_time);
+    CPPUNIT_TEST(request_on_an_idle_connection_is_held_to_the_limits_at_its_first_byte);
+    CPPUNIT_TEST(first_request_of_a_connection_is_held_to_the_limits_at_its_first_byte);
+    CPPUNIT_TEST(request_that_is_arriving_keeps_the_limits_of_its_first_byte);
+    CPPUNIT_TEST(connection_that_sends_nothing_is_refused_after_the_read_timeout);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds shorter = 100ms;
     static constexpr std::chrono::milliseconds longer = 1'000ms;
+    static constexpr std::size_t smaller_body_bytes = 10;
+    static constexpr std::size_t larger_body_bytes = 1'000;
 
     test::loop_client m_loop;
     boost::asio::io_context& m_context = m_loop.m_context;
@@ -88,6 +94,12 @@
         m_server->update(m_settings);
     }
 
+    void change_body_limit(std::size_t bytes)
+    {
+        m_settings.m_body_limit_bytes = bytes;
+        m_server->update(m_settings);
+    }
+
     void advance(std::chrono::milliseconds time)
     {
         core::runtime_clock::advance(time);
@@ -108,6 +120,7 @@
     {
         core::runtime_clock::pause();
         m_settings.m_keep_alive_timeout = shorter;
+        m_settings.m_body_limit_bytes = smaller_body_bytes;
         m_server = std::make_unique<net::http_server>(
             m_context, net::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), m_settings,
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
@@ -148,6 +161,44 @@
         advance(longer / 5 + 1ms);
         CPPUNIT_ASSERT_EQUAL(std::string("End of file"), receive(socket));
     }
+
+    void request_on_an_idle_connection_is_held_to_the_limits_at_its_first_byte()
+    {
+        net::tcp::socket socket(m_context);
+        keep(socket);
+        change_body_limit(larger_body_bytes);
+        send(socket, request_text(std::string(larger_body_bytes, 'x')));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_taken.size());
+    }
+
+    void first_request_of_a_connection_is_held_to_the_limits_at_its_first_byte()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        change_body_limit(larger_body_bytes);
+        send(socket, request_text(std::string(larger_body_bytes, 'x')));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_taken.size());
+    }
+
+    void request_that_is_arriving_keeps_the_limits_of_its_first_byte()
+    {
+        change_body_limit(larger_body_bytes);
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        const std::string text = request_text(std::string(larger_body_bytes, 'x'));
+        send(socket, text.substr(0, 10));
+        change_body_limit(smaller_body_bytes);
+        send(socket, text.substr(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_taken.size());
+    }
+
+    void connection_that_sends_nothing_is_refused_after_the_read_timeout()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        advance(m_settings.m_read_timeout + 1ms);
+        CPPUNIT_ASSERT(receive(socket).starts_with("HTTP/1.1 403"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(changed_limits_test, "net");
