Server: hold a request to the limits in force at its first byte

Change: the parser is made once the first byte has arrived, on new connections as on kept ones. A new connection has the read timeout for its first byte, and the head has it anew from there.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -83,12 +83,9 @@
 
     void read_request()
     {
-        m_parser.emplace();
-        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
-        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
         m_reading = true;
         m_timed_out = false;
-        if (m_requests > 0 && m_buffer.size() == 0)
+        if (m_buffer.size() == 0)
         {
             wait_for_request();
             return;
@@ -228,25 +225,38 @@
     }
 
 private:
-    /// Waits for the first byte of the next request on a kept connection.
+    /// Waits for the first byte of a request; a new connection has less time for it than a kept
+    /// one.
     void wait_for_request()
     {
-        m_idle = true;
-        m_idle_since = core::runtime_clock::now();
-        arm_idle_timer();
+        if (m_requests == 0)
+        {
+            arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
+        }
+        else
+        {
+            m_idle = true;
+            m_idle_since = core::runtime_clock::now();
+            arm_idle_timer();
+        }
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
             self->m_idle = false;
             if (error)
             {
-                self->close(close_cause::client_closed);
+                self->on_read_error(error);
                 return;
             }
             self->read_head();
         });
     }
 
+    /// The limits of a request are those in force at its first byte.
     void read_head()
     {
+        m_timed_out = false;
+        m_parser.emplace();
+        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
+        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
         arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
         http::async_read_header(
             m_socket, m_buffer, *m_parser,
