Failing test: a leaving server drops a request that it has read behind the current one

What callers saw: on SIGTERM, a request sent behind one that is under way gets no answer. Cause: the next answer closes the connection, whatever has arrived behind its request.

--- a/unit_tests/net/changed_limits_test.cpp
+++ b/unit_tests/net/changed_limits_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(first_request_of_a_connection_is_held_to_the_limits_at_its_first_byte);
     CPPUNIT_TEST(request_that_is_arriving_keeps_the_limits_of_its_first_byte);
     CPPUNIT_TEST(connection_that_sends_nothing_is_refused_after_the_read_timeout);
+    CPPUNIT_TEST(request_read_before_a_leaving_server_answers_the_last_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds shorter = 100ms;
@@ -199,6 +200,21 @@
         advance(m_settings.m_read_timeout + 1ms);
         CPPUNIT_ASSERT(receive(socket).starts_with("HTTP/1.1 403"));
     }
+
+    void request_read_before_a_leaving_server_answers_the_last_is_answered()
+    {
+        net::tcp::socket socket(m_context);
+        connect(socket);
+        send(socket, request_text("one") + request_text("two"));
+        m_server->announce_leaving();
+        answer_last("first");
+        CPPUNIT_ASSERT(receive(socket).ends_with("first"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_taken.size());
+        answer_last("second");
+        const std::string last = receive(socket);
+        CPPUNIT_ASSERT(last.ends_with("second"));
+        CPPUNIT_ASSERT(last.find("Connection: close") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(changed_limits_test, "net");
