Server: a leaving server answers the requests that have arrived before it closes

Change: the answer that closes the connection of a leaving server is the first behind which nothing has arrived.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -333,10 +333,17 @@
         respond(m_shared->m_on_fault(fault));
     }
 
+    /// Whether bytes of a request behind the current one have arrived.
+    bool has_next_request() const
+    {
+        error_code ignored;
+        return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+    }
+
     void finish_head(http_response& response)
     {
         response.version(11);
-        if (m_shared->m_stopping)
+        if (m_shared->m_stopping && !has_next_request())
         {
             m_keep_alive = false;
         }
