Relay: answer a request whose start fails

Change: a session whose start fails is given up as at its deadline, with the refusal that is certain then, and request_failed is logged; a request that fails before it has a session is answered by the server (500).

--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -90,16 +90,27 @@
     {
         apply_limits();
     }
+    std::shared_ptr<relay_session> session;
     try
     {
         caller_request request = m_state.m_codec.decode(exchange->request());
-        std::make_shared<relay_session>(m_state, exchange, std::move(request))->start();
+        session = std::make_shared<relay_session>(m_state, exchange, std::move(request));
+        session->start();
     }
     catch (const request_error& failure)
     {
         observe::log("request_refused", {{"reason", failure.what()}});
         exchange->respond(m_state.m_codec.encode(refusal{refusal_reason::malformed, {}, {}}));
     }
+    catch (const std::exception& failure)
+    {
+        // The session may have no deadline yet; without a session the server answers.
+        observe::log("request_failed", {{"reason", failure.what()}});
+        if (session)
+        {
+            session->give_up();
+        }
+    }
 }
 
 } // namespace tarragontrail::relay
