Failing tests: limits of a configuration apply late, or wrap around

What callers saw: requests within the limits of the configuration in force were refused with 431, 413 or 408. Cause: the limits were applied when the first request under a configuration had been read, so that a request that the earlier limits refuse never brought the new ones into force. A limit of 2^32 bytes was cut to zero, and times beyond the clock's range lie in the past.

--- a/unit_tests/platform/changed_config_test.cpp
+++ b/unit_tests/platform/changed_config_test.cpp
@@ -14,6 +14,8 @@
 class changed_config_test : public relay_fixture
 {
     CPPUNIT_TEST_SUITE(changed_config_test);
+    CPPUNIT_TEST(limits_hold_for_the_first_request_under_a_configuration);
+    CPPUNIT_TEST(limits_beyond_what_can_be_counted_refuse_nothing);
     CPPUNIT_TEST(request_whose_start_fails_is_answered);
     CPPUNIT_TEST(retry_survives_the_removal_of_its_route_and_service);
     CPPUNIT_TEST_SUITE_END();
@@ -52,6 +54,31 @@
         m_applier = std::make_unique<relay::document_applier>(*m_state, m_decoder);
     }
 
+    void limits_hold_for_the_first_request_under_a_configuration()
+    {
+        add_upstream([](const std::string&) { return reply{whole("text")}; });
+        write_config(1, R"("max-header-bytes":65536)", true);
+        net::http_request large = request();
+        large.set("X-Large", std::string(30'000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(200U, send(std::move(large)).m_response.result_int());
+    }
+
+    void limits_beyond_what_can_be_counted_refuse_nothing()
+    {
+        add_upstream([](const std::string&) { return reply{whole("text")}; });
+        write_config(1,
+                     R"("max-header-bytes":4294967296,"header-timeout-ms":9000000000000000,)"
+                     R"("idle-timeout-ms":9000000000000000)",
+                     true);
+        for (int i = 0; i < 3; ++i)
+        {
+            const auto result = start_request();
+            m_loop.run_until([&result] { return result->has_value(); });
+            CPPUNIT_ASSERT_EQUAL(200U, (*result)->m_response.result_int());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_loop.m_client.opened_count());
+    }
+
     /// A route without a target fails its invariant before the request has a deadline.
     void request_whose_start_fails_is_answered()
     {
