Relay: apply the limits of a configuration with it, within what can be counted

Change: the applier of documents tells the relay's listener, which applies the limits at once; sizes and times are bounded to what the server can hold.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -85,6 +85,10 @@
                                      {"routes", config.m_routes.size()},
                                      {"workspaces", config.m_workspaces.size()}});
     m_state.m_routes = std::make_shared<const route_table>(std::move(config));
+    if (m_state.m_on_config)
+    {
+        m_state.m_on_config();
+    }
     return true;
 }
 
--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -4,10 +4,16 @@
 #include "tarragontrail/relay/relay_session.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace tarragontrail::relay {
 namespace {
 
+constexpr std::chrono::milliseconds shortest_timeout{1};
+
+/// Longer ones overflow the clock.
+constexpr std::chrono::milliseconds longest_timeout = std::chrono::hours(24 * 365);
+
 net::http_server_settings first_settings(std::size_t connection_limit)
 {
     net::http_server_settings settings;
@@ -51,22 +57,31 @@
           state.m_context, endpoint, m_settings,
           [this](const std::shared_ptr<net::http_exchange>& exchange) { on_request(exchange); },
           answer_fault)
-{}
+{
+    m_state.m_on_config = [this] { apply_limits(); };
+}
+
+relay_service::~relay_service()
+{
+    m_state.m_on_config = nullptr;
+}
 
 void relay_service::apply_limits()
 {
     const caller_limits& limits = m_state.m_routes->config().m_limits;
-    m_settings.m_header_limit_bytes = static_cast<std::uint32_t>(limits.m_header_bytes);
+    m_settings.m_header_limit_bytes = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(limits.m_header_bytes, std::numeric_limits<std::uint32_t>::max()));
     m_settings.m_body_limit_bytes = limits.m_body_bytes;
-    m_settings.m_read_timeout = std::max(limits.m_header_timeout, std::chrono::milliseconds(1));
-    m_settings.m_keep_alive_timeout = std::max(limits.m_idle_timeout, std::chrono::milliseconds(1));
+    m_settings.m_read_timeout =
+        std::clamp(limits.m_header_timeout, shortest_timeout, longest_timeout);
+    m_settings.m_keep_alive_timeout =
+        std::clamp(limits.m_idle_timeout, shortest_timeout, longest_timeout);
     m_server.update(m_settings);
     observe::log("limits_in_force", {{"config", m_state.m_routes->config().m_version},
                                      {"head_bytes", m_settings.m_header_limit_bytes},
                                      {"body_bytes", m_settings.m_body_limit_bytes},
                                      {"read_timeout_ms", m_settings.m_read_timeout.count()},
                                      {"idle_timeout_ms", m_settings.m_keep_alive_timeout.count()}});
-    m_seen = m_state.m_routes;
 }
 
 void relay_service::give_up_requests()
@@ -86,10 +101,6 @@
 
 void relay_service::on_request(const std::shared_ptr<net::http_exchange>& exchange)
 {
-    if (m_state.m_routes != m_seen)
-    {
-        apply_limits();
-    }
     std::shared_ptr<relay_session> session;
     try
     {
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -12,6 +12,9 @@
     /// Binds at once; throws boost::system::system_error when the address is in use.
     relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
                   std::size_t connection_limit);
+    ~relay_service();
+    relay_service(const relay_service&) = delete;
+    relay_service& operator=(const relay_service&) = delete;
 
     /// Applies the caller limits of the configuration in force.
     void apply_limits();
@@ -43,7 +46,6 @@
 
     relay_state& m_state;
     net::http_server_settings m_settings;
-    std::shared_ptr<const route_table> m_seen; ///< Configuration whose limits are applied.
     net::http_server m_server;
 };
 
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -13,6 +13,7 @@
 #include "tarragontrail/relay/route_table.hpp"
 #include "tarragontrail/relay/upstream_selector.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -117,6 +118,7 @@
     relay_session_settings m_session_settings;
     /// Configuration in force; null until the first one.
     std::shared_ptr<const route_table> m_routes;
+    std::function<void()> m_on_config; ///< Told when another configuration is in force.
     upstream_table m_upstreams;
     cached_part_index m_cached_parts; ///< Predicted cache contents.
     upstream_selector m_selector;
