Failing tests: the silence of the only upstream costs a safe request its answer

What callers saw: an idempotent request whose upstream is silent for a while ends with 502, outcome unknown, long before its time is over. Cause: an attempt that is overdue is cancelled before it is known whether another upstream can take the request; when none can, the request ends at once.

--- a/unit_tests/platform/changed_config_test.cpp
+++ b/unit_tests/platform/changed_config_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(limits_hold_for_the_first_request_under_a_configuration);
     CPPUNIT_TEST(limits_beyond_what_can_be_counted_refuse_nothing);
     CPPUNIT_TEST(request_whose_start_fails_is_answered);
+    CPPUNIT_TEST(request_held_by_its_upstream_survives_the_removal_of_its_route_and_service);
     CPPUNIT_TEST(retry_survives_the_removal_of_its_route_and_service);
     CPPUNIT_TEST_SUITE_END();
 
@@ -90,6 +91,21 @@
         CPPUNIT_ASSERT(m_state->m_sessions.empty());
     }
 
+    void request_held_by_its_upstream_survives_the_removal_of_its_route_and_service()
+    {
+        bool is_held = false;
+        add_upstream([&is_held](const std::string&) {
+            is_held = true;
+            return reply{"HTTP/1.1 200 X\r\nX-Request-Id: r1\r\n", false, true};
+        });
+        write_config(1, "", true);
+        const auto result = start_request();
+        m_loop.run_until([&is_held] { return is_held; });
+        write_config(2, "", false);
+        m_loop.run_until([&result] { return result->has_value(); });
+        CPPUNIT_ASSERT_EQUAL(504U, (*result)->m_response.result_int());
+    }
+
     void retry_survives_the_removal_of_its_route_and_service()
     {
         add_upstream([this](const std::string&) {
--- a/unit_tests/platform/relay_path_test.cpp
+++ b/unit_tests/platform/relay_path_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(resumable_stream_that_cannot_go_on_is_broken_off);
     CPPUNIT_TEST(upstream_is_told_when_the_caller_leaves);
     CPPUNIT_TEST(silence_until_the_timeout_ends_with_an_answer);
+    CPPUNIT_TEST(silence_of_the_only_upstream_costs_no_answer);
     CPPUNIT_TEST(early_answer_to_a_long_body_ends_the_connection);
     CPPUNIT_TEST(answer_behind_an_interim_response_is_passed_on);
     CPPUNIT_TEST(ambiguous_framing_is_refused);
@@ -216,6 +217,29 @@
         CPPUNIT_ASSERT_EQUAL(504U, send(request()).m_response.result_int());
     }
 
+    void silence_of_the_only_upstream_costs_no_answer()
+    {
+        configure(relay::request_kind::idempotent);
+        std::shared_ptr<net::http_exchange> held;
+        const net::http_server upstream(
+            m_loop.m_context, {boost::asio::ip::address_v4::loopback(), 0}, {},
+            [&held](const std::shared_ptr<net::http_exchange>& exchange) { held = exchange; },
+            [](net::request_fault) { return net::make_json_response(400, "{}"); });
+        register_upstream("u1", upstream.port());
+        std::optional<net::http_client::fetch_result> result;
+        m_loop.m_client.fetch(
+            net::make_endpoint("127.0.0.1", m_port), request(), {},
+            [&result](const net::http_client::fetch_result& value) { result = value; });
+        const auto silent = m_state->m_upstreams.find(core::id_of<core::upstream_id>("u1"));
+        m_loop.run_until([&silent] { return silent->m_unreported_failures > 0; });
+        net::http_response response;
+        response.set("X-Request-Id", "r1");
+        response.set("X-Response-Seal", "s");
+        held->respond(std::move(response));
+        m_loop.run_until([&result] { return result.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(200U, result->m_response.result_int());
+    }
+
     /// The rest of the body would otherwise stand where the next request is expected.
     void early_answer_to_a_long_body_ends_the_connection()
     {
