--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -189,6 +189,12 @@
     {
         return;
     }
+    // A silent upstream may still answer, so it is left only for another one.
+    if (!m_state.m_selector.choose(m_state.m_upstreams, m_state.m_cached_parts,
+                                   make_selection_request(), now))
+    {
+        return;
+    }
     const auto delay = request_retry(core::execution::unknown, m_sends + 1);
     if (!delay)
     {
