--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -35,6 +35,7 @@
     http_server::request_handler m_on_request;  ///< Receives whole requests.
     http_server::fault_handler m_on_fault;      ///< Words the refusal of a bad request.
     bool m_stopping = false;                    ///< No request after the current one.
+    bool m_is_server_gone = false;              ///< The handlers must not be called any more.
     std::set<server_connection*> m_connections; ///< Open connections.
     std::size_t m_busy = 0; ///< Connections with a request or a response under way.
 };
@@ -82,12 +83,9 @@
 
     void read_request()
     {
-        m_parser.emplace();
-        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
-        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
         m_reading = true;
         m_timed_out = false;
-        if (m_requests > 0 && m_buffer.size() == 0)
+        if (m_buffer.size() == 0)
         {
             wait_for_request();
             return;
@@ -193,23 +191,72 @@
 
     void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
 
+    /// A client may use an idle connection for as long as the longest limit since its last answer.
+    void on_limits_changed()
+    {
+        if (m_idle && m_shared->m_settings.m_keep_alive_timeout > m_idle_limit)
+        {
+            arm_idle_timer();
+        }
+    }
+
+    /// The handler of the current request is gone and cannot answer it any more, so the server
+    /// does; a response that has begun is broken off.
+    void on_abandoned() noexcept
+    {
+        if (m_complete)
+        {
+            return;
+        }
+        try
+        {
+            observe::log("request_abandoned", {{"requests", m_requests}, {"answered", m_answered}});
+            if (m_answered || m_shared->m_is_server_gone)
+            {
+                drop(close_cause::aborted);
+                return;
+            }
+            respond(m_shared->m_on_fault(request_fault::unanswered));
+        }
+        catch (const std::exception& failure)
+        {
+            observe::log("abandoned_request_unanswered", {{"reason", failure.what()}});
+        }
+    }
+
 private:
-    /// Waits for the first byte of the next request on a kept connection.
+    /// Waits for the first byte of a request; a new connection has less time for it than a kept
+    /// one.
     void wait_for_request()
     {
-        arm_timer(m_shared->m_settings.m_keep_alive_timeout, &server_connection::on_idle_timeout);
+        if (m_requests == 0)
+        {
+            arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
+        }
+        else
+        {
+            m_idle = true;
+            m_idle_since = core::runtime_clock::now();
+            arm_idle_timer();
+        }
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+            self->m_idle = false;
             if (error)
             {
-                self->close(close_cause::client_closed);
+                self->on_read_error(error);
                 return;
             }
             self->read_head();
         });
     }
 
+    /// The limits of a request are those in force at its first byte.
     void read_head()
     {
+        m_timed_out = false;
+        m_parser.emplace();
+        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
+        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
         arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
         http::async_read_header(
             m_socket, m_buffer, *m_parser,
@@ -272,6 +319,13 @@
 
     void refuse(request_fault fault)
     {
+        const http_server_settings& bounds = m_shared->m_settings;
+        observe::log("request_not_taken", {{"fault", to_string(fault)},
+                                           {"requests", m_requests},
+                                           {"head_limit", bounds.m_header_limit_bytes},
+                                           {"body_limit", bounds.m_body_limit_bytes},
+                                           {"read_timeout_ms", bounds.m_read_timeout.count()},
+                                           {"timer_late_ms", m_timer_lateness.count()}});
         m_reading = false;
         m_keep_alive = false;
         m_answered = false;
@@ -279,10 +333,17 @@
         respond(m_shared->m_on_fault(fault));
     }
 
+    /// Whether bytes of a request behind the current one have arrived.
+    bool has_next_request() const
+    {
+        error_code ignored;
+        return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+    }
+
     void finish_head(http_response& response)
     {
         response.version(11);
-        if (m_shared->m_stopping)
+        if (m_shared->m_stopping && !has_next_request())
         {
             m_keep_alive = false;
         }
@@ -290,16 +351,26 @@
     }
 
     /// Each deadline has a handler of its own, so that none has to guess what it was set for.
-    void arm_timer(std::chrono::milliseconds timeout, void (server_connection::*on_expiry)())
+    void arm_timer(core::duration timeout, void (server_connection::*on_expiry)())
     {
-        m_timer.run_after(timeout, [weak = weak_from_this(), on_expiry] {
+        const core::time_point due = core::runtime_clock::now() + timeout;
+        m_timer.run_at(due, [weak = weak_from_this(), due, on_expiry] {
             if (const auto self = weak.lock())
             {
+                self->m_timer_lateness = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    core::runtime_clock::now() - due);
                 (self.get()->*on_expiry)();
             }
         });
     }
 
+    void arm_idle_timer()
+    {
+        m_idle_limit = m_shared->m_settings.m_keep_alive_timeout;
+        const core::duration passed = core::runtime_clock::now() - m_idle_since;
+        arm_timer(m_idle_limit - passed, &server_connection::on_idle_timeout);
+    }
+
     void on_idle_timeout()
     {
         error_code ignored;
@@ -308,6 +379,9 @@
             // A request has arrived, and the handler that reads it is due.
             return;
         }
+        observe::log("idle_connection_closed", {{"requests", m_requests},
+                                                {"limit_ms", m_idle_limit.count()},
+                                                {"timer_late_ms", m_timer_lateness.count()}});
         close(close_cause::idle_timeout);
     }
 
@@ -466,7 +540,8 @@
                                             {"requests", m_requests},
                                             {"answered", m_answered},
                                             {"complete", m_complete},
-                                            {"unsent_bytes", m_backlog_bytes}});
+                                            {"unsent_bytes", m_backlog_bytes},
+                                            {"timer_late_ms", m_timer_lateness.count()}});
         }
         set_busy(false);
         error_code ignored;
@@ -513,21 +588,25 @@
     std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
     boost::beast::flat_buffer m_buffer;      ///< Bytes read and not parsed.
     std::optional<http::request_parser<http::string_body>> m_parser; ///< Current request's parser.
-    http_exchange::close_handler m_on_gone; ///< Told when the connection closes too soon.
-    std::string m_pending;                  ///< Bytes to write next.
-    std::string m_in_flight;                ///< Bytes being written.
-    std::size_t m_backlog_bytes = 0;        ///< Unsent bytes.
-    std::array<char, 4096> m_discard{};     ///< Bytes read while lingering.
-    std::uint64_t m_requests = 0;           ///< Requests taken on this connection.
-    bool m_is_busy = false;                 ///< A request or its response is under way.
-    bool m_reading = false;                 ///< A request is arriving.
-    bool m_writing = false;                 ///< A write is pending.
-    bool m_keep_alive = false;              ///< Connection serves another request.
-    bool m_client_reads_chunks = true;      ///< False for HTTP/1.0.
-    bool m_answered = false;                ///< Response has begun.
-    bool m_until_close = false;             ///< The end of the connection ends the response.
-    bool m_complete = false;                ///< Response is whole.
-    bool m_timed_out = false;               ///< Read deadline has passed.
+    http_exchange::close_handler m_on_gone;       ///< Told when the connection closes too soon.
+    std::string m_pending;                        ///< Bytes to write next.
+    std::string m_in_flight;                      ///< Bytes being written.
+    std::size_t m_backlog_bytes = 0;              ///< Unsent bytes.
+    std::chrono::milliseconds m_timer_lateness{}; ///< Of the last deadline that passed.
+    std::array<char, 4096> m_discard{};           ///< Bytes read while lingering.
+    std::uint64_t m_requests = 0;                 ///< Requests taken on this connection.
+    core::time_point m_idle_since{};              ///< Start of the wait for the next request.
+    std::chrono::milliseconds m_idle_limit{};     ///< Longest wait since then.
+    bool m_idle = false;                          ///< No byte of the next request has arrived.
+    bool m_is_busy = false;                       ///< A request or its response is under way.
+    bool m_reading = false;                       ///< A request is arriving.
+    bool m_writing = false;                       ///< A write is pending.
+    bool m_keep_alive = false;                    ///< Connection serves another request.
+    bool m_client_reads_chunks = true;            ///< False for HTTP/1.0.
+    bool m_answered = false;                      ///< Response has begun.
+    bool m_until_close = false;                   ///< The end of the connection ends the response.
+    bool m_complete = false;                      ///< Response is whole.
+    bool m_timed_out = false;                     ///< Read deadline has passed.
 };
 
 /// One request of a connection. Calls that come when its response is over do nothing, as the
@@ -540,6 +619,16 @@
         : m_connection(std::move(connection)), m_number(number), m_request(std::move(request))
     {}
 
+    ~server_exchange() override
+    {
+        if (is_current())
+        {
+            m_connection->on_abandoned();
+        }
+    }
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
+
     const http_request& request() const override { return m_request; }
 
     void respond(http_response response) override
@@ -708,6 +797,7 @@
 http_server::~http_server()
 {
     stop_accepting();
+    m_listener->m_shared->m_is_server_gone = true;
 }
 
 std::uint16_t http_server::port() const
@@ -743,6 +833,10 @@
 void http_server::update(const http_server_settings& settings)
 {
     m_listener->m_shared->m_settings = settings;
+    for (server_connection* connection : m_listener->m_shared->m_connections)
+    {
+        connection->on_limits_changed();
+    }
 }
 
 std::size_t http_server::connection_count() const
@@ -755,6 +849,24 @@
     return m_listener->m_shared->m_busy;
 }
 
+const char* to_string(request_fault fault) noexcept
+{
+    switch (fault)
+    {
+    case request_fault::malformed:
+        return "malformed";
+    case request_fault::head_too_large:
+        return "head_too_large";
+    case request_fault::body_too_large:
+        return "body_too_large";
+    case request_fault::too_slow:
+        return "too_slow";
+    case request_fault::unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
 const char* to_string(close_cause cause) noexcept
 {
     switch (cause)
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -23,15 +23,19 @@
         std::size_t{4} * 1024 * 1024; ///< Most unsent stream bytes kept.
 };
 
-/// Why a request was refused before a handler saw it.
+/// Why the server answers a request itself.
 enum class request_fault
 {
     malformed,      ///< Not HTTP.
     head_too_large, ///< Head over its limit.
     body_too_large, ///< Body over its limit.
     too_slow,       ///< Not whole within the read timeout.
+    unanswered,     ///< Its handler gave it up; it may have been executed.
 };
 
+/// Name of a fault in logs.
+const char* to_string(request_fault fault) noexcept;
+
 /// Why the server closed a connection.
 enum class close_cause
 {
