Relay: tell of answers that do not prove to answer their request

An answer that names another request, a refusal or an error without an id and an unsigned success all ended as "lost" with the cause "foreign_answer", or were believed without a word, so the causes could not be told apart. Bytes that wait on an idle connection are told by `answer_out_of_turn`, apart from an ordinary close.

No decision changes.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -26,14 +26,33 @@
 {
     explicit client_connection(boost::asio::io_context& context) : m_socket(context) {}
 
-    tcp::socket m_socket;               ///< Connection to the server.
-    boost::beast::flat_buffer m_buffer; ///< Bytes read and not parsed.
-    bool m_reused = false;              ///< An earlier call used it.
-    core::time_point m_idle_since{};    ///< End of the last call.
+    tcp::socket m_socket;                                   ///< Connection to the server.
+    boost::beast::flat_buffer m_buffer;                     ///< Bytes read and not parsed.
+    bool m_reused = false;                                  ///< An earlier call used it.
+    std::uint64_t m_requests = 0;                           ///< Sent on it.
+    core::time_point m_opened = core::runtime_clock::now(); ///< When it was opened.
+    core::time_point m_idle_since{};                        ///< End of the last call.
     core::time_point m_usable_until =
         core::time_point::max(); ///< The server may close it from here on.
+
+    core::duration age() const { return core::runtime_clock::now() - m_opened; }
 };
 
+namespace {
+
+std::string name_of(const tcp::endpoint& server)
+{
+    return fmt::format("{}:{}", server.address().to_string(), server.port());
+}
+
+/// Whole milliseconds for logs.
+std::int64_t milliseconds_of(core::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
 /// Share of the announced idle timeout within which a connection is used again; the rest covers the
 /// time that a request is on its way and the server's rounding to whole seconds.
 constexpr double usable_idle_share = 0.6;
@@ -80,7 +99,8 @@
         idle.push_back(std::move(connection));
     }
 
-    /// An idle connection that has something to read was closed by the server.
+    /// An idle connection that has something to read was closed by the server, or has bytes that
+    /// answer no request.
     static bool is_quiet(client_connection& connection)
     {
         char byte = 0;
@@ -88,6 +108,14 @@
         connection.m_socket.non_blocking(true, error);
         connection.m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
                                     error);
+        if (!error)
+        {
+            error_code ignored;
+            const tcp::endpoint server = connection.m_socket.remote_endpoint(ignored);
+            observe::log("answer_out_of_turn", {{"server", name_of(server)},
+                                                {"age_ms", milliseconds_of(connection.age())},
+                                                {"requests", connection.m_requests}});
+        }
         return error == boost::asio::error::would_block;
     }
 
@@ -169,6 +197,15 @@
         connect();
     }
 
+    connection_use use() const override
+    {
+        if (!m_connection)
+        {
+            return {};
+        }
+        return {m_connection->age(), m_connection->m_requests};
+    }
+
     void cancel() override
     {
         m_listener.reset();
@@ -208,6 +245,7 @@
     void send()
     {
         m_stage = call_stage::sending;
+        ++m_connection->m_requests;
         arm(m_settings.m_first_byte_timeout);
         http::async_write(m_connection->m_socket, m_request,
                           [self = this->shared_from_this()](error_code error, std::size_t) {
@@ -411,10 +449,7 @@
         }
     }
 
-    std::string server_name() const
-    {
-        return fmt::format("{}:{}", m_endpoint.address().to_string(), m_endpoint.port());
-    }
+    std::string server_name() const { return name_of(m_endpoint); }
 
     template <class Parser>
     static body_framing framing_of(const Parser& parser)
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -93,12 +94,22 @@
     virtual void on_failed(const call_failure& failure) = 0;
 };
 
+/// What the connection of a call has served.
+struct connection_use
+{
+    core::duration m_age{};       ///< Since it was opened; zero when the call has none.
+    std::uint64_t m_requests = 0; ///< Sent on it, that of the call included.
+};
+
 /// A call under way.
 class http_call
 {
 public:
     virtual ~http_call() = default;
 
+    /// What the connection has served so far.
+    virtual connection_use use() const = 0;
+
     /// Gives the call up: closes its connection and sends no more events.
     virtual void cancel() = 0;
 
--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -36,6 +36,9 @@
                                      "Prompt tokens that engines had cached or recomputed")),
       m_upstream_responses(counter_family(*m_registry, "tarragontrail_upstream_responses_total",
                                           "Responses of upstreams by framing and end")),
+      m_unproven_responses(
+          counter_family(*m_registry, "tarragontrail_unproven_responses_total",
+                         "Responses of upstreams that do not prove to answer their request")),
       m_control(prometheus::BuildGauge()
                     .Name("tarragontrail_control")
                     .Help("State and traffic of the control duties")
@@ -81,6 +84,11 @@
     m_upstream_responses.Add({{"framing", framing}, {"end", end}}).Increment();
 }
 
+void metrics::count_unproven_response(const std::string& kind)
+{
+    m_unproven_responses.Add({{"kind", kind}}).Increment();
+}
+
 void metrics::set_control(const std::string& name, double value)
 {
     m_control.Add({{"name", name}}).Set(value);
--- a/tarragontrail/relay/http_codec.cpp
+++ b/tarragontrail/relay/http_codec.cpp
@@ -2,6 +2,20 @@
 
 namespace tarragontrail::relay {
 
+const char* kind_of_unproven(const response_metadata& response) noexcept
+{
+    switch (response.m_names)
+    {
+    case named_request::own:
+        return "unsigned_success";
+    case named_request::other:
+        return response.m_is_refusal ? "refusal_of_other_request" : "answer_to_other_request";
+    case named_request::none:
+        return response.m_is_refusal ? "refusal_without_id" : "answer_without_id";
+    }
+    return "unknown";
+}
+
 const char* to_string(refusal_reason reason) noexcept
 {
     switch (reason)
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -25,11 +25,22 @@
     std::optional<std::uint64_t> m_resume_after; ///< Id of the event after which a stream resumes.
 };
 
+/// Which request a response names.
+enum class named_request
+{
+    own,   ///< The one that was sent.
+    other, ///< Another one.
+    none,  ///< It names no request.
+};
+
 /// Metadata of an upstream's response.
 struct response_metadata
 {
     unsigned m_status = 0;
-    bool m_authentic = false; ///< The response belongs to the request and was sent by an upstream.
+    named_request m_names = named_request::none;
+    std::string m_named_id;    ///< Beginning of the id that it names, for logs.
+    bool m_is_refusal = false; ///< It says, proven or not, that its request was not executed.
+    bool m_authentic = false;  ///< The response belongs to the request and was sent by an upstream.
     bool m_not_executed = false; ///< The upstream did not execute the request.
     /// Another upstream, or one with other weights, answers at the address.
     bool m_misdirected = false;
@@ -38,6 +49,9 @@
     std::optional<placement::weights_version> m_version; ///< Weights that the request ran on.
 };
 
+/// Name, for logs and metrics, of what a response is that is not authentic.
+const char* kind_of_unproven(const response_metadata& response) noexcept;
+
 /// Why the relay ends a request itself.
 enum class refusal_reason
 {
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -67,6 +67,7 @@
     void on_body(std::uint64_t attempt, std::string_view chunk);
     void on_complete(std::uint64_t attempt);
     void on_failed(std::uint64_t attempt, const net::call_failure& failure);
+    void note_unproven_response(const response_metadata& response);
     void on_not_executed();
     void on_connection_lost(const char* cause);
     void on_end_unproven();
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -18,6 +18,10 @@
     const response_metadata metadata =
         m_state.m_codec.parse_head(head, m_request, m_selection.m_upstream->m_record);
     record_weights_version(metadata);
+    if (!metadata.m_authentic || metadata.m_names != named_request::own)
+    {
+        note_unproven_response(metadata);
+    }
     if (metadata.m_misdirected || metadata.m_not_executed)
     {
         if (metadata.m_wrong_upstream)
@@ -56,6 +60,21 @@
     m_mode = response_mode::buffered;
 }
 
+/// Tells of a response that does not prove to answer the request.
+void relay_session::note_unproven_response(const response_metadata& response)
+{
+    const char* kind = kind_of_unproven(response);
+    const net::connection_use use = m_call->use();
+    observe::log("unproven_response", {{"request", m_request.m_id},
+                                       {"kind", kind},
+                                       {"named", response.m_named_id},
+                                       {"status", response.m_status},
+                                       {"upstream", m_selection.m_upstream->m_record.m_name},
+                                       {"age_ms", rounded_milliseconds(use.m_age)},
+                                       {"requests", use.m_requests}});
+    m_state.m_metrics.count_unproven_response(kind);
+}
+
 void relay_session::on_body(std::uint64_t attempt, std::string_view chunk)
 {
     if (m_ended || attempt != m_attempt)
