--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -18,7 +18,7 @@
     const response_metadata metadata =
         m_state.m_codec.parse_head(head, m_request, m_selection.m_upstream->m_record);
     record_weights_version(metadata);
-    if (!metadata.m_authentic || metadata.m_names != named_request::own)
+    if (!metadata.m_authentic)
     {
         note_unproven_response(metadata);
     }
