Relay: read past an answer to an earlier request to the own one

Callers got 502, and requests that may be repeated a second run elsewhere, when an upstream wrote a late or repeated answer of an earlier request on a kept connection, though the request's own answer followed on it.

Cause: an answer that names another request ended the attempt as lost.

Change: such an answer is read to its end and dropped, and the next head on the connection is judged in its stead. Only on a connection on which an earlier request was sent, only if the answer tells its own end (length or chunks, no Connection: close), at most 4 times a call, within the bounds of discarded bodies (64 KB in all, 250 ms each) and the time for the first byte; otherwise the request is lost as before. This is safe for requests that may run once: nothing is sent again, and the answer taken must name this request and, as a success, be signed. The connection is not kept. A stray answer that is read past touches neither the health of the upstream, nor crash attribution, nor the retry budget. When no own answer follows, the request waits as for a silent upstream: until it is overdue, or 504 at its deadline.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -219,6 +219,19 @@
         arm(m_settings.m_discard_timeout);
     }
 
+    bool skip_response() override
+    {
+        if (!m_connection || !m_connection->m_reused || !m_parser->keep_alive() ||
+            m_skipped >= m_settings.m_skip_limit)
+        {
+            return false;
+        }
+        ++m_skipped;
+        m_skipping = true;
+        arm(m_settings.m_discard_timeout);
+        return true;
+    }
+
 private:
     using self_pointer = std::shared_ptr<running_call<Pool>>;
 
@@ -246,7 +259,8 @@
     {
         m_stage = call_stage::sending;
         ++m_connection->m_requests;
-        arm(m_settings.m_first_byte_timeout);
+        m_head_due = core::runtime_clock::now() + m_settings.m_first_byte_timeout;
+        arm_until(m_head_due);
         http::async_write(m_connection->m_socket, m_request,
                           [self = this->shared_from_this()](error_code error, std::size_t) {
                               // The server may have answered before it stopped reading: the read
@@ -320,10 +334,10 @@
         }
         if (m_parser->is_done())
         {
-            complete();
+            end_response();
             return;
         }
-        if (!m_discarding)
+        if (!m_discarding && !m_skipping)
         {
             arm(m_settings.m_idle_timeout);
         }
@@ -344,13 +358,13 @@
             return;
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
-        m_discarded_bytes += m_discarding ? size : 0;
+        m_discarded_bytes += m_discarding || m_skipping ? size : 0;
         if (m_discarded_bytes > m_settings.m_discard_limit_bytes)
         {
             fail(call_fault::oversized);
             return;
         }
-        if (size > 0)
+        if (size > 0 && !m_skipping)
         {
             const std::string_view piece(m_piece.data(), size);
             notify([piece](call_listener& listener) { listener.on_body(piece); });
@@ -358,6 +372,20 @@
         read_body();
     }
 
+    /// The call goes on behind a response that is skipped.
+    void end_response()
+    {
+        if (!m_skipping)
+        {
+            complete();
+            return;
+        }
+        m_skipping = false;
+        m_stage = call_stage::sending;
+        arm_until(m_head_due);
+        read_head();
+    }
+
     void complete()
     {
         // A socket reports its error once: after a failed write, a reset reads as an ordinary
@@ -369,7 +397,7 @@
         }
         m_timer.cancel();
         // An answer that came before the whole request was sent leaves the rest of it in the way.
-        if (m_parser->keep_alive() && m_sent)
+        if (m_parser->keep_alive() && m_sent && m_skipped == 0)
         {
             note_idle_timeout();
             m_pool->give_back(m_endpoint, std::move(m_connection));
@@ -402,7 +430,7 @@
         const bool reused = m_connection && m_connection->m_reused;
         const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
         close();
-        if (m_discarding)
+        if (m_discarding || m_skipping)
         {
             observe::log("discarding_ended", {{"server", server_name()},
                                               {"cause", to_string(failure.m_fault)},
@@ -424,9 +452,10 @@
         }
     }
 
-    void arm(std::chrono::milliseconds timeout)
+    void arm(std::chrono::milliseconds timeout) { arm_until(core::runtime_clock::now() + timeout); }
+
+    void arm_until(core::time_point when)
     {
-        const core::time_point when = core::runtime_clock::now() + timeout;
         m_timer.run_at(std::min(when, m_deadline), [weak = this->weak_from_this()] {
             const auto self = weak.lock();
             if (!self || !self->m_connection)
@@ -496,10 +525,13 @@
     core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
     std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
     std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
-    bool m_discarding = false;   ///< The rest of the response is read for nobody.
-    bool m_timed_out = false;    ///< A deadline closed the connection.
-    bool m_sent = false;         ///< The whole request is written.
-    bool m_write_failed = false; ///< The rest of the request could not be written.
+    core::time_point m_head_due{}; ///< Latest arrival of the response's head.
+    std::uint64_t m_skipped = 0;   ///< Responses to earlier requests that came before its own.
+    bool m_skipping = false;       ///< The rest of such a response is read for nobody.
+    bool m_discarding = false;     ///< The rest of the response is read for nobody.
+    bool m_timed_out = false;      ///< A deadline closed the connection.
+    bool m_sent = false;           ///< The whole request is written.
+    bool m_write_failed = false;   ///< The rest of the request could not be written.
 };
 
 const char* to_string(body_framing framing) noexcept
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -72,6 +72,8 @@
     std::uint64_t m_discard_limit_bytes =
         std::uint64_t{64} * 1024; ///< Most body bytes that are read of a discarded response.
     std::chrono::milliseconds m_discard_timeout{250}; ///< Longest wait for a discarded one's end.
+    std::uint64_t m_skip_limit = 4; ///< Most responses that one call skips; the bounds of discarded
+                                    ///< ones hold for all of them and for each one.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
@@ -113,6 +115,12 @@
     /// Gives the call up: closes its connection and sends no more events.
     virtual void cancel() = 0;
 
+    /// Reads on to the next response on the connection, whose head is the next event: this one,
+    /// whose head has just arrived, answers an earlier request. False when there can be none: no
+    /// earlier request was sent on the connection, nothing tells where this response ends, or too
+    /// many were skipped. The connection is not used again.
+    virtual bool skip_response() = 0;
+
     /// Gives up the rest of a response whose head has arrived: sends no more events. The connection
     /// is kept when the rest is short, and closed at the discard limit or timeout.
     virtual void discard() = 0;
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -37,6 +37,11 @@
     }
     if (!metadata.m_authentic)
     {
+        // The own answer may follow one that answers an earlier request.
+        if (metadata.m_names == named_request::other && m_call->skip_response())
+        {
+            return;
+        }
         m_call->cancel();
         on_connection_lost("foreign_answer");
         return;
--- a/unit_tests/platform/stray_answer_test.cpp
+++ b/unit_tests/platform/stray_answer_test.cpp
@@ -87,7 +87,15 @@
     {
         configure(kind);
         add_upstream([this, second_reply](const std::string&) {
-            return first().m_requests.size() > 1 ? second_reply : reply{answer_to("r1", "one")};
+            switch (first().m_requests.size())
+            {
+            case 1:
+                return reply{answer_to("r1", "one")};
+            case 2:
+                return second_reply;
+            default:
+                return reply{answer_to("r2", "two")};
+            }
         });
         add_upstream([](const std::string&) { return reply{answer_to("r2", "elsewhere")}; });
         CPPUNIT_ASSERT_EQUAL(200U, send(request_of("r1")).m_response.result_int());
