Relay: close a connection after a refusal

A caller that sent a refused request again under its id was told 503 ("not run") for a request that the upstream had run: the upstream wrote the refusal once more directly before the next answer, where the id can't tell it from a refusal of the new send.

Cause: the connection was kept after a refusal whose body was short. A repeat can come at once, later, or behind the next request; bytes that wait on an idle connection are noticed, those that come after the next send are not.

Change: a refusal ends its connection as soon as its head is read, so no repeat of it can ever be read. Weighed against keeping it and reading past repeats by their id: that leaves the case of the same id; a new connection costs about a round trip and is needed only when the upstream is asked again; and a full or leaving upstream, which refuses in bursts, takes fewer connections, so that one less helps it. The request itself goes elsewhere at once. Within one request this could not happen: an upstream that was tried is not chosen again. Discarding the rest of a response has no user left and is removed; its bounds are those of skipped responses.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -212,13 +212,6 @@
         close();
     }
 
-    void discard() override
-    {
-        m_listener.reset();
-        m_discarding = true;
-        arm(m_settings.m_discard_timeout);
-    }
-
     bool skip_response() override
     {
         if (!m_connection || !m_connection->m_reused || !m_parser->keep_alive() ||
@@ -228,7 +221,7 @@
         }
         ++m_skipped;
         m_skipping = true;
-        arm(m_settings.m_discard_timeout);
+        arm(m_settings.m_skip_timeout);
         return true;
     }
 
@@ -328,7 +321,7 @@
 
     void read_body()
     {
-        if ((!m_listener && !m_discarding) || !m_connection)
+        if (!m_listener || !m_connection)
         {
             return;
         }
@@ -337,7 +330,7 @@
             end_response();
             return;
         }
-        if (!m_discarding && !m_skipping)
+        if (!m_skipping)
         {
             arm(m_settings.m_idle_timeout);
         }
@@ -358,8 +351,8 @@
             return;
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
-        m_discarded_bytes += m_discarding || m_skipping ? size : 0;
-        if (m_discarded_bytes > m_settings.m_discard_limit_bytes)
+        m_skipped_bytes += m_skipping ? size : 0;
+        if (m_skipped_bytes > m_settings.m_skip_limit_bytes)
         {
             fail(call_fault::oversized);
             return;
@@ -430,11 +423,11 @@
         const bool reused = m_connection && m_connection->m_reused;
         const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
         close();
-        if (m_discarding || m_skipping)
+        if (m_skipping)
         {
-            observe::log("discarding_ended", {{"server", server_name()},
-                                              {"cause", to_string(failure.m_fault)},
-                                              {"bytes", m_discarded_bytes}});
+            observe::log("skipping_ended", {{"server", server_name()},
+                                            {"cause", to_string(failure.m_fault)},
+                                            {"bytes", m_skipped_bytes}});
         }
         if (const auto listener = std::exchange(m_listener, nullptr))
         {
@@ -524,11 +517,10 @@
     call_stage m_stage = call_stage::connecting;           ///< How far the call has come.
     core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
     std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
-    std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
+    std::uint64_t m_skipped_bytes = 0;                     ///< Body bytes of skipped responses.
     core::time_point m_head_due{}; ///< Latest arrival of the response's head.
     std::uint64_t m_skipped = 0;   ///< Responses to earlier requests that came before its own.
     bool m_skipping = false;       ///< The rest of such a response is read for nobody.
-    bool m_discarding = false;     ///< The rest of the response is read for nobody.
     bool m_timed_out = false;      ///< A deadline closed the connection.
     bool m_sent = false;           ///< The whole request is written.
     bool m_write_failed = false;   ///< The rest of the request could not be written.
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -69,11 +69,10 @@
     std::uint32_t m_head_limit_bytes =
         std::uint32_t{8} * 1024; ///< Largest head with its interim ones, and largest line between
                                  ///< chunks or trailer.
-    std::uint64_t m_discard_limit_bytes =
-        std::uint64_t{64} * 1024; ///< Most body bytes that are read of a discarded response.
-    std::chrono::milliseconds m_discard_timeout{250}; ///< Longest wait for a discarded one's end.
-    std::uint64_t m_skip_limit = 4; ///< Most responses that one call skips; the bounds of discarded
-                                    ///< ones hold for all of them and for each one.
+    std::uint64_t m_skip_limit = 4; ///< Most responses that are skipped.
+    std::uint64_t m_skip_limit_bytes =
+        std::uint64_t{64} * 1024; ///< Most body bytes that are read of skipped responses.
+    std::chrono::milliseconds m_skip_timeout{250}; ///< Longest wait for the end of each.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
@@ -120,10 +119,6 @@
     /// earlier request was sent on the connection, nothing tells where this response ends, or too
     /// many were skipped. The connection is not used again.
     virtual bool skip_response() = 0;
-
-    /// Gives up the rest of a response whose head has arrived: sends no more events. The connection
-    /// is kept when the rest is short, and closed at the discard limit or timeout.
-    virtual void discard() = 0;
 };
 
 /// HTTP/1.1 client with kept-alive connections per endpoint, on one event loop.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -30,8 +30,8 @@
             m_state.m_upstreams.remove(m_selection.m_upstream->m_record.m_id,
                                        core::runtime_clock::now());
         }
-        // The head tells all: the body may break off or have no end.
-        m_call->discard();
+        // The head tells all, and a repeat of it could not be told from a refusal of the next send.
+        m_call->cancel();
         on_not_executed();
         return;
     }
