--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -26,14 +26,33 @@
 {
     explicit client_connection(boost::asio::io_context& context) : m_socket(context) {}
 
-    tcp::socket m_socket;               ///< Connection to the server.
-    boost::beast::flat_buffer m_buffer; ///< Bytes read and not parsed.
-    bool m_reused = false;              ///< An earlier call used it.
-    core::time_point m_idle_since{};    ///< End of the last call.
+    tcp::socket m_socket;                                   ///< Connection to the server.
+    boost::beast::flat_buffer m_buffer;                     ///< Bytes read and not parsed.
+    bool m_reused = false;                                  ///< An earlier call used it.
+    std::uint64_t m_requests = 0;                           ///< Sent on it.
+    core::time_point m_opened = core::runtime_clock::now(); ///< When it was opened.
+    core::time_point m_idle_since{};                        ///< End of the last call.
     core::time_point m_usable_until =
         core::time_point::max(); ///< The server may close it from here on.
+
+    core::duration age() const { return core::runtime_clock::now() - m_opened; }
 };
 
+namespace {
+
+std::string name_of(const tcp::endpoint& server)
+{
+    return fmt::format("{}:{}", server.address().to_string(), server.port());
+}
+
+/// Whole milliseconds for logs.
+std::int64_t milliseconds_of(core::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
 /// Share of the announced idle timeout within which a connection is used again; the rest covers the
 /// time that a request is on its way and the server's rounding to whole seconds.
 constexpr double usable_idle_share = 0.6;
@@ -80,7 +99,8 @@
         idle.push_back(std::move(connection));
     }
 
-    /// An idle connection that has something to read was closed by the server.
+    /// An idle connection that has something to read was closed by the server, or has bytes that
+    /// answer no request.
     static bool is_quiet(client_connection& connection)
     {
         char byte = 0;
@@ -88,6 +108,14 @@
         connection.m_socket.non_blocking(true, error);
         connection.m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
                                     error);
+        if (!error)
+        {
+            error_code ignored;
+            const tcp::endpoint server = connection.m_socket.remote_endpoint(ignored);
+            observe::log("answer_out_of_turn", {{"server", name_of(server)},
+                                                {"age_ms", milliseconds_of(connection.age())},
+                                                {"requests", connection.m_requests}});
+        }
         return error == boost::asio::error::would_block;
     }
 
@@ -169,17 +197,32 @@
         connect();
     }
 
+    connection_use use() const override
+    {
+        if (!m_connection)
+        {
+            return {};
+        }
+        return {m_connection->age(), m_connection->m_requests};
+    }
+
     void cancel() override
     {
         m_listener.reset();
         close();
     }
 
-    void discard() override
+    bool skip_response() override
     {
-        m_listener.reset();
-        m_discarding = true;
-        arm(m_settings.m_discard_timeout);
+        if (!m_connection || !m_connection->m_reused || !m_parser->keep_alive() ||
+            m_skipped >= m_settings.m_skip_limit)
+        {
+            return false;
+        }
+        ++m_skipped;
+        m_skipping = true;
+        arm(m_settings.m_skip_timeout);
+        return true;
     }
 
 private:
@@ -208,7 +251,9 @@
     void send()
     {
         m_stage = call_stage::sending;
-        arm(m_settings.m_first_byte_timeout);
+        ++m_connection->m_requests;
+        m_head_due = core::runtime_clock::now() + m_settings.m_first_byte_timeout;
+        arm_until(m_head_due);
         http::async_write(m_connection->m_socket, m_request,
                           [self = this->shared_from_this()](error_code error, std::size_t) {
                               // The server may have answered before it stopped reading: the read
@@ -276,16 +321,16 @@
 
     void read_body()
     {
-        if ((!m_listener && !m_discarding) || !m_connection)
+        if (!m_listener || !m_connection)
         {
             return;
         }
         if (m_parser->is_done())
         {
-            complete();
+            end_response();
             return;
         }
-        if (!m_discarding)
+        if (!m_skipping)
         {
             arm(m_settings.m_idle_timeout);
         }
@@ -306,13 +351,13 @@
             return;
         }
         const std::size_t size = m_piece.size() - m_parser->get().body().size;
-        m_discarded_bytes += m_discarding ? size : 0;
-        if (m_discarded_bytes > m_settings.m_discard_limit_bytes)
+        m_skipped_bytes += m_skipping ? size : 0;
+        if (m_skipped_bytes > m_settings.m_skip_limit_bytes)
         {
             fail(call_fault::oversized);
             return;
         }
-        if (size > 0)
+        if (size > 0 && !m_skipping)
         {
             const std::string_view piece(m_piece.data(), size);
             notify([piece](call_listener& listener) { listener.on_body(piece); });
@@ -320,6 +365,20 @@
         read_body();
     }
 
+    /// The call goes on behind a response that is skipped.
+    void end_response()
+    {
+        if (!m_skipping)
+        {
+            complete();
+            return;
+        }
+        m_skipping = false;
+        m_stage = call_stage::sending;
+        arm_until(m_head_due);
+        read_head();
+    }
+
     void complete()
     {
         // A socket reports its error once: after a failed write, a reset reads as an ordinary
@@ -331,7 +390,7 @@
         }
         m_timer.cancel();
         // An answer that came before the whole request was sent leaves the rest of it in the way.
-        if (m_parser->keep_alive() && m_sent)
+        if (m_parser->keep_alive() && m_sent && m_skipped == 0)
         {
             note_idle_timeout();
             m_pool->give_back(m_endpoint, std::move(m_connection));
@@ -364,11 +423,11 @@
         const bool reused = m_connection && m_connection->m_reused;
         const call_failure failure{m_stage, m_timed_out ? call_fault::timed_out : fault, reused};
         close();
-        if (m_discarding)
+        if (m_skipping)
         {
-            observe::log("discarding_ended", {{"server", server_name()},
-                                              {"cause", to_string(failure.m_fault)},
-                                              {"bytes", m_discarded_bytes}});
+            observe::log("skipping_ended", {{"server", server_name()},
+                                            {"cause", to_string(failure.m_fault)},
+                                            {"bytes", m_skipped_bytes}});
         }
         if (const auto listener = std::exchange(m_listener, nullptr))
         {
@@ -386,9 +445,10 @@
         }
     }
 
-    void arm(std::chrono::milliseconds timeout)
+    void arm(std::chrono::milliseconds timeout) { arm_until(core::runtime_clock::now() + timeout); }
+
+    void arm_until(core::time_point when)
     {
-        const core::time_point when = core::runtime_clock::now() + timeout;
         m_timer.run_at(std::min(when, m_deadline), [weak = this->weak_from_this()] {
             const auto self = weak.lock();
             if (!self || !self->m_connection)
@@ -411,10 +471,7 @@
         }
     }
 
-    std::string server_name() const
-    {
-        return fmt::format("{}:{}", m_endpoint.address().to_string(), m_endpoint.port());
-    }
+    std::string server_name() const { return name_of(m_endpoint); }
 
     template <class Parser>
     static body_framing framing_of(const Parser& parser)
@@ -460,11 +517,13 @@
     call_stage m_stage = call_stage::connecting;           ///< How far the call has come.
     core::time_point m_deadline = core::time_point::max(); ///< Latest end of the response.
     std::uint32_t m_interim_bytes = 0;                     ///< Of heads before the final one.
-    std::uint64_t m_discarded_bytes = 0;                   ///< Body bytes read since discard.
-    bool m_discarding = false;   ///< The rest of the response is read for nobody.
-    bool m_timed_out = false;    ///< A deadline closed the connection.
-    bool m_sent = false;         ///< The whole request is written.
-    bool m_write_failed = false; ///< The rest of the request could not be written.
+    std::uint64_t m_skipped_bytes = 0;                     ///< Body bytes of skipped responses.
+    core::time_point m_head_due{}; ///< Latest arrival of the response's head.
+    std::uint64_t m_skipped = 0;   ///< Responses to earlier requests that came before its own.
+    bool m_skipping = false;       ///< The rest of such a response is read for nobody.
+    bool m_timed_out = false;      ///< A deadline closed the connection.
+    bool m_sent = false;           ///< The whole request is written.
+    bool m_write_failed = false;   ///< The rest of the request could not be written.
 };
 
 const char* to_string(body_framing framing) noexcept
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragontrail/core/clock.hpp"
 #include "tarragontrail/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -68,9 +69,10 @@
     std::uint32_t m_head_limit_bytes =
         std::uint32_t{8} * 1024; ///< Largest head with its interim ones, and largest line between
                                  ///< chunks or trailer.
-    std::uint64_t m_discard_limit_bytes =
-        std::uint64_t{64} * 1024; ///< Most body bytes that are read of a discarded response.
-    std::chrono::milliseconds m_discard_timeout{250}; ///< Longest wait for a discarded one's end.
+    std::uint64_t m_skip_limit = 4; ///< Most responses that are skipped.
+    std::uint64_t m_skip_limit_bytes =
+        std::uint64_t{64} * 1024; ///< Most body bytes that are read of skipped responses.
+    std::chrono::milliseconds m_skip_timeout{250}; ///< Longest wait for the end of each.
     bool m_fresh_connection = false; ///< Never use a connection that served an earlier call.
 };
 
@@ -93,18 +95,30 @@
     virtual void on_failed(const call_failure& failure) = 0;
 };
 
+/// What the connection of a call has served.
+struct connection_use
+{
+    core::duration m_age{};       ///< Since it was opened; zero when the call has none.
+    std::uint64_t m_requests = 0; ///< Sent on it, that of the call included.
+};
+
 /// A call under way.
 class http_call
 {
 public:
     virtual ~http_call() = default;
 
+    /// What the connection has served so far.
+    virtual connection_use use() const = 0;
+
     /// Gives the call up: closes its connection and sends no more events.
     virtual void cancel() = 0;
 
-    /// Gives up the rest of a response whose head has arrived: sends no more events. The connection
-    /// is kept when the rest is short, and closed at the discard limit or timeout.
-    virtual void discard() = 0;
+    /// Reads on to the next response on the connection, whose head is the next event: this one,
+    /// whose head has just arrived, answers an earlier request. False when there can be none: no
+    /// earlier request was sent on the connection, nothing tells where this response ends, or too
+    /// many were skipped. The connection is not used again.
+    virtual bool skip_response() = 0;
 };
 
 /// HTTP/1.1 client with kept-alive connections per endpoint, on one event loop.
