Documents that cannot be read: count them by reader, and keep log lines readable

Callers saw nothing that told an unreadable row of one table from that of another: the lines named a key and a reason only, and no counter stood for them. Values on log lines had no bound, and control characters other than line ends went out as they were.

Change: tarragontrail_refused_documents_total by reader (operators, upstreams, fleet); the lines of refused rows name the reader and the row's size; a value on any line is cut at 1024 bytes, and what is not printable ASCII is replaced.

--- a/tarragontrail/observe/log.cpp
+++ b/tarragontrail/observe/log.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/observe/log_writer.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <fmt/chrono.h>
@@ -13,9 +14,26 @@
 std::string process_name;
 std::mutex line_mutex;
 
+/// Texts from outside may be of any length; a line stays readable.
+constexpr std::size_t longest_value_bytes = 1024;
+
+/// Whether a letter may stand on a line as it is.
+bool is_printable(char letter)
+{
+    return letter >= ' ' && letter <= '~';
+}
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=") != std::string_view::npos ||
+           !std::all_of(value.begin(), value.end(), is_printable);
+}
+
 void append_value(std::string& line, std::string_view value)
 {
-    if (!value.empty() && value.find_first_of(" \"=\n\r\t") == std::string_view::npos)
+    const bool is_cut = value.size() > longest_value_bytes;
+    value = value.substr(0, longest_value_bytes);
+    if (!is_cut && !needs_quotes(value))
     {
         line.append(value);
         return;
@@ -27,9 +45,10 @@
         {
             line.push_back('\\');
         }
-        line.push_back(static_cast<unsigned char>(letter) < ' ' ? ' ' : letter);
+        const char other = static_cast<unsigned char>(letter) < ' ' ? ' ' : '?';
+        line.push_back(is_printable(letter) ? letter : other);
     }
-    line.push_back('"');
+    line.append(is_cut ? "...\"" : "\"");
 }
 
 } // namespace
--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -36,6 +36,8 @@
                                      "Prompt tokens that engines had cached or recomputed")),
       m_upstream_responses(counter_family(*m_registry, "tarragontrail_upstream_responses_total",
                                           "Responses of upstreams by framing and end")),
+      m_refused_documents(counter_family(*m_registry, "tarragontrail_refused_documents_total",
+                                         "Documents from outside that could not be read")),
       m_control(prometheus::BuildGauge()
                     .Name("tarragontrail_control")
                     .Help("State and traffic of the control duties")
@@ -81,6 +83,11 @@
     m_upstream_responses.Add({{"framing", framing}, {"end", end}}).Increment();
 }
 
+void metrics::count_refused_document(const std::string& reader)
+{
+    m_refused_documents.Add({{"reader", reader}}).Increment();
+}
+
 void metrics::set_control(const std::string& name, double value)
 {
     m_control.Add({{"name", name}}).Set(value);
--- a/tarragontrail/observe/metrics.hpp
+++ b/tarragontrail/observe/metrics.hpp
@@ -41,6 +41,9 @@
     /// Counts an upstream's response by its framing and by what ended it.
     void count_upstream_response(const std::string& framing, const std::string& end);
 
+    /// Counts a document from outside that could not be read, by its reader.
+    void count_refused_document(const std::string& reader);
+
     /// Sets a gauge of the control duties, for example messages or bytes by role.
     void set_control(const std::string& name, double value);
 
@@ -52,6 +55,7 @@
     prometheus::Family<prometheus::Counter>& m_retries;            ///< By kind.
     prometheus::Family<prometheus::Counter>& m_prompt_tokens;      ///< Cached or recomputed.
     prometheus::Family<prometheus::Counter>& m_upstream_responses; ///< By framing and end.
+    prometheus::Family<prometheus::Counter>& m_refused_documents;  ///< By reader.
     prometheus::Family<prometheus::Gauge>& m_control;              ///< By name.
     prometheus::Histogram& m_first_token;                          ///< Seconds.
 };
--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -20,7 +20,11 @@
         }
         catch (const document_error& failure)
         {
-            observe::log("document_refused", {{"key", row.m_key}, {"reason", failure.what()}});
+            m_state.m_metrics.count_refused_document("operators");
+            observe::log("document_refused", {{"reader", "operators"},
+                                              {"key", row.m_key},
+                                              {"bytes", row.m_value.size()},
+                                              {"reason", failure.what()}});
         }
     }
 }
@@ -103,7 +107,11 @@
         }
         catch (const document_error& failure)
         {
-            observe::log("upstream_refused", {{"key", row.m_key}, {"reason", failure.what()}});
+            m_state.m_metrics.count_refused_document("upstreams");
+            observe::log("upstream_refused", {{"reader", "upstreams"},
+                                              {"key", row.m_key},
+                                              {"bytes", row.m_value.size()},
+                                              {"reason", failure.what()}});
         }
     }
 }
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -229,7 +229,11 @@
         }
         catch (const wire::decode_error& failure)
         {
-            observe::log("fleet_row_refused", {{"key", row.m_key}, {"reason", failure.what()}});
+            m_state.m_metrics.count_refused_document("fleet");
+            observe::log("fleet_row_refused", {{"reader", "fleet"},
+                                               {"key", row.m_key},
+                                               {"bytes", row.m_value.size()},
+                                               {"reason", failure.what()}});
         }
     }
     m_state.m_quarantines_known |= follower(followed_table::fleet).mirror().is_complete();
