Upstream whose row became unreadable gets no new requests

A known upstream whose row could no longer be read was used on by its last good row, though such a row names no upstream to use. It now leaves as one that is draining: no new requests, those under way go on, and it does not count as crashed. The next good row brings it back.

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -112,10 +112,27 @@
                                               {"key", row.m_key},
                                               {"bytes", row.m_value.size()},
                                               {"reason", failure.what()}});
+            withdraw_upstream(core::id_of<core::upstream_id>(row.m_key), row.m_version.m_era);
         }
     }
 }
 
+/// A row that cannot be read names no upstream to use: it gets no new requests, as one that leaves,
+/// and those under way go on. It did not crash.
+void document_applier::withdraw_upstream(core::upstream_id id, std::uint64_t era)
+{
+    m_doubted_rows.erase(id);
+    const auto known = m_state.m_upstreams.find(id);
+    if (!known)
+    {
+        return;
+    }
+    observe::log("upstream_withdrawn", {{"name", known->m_record.m_name},
+                                        {"leaving", known->m_leaving_since.has_value()}});
+    known->m_era = era;
+    m_state.m_upstreams.remove(id, core::runtime_clock::now());
+}
+
 void document_applier::on_upstreams_restored(core::time_point now)
 {
     for (auto& [id, doubted] : m_doubted_rows)
--- a/tarragontrail/relay/document_applier.hpp
+++ b/tarragontrail/relay/document_applier.hpp
@@ -58,6 +58,7 @@
     bool is_doubted(const upstream& known, const upstream_record& record, std::uint64_t era,
                     core::time_point now);
     void apply_upstream(const upstream_record& record, std::uint64_t era);
+    void withdraw_upstream(core::upstream_id id, std::uint64_t era);
     void remove_upstream(core::upstream_id id, std::uint64_t era);
 
     relay_state& m_state;
