Rows of operators and upstreams: bound the nesting, refuse impossible values

Seen: one row whose field models, or an entry of it, nests 60,000 deep ended the process with signal 11; copying a tree takes stack for each level. A field that is not known did no harm. slots 1e40, -1 and 1.5e300, born 1e30 and -5, cold-remaining-ms 1e300, a list as version and port "80abc" were taken.

Change: wire::parse_json bounds the nesting before a tree exists (the entry's check moved there, so there is one); document_fields holds the checked readers of counts, amounts, milliseconds, texts and lists, which name the field and what was seen; no subtree is copied; ports are read whole.

--- a/tarragontrail/entry/json_input.hpp
+++ b/tarragontrail/entry/json_input.hpp
@@ -1,17 +1,14 @@
 #pragma once
 
+#include "tarragontrail/wire/json_document.hpp"
+
 #include <nlohmann/json.hpp>
 #include <string>
-#include <string_view>
 
 namespace tarragontrail::entry {
 
-/// Levels of nesting that JSON from outside may have.
-constexpr std::size_t nesting_limit = 64;
-
-/// Whether JSON text nests deeper than the limit; copying and writing such a tree would take stack
-/// for each level.
-bool nests_too_deep(std::string_view text) noexcept;
+using wire::nesting_limit;
+using wire::nests_too_deep;
 
 /// Reads a JSON object from outside; throws request_error when it is none or nests too deep.
 nlohmann::json parse_json_object(const std::string& text);
--- a/tarragontrail/net/http_types.cpp
+++ b/tarragontrail/net/http_types.cpp
@@ -1,5 +1,7 @@
 #include "tarragontrail/net/http_types.hpp"
 
+#include "tarragontrail/core/parse_number.hpp"
+
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 
@@ -64,9 +66,12 @@
     {
         address = address.substr(1, address.size() - 2);
     }
-    std::uint64_t port = 0;
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    return make_endpoint(address, port);
+    const auto port = core::parse_number(std::string_view(text).substr(colon + 1));
+    if (!port)
+    {
+        throw address_error("no port in address: " + text);
+    }
+    return make_endpoint(address, *port);
 }
 
 std::string_view target_of(const http_request& request)
