--- a/tarragontrail/wire/cbor_fields.hpp
+++ b/tarragontrail/wire/cbor_fields.hpp
@@ -79,7 +79,7 @@
         }
         else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>)
         {
-            value = std::chrono::milliseconds(read_signed(field));
+            value = read_milliseconds(field);
         }
         else if constexpr (std::is_same_v<Value, bool>)
         {
@@ -117,6 +117,7 @@
     static void require(bool holds, const char* reason);
     static std::uint64_t read_unsigned(const nlohmann::json& field);
     static std::int64_t read_signed(const nlohmann::json& field);
+    static std::chrono::milliseconds read_milliseconds(const nlohmann::json& field);
     static bool read_boolean(const nlohmann::json& field);
     static double read_number(const nlohmann::json& field);
     static std::string read_string(const nlohmann::json& field);
