--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/net/http_client.hpp"
 
+#include "tarragontrail/core/parse_number.hpp"
 #include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
@@ -12,7 +13,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <cstdlib>
 #include <deque>
 #include <optional>
 
@@ -37,6 +37,8 @@
 /// Share of the announced idle timeout within which a connection is used again; the rest covers the
 /// time that a request is on its way and the server's rounding to whole seconds.
 constexpr double usable_idle_share = 0.6;
+/// Longer announcements count as this one, in seconds.
+constexpr std::uint64_t longest_announced_s = 86'400;
 
 /// Idle connections by endpoint.
 struct http_client::pool
@@ -352,8 +354,13 @@
         {
             return;
         }
-        const char* digits = announced.c_str() + at + std::string_view("timeout=").size();
-        const std::chrono::duration<double> timeout(std::strtod(digits, nullptr));
+        const std::string_view rest =
+            std::string_view(announced).substr(at + std::string_view("timeout=").size());
+        // What cannot be read counts as none at all, so the connection is not used again.
+        const std::uint64_t seconds =
+            core::parse_number(rest.substr(0, rest.find_first_not_of("0123456789"))).value_or(0);
+        const std::chrono::duration<double> timeout(
+            static_cast<double>(std::min(seconds, longest_announced_s)));
         m_connection->m_usable_until =
             core::runtime_clock::now() +
             std::chrono::duration_cast<core::duration>(timeout * usable_idle_share);
