Quarantine rows: refuse an end that no instance writes

An end beyond a year was added to the clock and could overflow. Such a row is refused like any other unreadable row of the fleet's table. Found in the code; no test of the bound yet, quarantine_rows_test passes.

--- a/tarragontrail/relay/quarantine_rows.cpp
+++ b/tarragontrail/relay/quarantine_rows.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds rewrite_delay{3'000};
 /// Notices of one quarantine differ by the time that they were on their way.
 constexpr std::chrono::milliseconds renewal_margin{60'000};
+/// A row that lasts longer was not written by an instance.
+constexpr std::chrono::milliseconds longest_quarantine = std::chrono::hours(24 * 366);
 /// Written rows are forgotten beyond this number; a repeated write does no harm.
 constexpr std::size_t max_rows = 512;
 
@@ -63,8 +65,13 @@
 std::optional<recovery::part_quarantine_notice>
 quarantine_rows::on_row(const std::string& key, const wire::part_quarantine_entry& entry)
 {
+    const std::chrono::milliseconds now = unix_time();
+    if (entry.m_until_unix_ms > static_cast<std::uint64_t>((now + longest_quarantine).count()))
+    {
+        throw wire::decode_error("quarantine ends too late");
+    }
     const std::chrono::milliseconds until(entry.m_until_unix_ms);
-    const std::chrono::milliseconds left = until - unix_time();
+    const std::chrono::milliseconds left = until - now;
     if (left.count() <= 0)
     {
         m_rows.erase(key);
