--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -39,6 +39,8 @@
       m_unproven_responses(
           counter_family(*m_registry, "tarragontrail_unproven_responses_total",
                          "Responses of upstreams that do not prove to answer their request")),
+      m_refused_documents(counter_family(*m_registry, "tarragontrail_refused_documents_total",
+                                         "Documents from outside that could not be read")),
       m_control(prometheus::BuildGauge()
                     .Name("tarragontrail_control")
                     .Help("State and traffic of the control duties")
@@ -89,6 +91,11 @@
     m_unproven_responses.Add({{"kind", kind}}).Increment();
 }
 
+void metrics::count_refused_document(const std::string& reader)
+{
+    m_refused_documents.Add({{"reader", reader}}).Increment();
+}
+
 void metrics::set_control(const std::string& name, double value)
 {
     m_control.Add({{"name", name}}).Set(value);
--- a/tarragontrail/observe/metrics.hpp
+++ b/tarragontrail/observe/metrics.hpp
@@ -44,6 +44,9 @@
     /// Counts an upstream's response that does not prove to answer the request, by what it is.
     void count_unproven_response(const std::string& kind);
 
+    /// Counts a document from outside that could not be read, by its reader.
+    void count_refused_document(const std::string& reader);
+
     /// Sets a gauge of the control duties, for example messages or bytes by role.
     void set_control(const std::string& name, double value);
 
@@ -56,6 +59,7 @@
     prometheus::Family<prometheus::Counter>& m_prompt_tokens;      ///< Cached or recomputed.
     prometheus::Family<prometheus::Counter>& m_upstream_responses; ///< By framing and end.
     prometheus::Family<prometheus::Counter>& m_unproven_responses; ///< By kind.
+    prometheus::Family<prometheus::Counter>& m_refused_documents;  ///< By reader.
     prometheus::Family<prometheus::Gauge>& m_control;              ///< By name.
     prometheus::Histogram& m_first_token;                          ///< Seconds.
 };
