Soak: odd entries, repeated refusals, silent engines and configurations beside all faults

The soak's engines and operator kept to what the program expects, so that nothing in the suite saw what another writer's entry, a refusal that comes twice, a pause of a sound engine or a series of configurations does to requests under way.

- odd-rows (only when named): entries with deeply nested values, impossible numbers, ports and types, missing fields and unreadable bytes, under ids of their own and of live engines, which put them right at their next heartbeat.
Check ODD: an engine that only such an entry names gets no request.
- repeats: a third of the engines refuse more and write most refusals once more. 502_after_repeat counts the 502 after these.
- silent: a sound engine sends nothing for about a second; LOST and CUT judge it as sound.
- configurations: routes move between services, one comes and goes, limits grow and shrink, SIGHUP meanwhile.
UNANSWERED also judges a connection that is closed within four fifths of the idle time, where that is at least a second; shorter ones stay a count, as a late machine explains them.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -8,7 +8,7 @@
 import wire
 
 HOST = "one.example"
-METHODS = {"idem": "GET", "open": "GET", "once": "POST", "gen": "POST", "res": "POST"}
+METHODS = {"idem": "GET", "open": "GET", "some": "GET", "once": "POST", "gen": "POST", "res": "POST"}
 ANSWERS = (200, 401, 408, 421, 429, 502, 503, 504)
 # Wait for an answer beyond a request's deadline, in seconds; longer than any series of pauses.
 PATIENCE_S = 12.0
@@ -68,7 +68,8 @@
 
     def make(self, link, opened, number, idle):
         self.sent += 1
-        route = self.rng.choice(("idem", "idem", "once", "once", "gen", "res", "open"))
+        routes = ("idem", "idem", "once", "once", "gen", "res", "open")
+        route = self.rng.choice((*routes, "some") if "configurations" in self.run.kinds else routes)
         request_id = f"{self.run.seed:x}c{self.number:x}n{self.sent:x}-{self.rng.getrandbits(32):08x}"
         deadline = self.rng.randint(1000, 3000)
         # The instance may use another configuration than the newest.
@@ -138,7 +139,7 @@
         return headers.get("connection", "").lower() != "close" and not wire.ends_with_close(headers)
 
     def judge(self, request, headers):
-        if request.status not in ANSWERS:
+        if request.status not in ANSWERS and (request.route, request.status) != ("some", 404):
             self.run.checks.finding("STATUS", f"{request}: unexpected status", request.id)
         if request.route != "open" and request.status in (200, 401):
             self.run.checks.judge_key(request, self.run.keys)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -21,6 +21,8 @@
 SETTLE_S = 4.0
 # Part of the idle time-out for which a connection is certain to serve another request.
 USABLE_PART_OF_IDLE = 0.8
+# With at least this idle limit, in seconds, a request sent in its usable part is read in time on a busy machine, too.
+SURE_LIMIT_S = 1.0
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -145,7 +147,10 @@
             self.settle_short(request, executed)
         if request.status in PROMISES and executed:
             self.finding("PROMISE", f"{request}: promised not to have run", request.id)
-        most = 2 if request.route in ("idem", "res", "open") else 1
+        if request.status == 502:
+            self.counts["502_after_repeat"] += any(one.after_repeat for one in arrivals)
+            self.counts["502_silent"] += any(one.was_silent for one in arrivals)
+        most = 2 if request.route in ("idem", "res", "open", "some") else 1
         if len(executed) > most:
             self.finding("TWICE", f"{request}: ran {len(executed)} times", request.id)
         if request.withdrawn_at is not None and request.status == 200:
@@ -185,13 +190,16 @@
     def settle_unread(self, request):
         """Callers reuse connections that have been idle for up to four fifths of the limit.
 
-        Counted only: a busy machine alone can hold a request back for the rest of so short a limit.
+        Counted only where the limit is short: a busy machine alone can hold a request back for the rest of it.
         """
         if request.number == 1 or request.idle > request.idle_limit * USABLE_PART_OF_IDLE:
             return
         targets = [request.instance.name, *([request.link] if request.link else [])]
         if not self.faults.during(targets, request.sent_at - request.idle - SOUND_S, request.ended_at):
             self.counts["closed_early"] += 1
+            left = request.idle_limit * (1 - USABLE_PART_OF_IDLE)
+            if request.idle_limit >= SURE_LIMIT_S and left > 2 * self.run.lag:
+                self.finding("UNANSWERED", f"{request}: closed within {request.idle_limit} s idle", request.id)
 
     def check_unread(self, lines):
         """A request that no engine saw and whose connection was closed was not read by the instance either."""
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -1,7 +1,9 @@
 #!/usr/bin/env python3
 """Tests that the soak's checks tell a fault of the relay from what a fault of the surroundings explains."""
 import asyncio
+import json
 import pathlib
+import random
 import tempfile
 import time
 import types
@@ -11,6 +13,7 @@
 import checks
 import engines
 import faults
+import odd
 import proxy
 import store
 import wire
@@ -67,6 +70,103 @@
         self.found(early)
         self.assertEqual(self.checks.counts["closed_early"], 1)
 
+    def test_connection_closed_within_its_idle_time_is_a_finding_where_the_machine_cannot_be_late(self):
+        early = self.request("closed")
+        early.idle, early.idle_limit = 1.0, 1.5
+        self.assertEqual(self.found(early), {"UNANSWERED": 1})
+        # Idle for longer than four fifths, the first request, and a stop of the instance.
+        early.idle = 1.25
+        self.assertEqual(self.found(early), {})
+        early.idle, early.number = 1.0, 1
+        self.assertEqual(self.found(early), {})
+        early.number = 2
+        self.run_under_test.lag = 0.3
+        self.assertEqual(self.found(early), {})
+        self.run_under_test.lag = 0.0
+        self.checks.faults.begin("r00", "pause")
+        early.end("closed")
+        self.assertEqual(self.found(early), {})
+
+    def test_silent_engine_is_sound(self):
+        self.arrive("answered")
+        self.checks.arrivals["x-1"][0].was_silent = True
+        self.assertEqual(self.found(self.request("closed")), {"LOST": 1})
+        self.arrive("answered")
+        self.checks.arrivals["x-1"][0].was_silent = True
+        self.assertEqual(self.found(self.request("cut", "gen", 200)), {"CUT": 1})
+
+    def test_502_from_connections_with_repeated_refusals_are_counted(self):
+        for after_repeat, count in ((False, 0), (True, 1)):
+            self.arrive("running")
+            self.checks.arrivals["x-1"][0].after_repeat = after_repeat
+            self.assertEqual(self.found(self.request("answered", status=502)), {})
+            self.assertEqual(self.checks.counts["502_after_repeat"], count)
+
+    def test_request_for_an_odd_entry_is_a_finding_and_a_probe_is_not(self):
+        trap = odd.Trap(("127.0.0.1", 8080), self.run_under_test)
+        for target in ("/-/report", "/health"):
+            trap.take(f"GET {target} HTTP/1.1", {})
+        self.assertEqual(self.checks.findings, {})
+        trap.take("GET /idem/x HTTP/1.1", {"x-request-id": "x-1"})
+        self.assertEqual(self.checks.findings, {"ODD": 1})
+
+    def test_odd_entries_fit_a_row_and_are_odd(self):
+        sound = {"service": "gen", "address": "127.15.0.1:8080", "zone": "zone-a", "version": "v1", "slots": 64,
+                 "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": 1}
+        rows = dict(odd.odd_rows(sound))
+        self.assertGreater(len(rows), 50)
+        for name, value in rows.items():
+            if name.startswith("large"):
+                self.assertEqual(value.count(b"]"), value.count(b"["))
+                self.assertGreaterEqual(value.count(b"["), odd.LARGE_DEPTH)
+                continue
+            self.assertLessEqual(len(value), odd.ROW_BYTES, name)
+            if name.startswith("deep"):
+                self.assertGreater(len(value), odd.ROW_BYTES - 500)
+                self.assertEqual(value.count(b"["), value.count(b"]"))
+                continue
+            try:
+                self.assertNotEqual(json.loads(value), sound, name)
+            except (ValueError, RecursionError):
+                pass  # Unreadable ones are odd, too.
+        self.assertIn(odd.draw(random.Random(1), sound), rows.items())
+
+    def engine(self, **more):
+        run = types.SimpleNamespace(rng=lambda name: random.Random(1), kinds={"repeats"}, checks=self.checks,
+                                    store=store.Store(None))
+        made = engines.Engine(0, "plain", ("127.15.0.1", 8080), ("127.15.0.2", 8080), run)
+        made.id, made.born, made.server = "i-e0-1", 1, object()
+        vars(made).update(more)
+        return made
+
+    def test_engine_puts_an_odd_entry_under_its_id_right_at_its_heartbeat(self):
+        engine = self.engine()
+        engine.register()
+        engine.run.store.put_raw("servers", engine.id, "e30=")
+        engine.row_is_odd = True
+        before = engine.run.store.rows[("servers", engine.id)]
+        engine.renew_row()
+        after = engine.run.store.rows[("servers", engine.id)]
+        self.assertNotEqual(before[0], after[0])
+        self.assertGreater(after[1], before[1])
+        self.assertFalse(engine.row_is_odd)
+
+    def test_refusal_is_written_again_before_the_next_answer(self):
+        engine = self.engine()
+        engine.rng = types.SimpleNamespace(random=lambda: 0.0, choice=lambda kinds: "next", choices=random.choices)
+        written, repeats = [], []
+        writer = types.SimpleNamespace(write=written.append)
+
+        async def play(request_id):
+            headers = {"x-request-id": request_id, "x-soak": "0,20", "x-soak-sum": wire.digest("")}
+            return await engine.answer(f"GET /idem/{request_id} HTTP/1.1", headers, b"", writer, repeats)
+        self.assertTrue(asyncio.run(play("x-1")))
+        self.assertEqual(len(written), 1)
+        asyncio.run(play("x-2"))
+        self.assertEqual(written[1], written[0])
+        self.assertIn(b"x-2", written[2])
+        self.assertTrue(self.checks.arrivals["x-2"][0].after_repeat)
+
     def test_request_that_only_the_instance_has_read_is_answered(self):
         self.assertEqual(self.found(self.request("closed")), {})
         self.checks.check_unread(["process=r00 event=ended request=x-2 status=0", "event=routed request=x-1 "])
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -36,6 +36,9 @@
         # How the answer's connection ended: None while it goes on or when its frame is whole.
         self.end = None
         self.resumed = "last-event-id" in headers
+        # Whether a refusal was written twice on its connection before.
+        self.after_repeat = False
+        self.was_silent = False
 
     def proves_ordinary_close(self):
         """Whether the close of the connection is all that ended the answer, and looks like its end."""
@@ -60,6 +63,10 @@
         self.connections = set()
         self.running = set()
         self.leaving = False
+        # An engine that writes refusals twice, and more of them.
+        self.repeats = "repeats" in run.kinds and number % 3 == 0
+        self.silent_until = 0.0
+        self.row_is_odd = False
 
     async def start(self, same_id=False):
         self.starts += 1
@@ -73,11 +80,16 @@
         self.register()
 
     def register(self):
+        self.row_is_odd = False
         self.run.store.put("servers", self.id, self.describe())
 
     def renew_row(self):
         """What an engine writes at each heartbeat."""
-        if self.server is not None and self.run.store.fault != "down":
+        if self.server is None or self.run.store.fault == "down":
+            return
+        if self.row_is_odd:
+            self.register()
+        else:
             self.run.store.renew("servers", self.id, self.describe())
 
     def describe(self):
@@ -89,6 +101,13 @@
             row.update(stage="prefill_decode", models=[{"name": MODEL, "version": 1, "adapters": []}])
         return row
 
+    async def until_heard(self, arrival=None):
+        """Waits while the engine is silent: it is sound, accepts and reads, and sends nothing."""
+        while (left := self.silent_until - time.monotonic()) > 0:
+            if arrival is not None:
+                arrival.was_silent = True
+            await asyncio.sleep(left)
+
     async def crash(self, with_reset=True):
         """Refuses connections from now on; all open ones are reset, or closed as a process's end does."""
         if self.server is not None:
@@ -106,11 +125,11 @@
     async def serve(self, reader, writer):
         self.connections.add(writer.transport)
         try:
-            keep = True
+            keep, repeats = True, []
             while keep:
                 line, headers = await asyncio.wait_for(wire.read_head(reader), KEEP_ALIVE_S)
                 body = await wire.read_body(reader, headers)
-                keep = await self.answer(line, headers, body, writer)
+                keep = await self.answer(line, headers, body, writer, repeats)
                 await writer.drain()
         except (*wire.READ_ERRORS, asyncio.TimeoutError):
             pass  # The other side has gone, or is idle for long.
@@ -118,8 +137,9 @@
             self.connections.discard(writer.transport)
             writer.close()
 
-    async def answer(self, line, headers, body, writer):
-        """Answers one request; False when the connection ends."""
+    async def answer(self, line, headers, body, writer, repeats):
+        """Answers one request; False when the connection ends. `repeats` are refusals written twice on it."""
+        await self.until_heard()
         target = line.split(" ")[1]
         if "authorization" in headers:
             self.run.checks.finding("KEY_SHOWN", f"{self.name} got Authorization with {line}")
@@ -127,12 +147,16 @@
             return self.answer_platform(target, writer)
         request_id = headers.get("x-request-id", "")
         arrival = Arrival(self.name, request_id, headers)
+        arrival.after_repeat = bool(repeats)
         self.run.checks.arrived(arrival)
+        if repeats and (late := repeats[-1]) is not None:
+            writer.write(late)
+            repeats[-1] = None
         if headers.get("x-expect-instance", self.id) != self.id:
-            return self.decline(arrival, "421 Misdirected", writer, {"X-Instance-Id": self.id})
+            return self.decline(arrival, "421 Misdirected", writer, {"X-Instance-Id": self.id}, repeats)
         fault = self.fault
-        if fault == "refuse" or self.rng.random() < 0.003:
-            return self.decline(arrival, "503 Full", writer, {})
+        if fault == "refuse" or self.rng.random() < (0.05 if self.repeats else 0.003):
+            return self.decline(arrival, "503 Full", writer, {}, repeats)
         if wire.digest(body.decode("latin-1")) != headers.get("x-soak-sum"):
             self.run.checks.finding("MIXED", f"{self.name} got another body for {request_id}", request_id)
         if fault == "reset" and self.rng.random() < 0.7:
@@ -160,6 +184,7 @@
         else:
             pieces = [plain_body(arrival.id, int(plan[1]))]
         gap = int(plan[2]) / 1000 if is_stream else 0
+        await self.until_heard(arrival)
         arrival.framing = self.rng.choices(FRAMINGS, (40, 40, 20))[0]
         keep = not self.leaving and arrival.framing != "close" and self.rng.random() > 0.01
         writer.write(self.answer_head(arrival, is_stream, sum(map(len, pieces)), keep))
@@ -170,6 +195,7 @@
                 if self.rng.random() < 0.5:
                     writer.write(self.framed(arrival, data[:len(data) // 2]))
                 break
+            await self.until_heard(arrival)
             if arrival.state == "crashed":
                 return False
             writer.write(self.framed(arrival, data))
@@ -216,12 +242,25 @@
     def framed(arrival, data):
         return wire.chunk(data) if arrival.framing == "chunks" and data else data
 
-    def decline(self, arrival, status, writer, more):
+    def decline(self, arrival, status, writer, more, repeats):
         arrival.state = "not_executed"
         head = {"X-Request-Id": arrival.id, "X-Not-Executed": "1", **more}
-        writer.write(wire.message(f"HTTP/1.1 {status}", head))
+        refusal = wire.message(f"HTTP/1.1 {status}", head)
+        writer.write(refusal)
+        if self.repeats and self.rng.random() < 0.8:
+            self.repeat(refusal, writer, repeats)
         return True
 
+    def repeat(self, refusal, writer, repeats):
+        """Writes a refusal once more: at once, up to 50 ms later, or before the next answer."""
+        self.run.checks.counts["refusals_repeated"] += 1
+        when = self.rng.choice(("now", "soon", "next"))
+        repeats.append(refusal if when == "next" else None)
+        if when == "now":
+            writer.write(refusal)
+        elif when == "soon":
+            asyncio.get_running_loop().call_later(self.rng.uniform(0, 0.05), writer.write, refusal)
+
     def answer_platform(self, target, writer):
         document = {}
         if target.startswith("/-/report"):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,14 +1,21 @@
 """Schedules of faults, drawn from the seed: processes, links, engines, store and configuration."""
 import asyncio
+import base64
 import math
 import signal
 import time
 
 import checks
 import engines
+import odd
 
 IDLE_TIMEOUTS_S = (0.3, 0.45, 0.7, 1.0, 1.5, 2.0)
 ROUTE_TIMEOUTS_S = (1.5, 2.0, 3.0)
+# Routes that configurations move between services; "some" comes and goes, too.
+MOVED_ROUTES = ("idem", "open", "once", "some")
+# Limits that no caller exceeds.
+LIMITS = {"max-header-bytes": (4096, 16384, 65536), "max-body-bytes": (6000, 20_000, 1_000_000),
+          "header-timeout-ms": (1000, 3000, 8000)}
 # Operators and engines have written what the store lost within this time of its return, in seconds.
 REWRITE_S = 2.0
 # Rows of silent engines are removed within this time of the store's return, in seconds.
@@ -46,8 +53,12 @@
     """The operator's document op/config."""
     route_ms = int(run.route_timeout * 1000)
     common = {"host": "one.example", "timeout-ms": route_ms, "target-latency-ms": 800, "priority": 1}
-    kinds = {"idem": ("idempotent", "plain", 2), "open": ("idempotent", "plain", 2),
-             "once": ("non_idempotent", "plain", 2), "gen": ("stream", "gen", 1), "res": ("stream", "gen", 2)}
+    services = {name: run.services.get(name, "plain") for name in MOVED_ROUTES}
+    kinds = {"idem": ("idempotent", services["idem"], 2), "open": ("idempotent", services["open"], 2),
+             "once": ("non_idempotent", services["once"], 2), "gen": ("stream", "gen", 1), "res": ("stream", "gen", 2),
+             "some": ("idempotent", services["some"], 2)}
+    if "some" not in run.services:
+        del kinds["some"]
     routes = [{**common, "name": name, "prefix": f"/{name}/", "kind": kind, "service": service,
                "max-attempts": attempts, "public": name == "open", "sticky": kind == "stream",
                "resumable": name == "res", "gap-aim-ms": 200}
@@ -55,12 +66,12 @@
     traits = {"slots": 64, "kv-capacity-tokens": 1_000_000, "kv-token-bytes": 1000, "link-mbps": 100_000.0,
               "max-inflight": 12, "models": [{"name": "model-1"}]}
     plain = {"name": "plain", "health-path": "/health", "max-conns": 2000, "protocol": "h1", "tls": False}
-    limits = {"max-header-bytes": 16384, "max-body-bytes": 1_000_000, "header-timeout-ms": 3000,
+    limits = {"max-header-bytes": 16384, "max-body-bytes": 1_000_000, "header-timeout-ms": 3000, **run.limits,
               "idle-timeout-ms": int(run.idle_timeout * 1000)}
     tenant = {"name": "tenant-1", "api-keys": [*run.keys.lasting, *run.keys.passing], "priority": 1,
               "unit": "tokens", "plain-tokens": 100, "isolated": False, "rate-per-s": 0, "burst": 0}
     return {"version": version, "routes": routes, "limits": limits, "tenants": [tenant],
-            "services": [plain, {**plain, "name": "gen", "engine": traits}]}
+            "services": [plain, {**plain, "name": "spare"}, {**plain, "name": "gen", "engine": traits}]}
 
 
 class Schedule:
@@ -83,6 +94,8 @@
         yield self.renew_rows()
         yield self.trouble_store(run.rng("fault-store"))
         yield self.change_configuration(run.rng("configuration"))
+        yield self.silence_engines(run.rng("silence"))
+        yield self.write_odd_rows(run.rng("odd-rows"))
 
     async def trouble_instance(self, instance, rng):
         while True:
@@ -185,6 +198,38 @@
                 engine.fault = None
             self.log.end(entry)
 
+    async def silence_engines(self, rng):
+        """A sound engine sends nothing for about a second; that is no fault and excuses nothing."""
+        while "silent" in self.run.kinds:
+            await asyncio.sleep(rng.uniform(0.5, 4) * self.run.calm)
+            self.run.checks.counts["engine_silences"] += 1
+            rng.choice(self.run.engines).silent_until = time.monotonic() + rng.uniform(0.7, 1.2)
+
+    async def write_odd_rows(self, rng):
+        """Another writer's entries, under ids of their own or that of an engine, which puts it right."""
+        while "odd-rows" in self.run.kinds:
+            await asyncio.sleep(rng.uniform(0.1, 1) * self.run.calm)
+            engine = rng.choice(self.run.engines)
+            sound = {**engine.describe(), "address": self.run.trap.address}
+            name, value = odd.draw(rng, sound)
+            is_over_engine = engine.server is not None and rng.random() < 0.3
+            key = engine.id if is_over_engine else f"odd-{rng.randrange(8)}"
+            engine.row_is_odd = engine.row_is_odd or is_over_engine
+            self.run.checks.counts["odd_rows"] += 1
+            self.note(f"odd row {key}: {name}")
+            self.run.store.put_raw("servers", key, base64.b64encode(value).decode())
+            if not is_over_engine and rng.random() < 0.6:
+                self.run.spawn(self.remove_later(key, rng.uniform(0.2, LAPSE_S)))
+
+    async def remove_later(self, key, seconds):
+        await asyncio.sleep(seconds)
+        self.run.store.remove("servers", key)
+
+    def note(self, text):
+        """Keeps what the schedule did beside the logs."""
+        with open(self.run.folder / "schedule.txt", "a") as out:
+            out.write(f"{time.monotonic():.3f} {text}\n")
+
     async def trouble_link(self, link, rng):
         if "links" not in self.run.kinds:
             return
@@ -265,10 +310,25 @@
     def write_configuration(self):
         self.run.store.put("op", "config", configuration(self.run, self.version))
 
+    def draw_configuration(self, rng):
+        """Moves routes and limits; a process reads its settings again meanwhile."""
+        run = self.run
+        run.services = {name: rng.choice(("plain", "plain", "spare")) for name in MOVED_ROUTES
+                        if name != "some" or rng.random() < 0.6}
+        run.limits = {name: rng.choice(values) for name, values in LIMITS.items()}
+        if "process" in run.kinds and rng.random() < 0.3:
+            instance = rng.choice(run.instances)
+            # A signal before the process handles it ends it.
+            if not instance.draining and not instance.killed and time.monotonic() - instance.started_at > 1:
+                instance.signal(signal.SIGHUP)
+
     async def change_configuration(self, rng):
         left_of_series = 0
+        moves = "configurations" in self.run.kinds
+        # With long limits alone a connection that is closed early can be told from a late machine.
+        idle_times = IDLE_TIMEOUTS_S[3 if moves and rng.random() < 0.5 else 0:]
         while True:
-            if left_of_series == 0 and rng.random() < 0.2:
+            if left_of_series == 0 and rng.random() < (0.6 if moves else 0.2):
                 left_of_series = rng.randint(5, 25)
             if left_of_series > 0:
                 left_of_series -= 1
@@ -277,10 +337,12 @@
                 await asyncio.sleep(rng.uniform(2, 8) * self.run.calm)
             self.version += rng.randint(1, 4)
             if rng.random() < 0.6:
-                self.run.idle_timeout = rng.choice(IDLE_TIMEOUTS_S)
+                self.run.idle_timeout = rng.choice(idle_times)
                 self.run.idle_limits.append((time.monotonic(), self.run.idle_timeout))
             if rng.random() < 0.4:
                 self.run.route_timeout = rng.choice(ROUTE_TIMEOUTS_S)
             if rng.random() < 0.4:
                 self.run.keys.rotate()
+            if moves:
+                self.draw_configuration(rng)
             self.write_configuration()
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -20,6 +20,7 @@
 import engines
 import faults
 import instances
+import odd
 import proxy
 import store
 
@@ -29,7 +30,9 @@
 START_S = 20
 # Time for which an instance may still use an older configuration, in seconds.
 CONFIGURATION_S = 15
-ALL_KINDS = "process,links,engines,store,returns"
+ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
+# Kinds that run only when they are named.
+OTHER_KINDS = "odd-rows"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -44,8 +47,10 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.kinds = set(options.kinds.split(","))
         self.calm, self.link_share, self.grace = options.calm, options.link_share, GRACE_S
-        self.idle_timeout, self.route_timeout, self.lag = 0.7, 2.0, 0.0
+        self.idle_timeout, self.route_timeout, self.lag = 1.0, 2.0, 0.0
         self.closing = False
+        # The newest configuration's services of routes that move, and its limits.
+        self.services, self.limits = {}, {}
         self.idle_limits = [(time.monotonic(), self.idle_timeout)]
         self.tasks = set()
         self.keys = faults.Keys()
@@ -99,11 +104,14 @@
         for number in range(self.options.engines):
             own = (f"{self.network}.{10 + number}", 8080)
             shown = (f"{self.network}.{50 + number}", 8080)
-            service = "gen" if number % 2 else "plain"
+            moved = "configurations" in self.kinds and number % 6 == 4
+            service = "gen" if number % 2 else "spare" if moved else "plain"
             engine = engines.Engine(number, service, own, shown, self)
             engine.link = await self.add_link(f"link:{engine.name}", shown, own)
             await engine.start()
             self.engines.append(engine)
+        self.trap = odd.Trap((f"{self.network}.9", 8080), self)
+        await self.trap.start()
         for number in range(self.options.instances):
             away = (f"{self.network}.2", 8700 + number)
             instance = instances.Instance(number, f"{self.network}.{100 + number}", away, self)
@@ -167,7 +175,8 @@
     parser.add_argument("--engines", type=int, default=6, help="engines, at most 40")
     parser.add_argument("--calm", type=float, default=1.0, help="factor on the times between faults")
     parser.add_argument("--link-share", type=float, default=0.3, help="part of the callers behind a faulty link")
-    parser.add_argument("--kinds", default=ALL_KINDS, help=f"faults beside pauses: {ALL_KINDS}")
+    parser.add_argument("--kinds", default=ALL_KINDS,
+                        help=f"faults beside pauses: {ALL_KINDS}; only when named: {OTHER_KINDS}")
     parser.add_argument("--build", default=str(ROOT / "build"), help="folder of the built program")
     parser.add_argument("--logs", help="folder of this run's logs; a new one by default")
     options = parser.parse_args(arguments)
