Stand-in engine: break off the answers of a crash

The scheduler now aborts each answer that it drops, as a process that ends does. The test is unchanged.

--- a/stand_ins/engine_scheduler.cpp
+++ b/stand_ins/engine_scheduler.cpp
@@ -97,17 +97,24 @@
 
 void engine_scheduler::clear()
 {
-    for (const job_pointer& job : m_decoding)
+    std::vector<job_pointer> dropped(m_decoding.begin(), m_decoding.end());
+    for (const auto& [key, job] : m_waiting)
     {
-        job->m_timer.cancel();
+        dropped.push_back(job);
     }
     if (m_prefill)
     {
-        m_prefill->m_timer.cancel();
+        dropped.push_back(m_prefill);
     }
     m_waiting.clear();
     m_decoding.clear();
     m_prefill.reset();
+    for (const job_pointer& job : dropped)
+    {
+        job->m_timer.cancel();
+        // An engine that crashes answers nothing more.
+        job->m_response.abort();
+    }
 }
 
 void engine_scheduler::set_paused(bool paused)
@@ -156,6 +163,7 @@
 {
     if (job->m_poisonous)
     {
+        job->m_response.abort();
         m_on_crash();
         return;
     }
