--- a/unit_tests/relay/quarantine_rows_test.cpp
+++ b/unit_tests/relay/quarantine_rows_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(restarted_fleet_finds_its_quarantines);
     CPPUNIT_TEST(quarantine_is_written_after_an_outage);
     CPPUNIT_TEST(quarantine_that_is_over_is_not_taken_up);
+    CPPUNIT_TEST(end_that_no_instance_writes_is_refused);
     CPPUNIT_TEST(repeated_notice_is_written_once);
     CPPUNIT_TEST(later_quarantine_of_the_same_parts_is_written);
     CPPUNIT_TEST(lost_row_is_written_again_at_once_by_its_finder);
@@ -134,6 +135,23 @@
         CPPUNIT_ASSERT(!m_quarantines.on_row("quarantine/1", {{7}, 1, {}}));
     }
 
+    void end_that_no_instance_writes_is_refused()
+    {
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        const auto end_after = [now](std::chrono::milliseconds time) {
+            return static_cast<std::uint64_t>((now + time).count());
+        };
+        constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+        for (const std::uint64_t end :
+             {end_after(24h * 400), largest / 2, largest / 2 + 1, largest})
+        {
+            CPPUNIT_ASSERT_THROW(m_quarantines.on_row("quarantine/1", {{7}, end, {}}),
+                                 wire::decode_error);
+        }
+        CPPUNIT_ASSERT(m_quarantines.on_row("quarantine/1", {{7}, end_after(24h), {}}));
+    }
+
     void repeated_notice_is_written_once()
     {
         m_quarantines.write(m_notice);
