Failing test: a peer's refutation count that cannot grow

The largest count of 64 bits wraps when it is refuted; an invariant is violated, and the exception ends the handling of the peer's message.

--- a/unit_tests/membership/failure_detector_test.cpp
+++ b/unit_tests/membership/failure_detector_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(crash_is_declared_within_seconds);
     CPPUNIT_TEST(paused_process_refutes_after_resuming);
     CPPUNIT_TEST(partitioned_regions_find_each_other_again);
+    CPPUNIT_TEST(refutation_count_that_cannot_grow_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,31 @@
         }));
     }
 
+    /// Nobody could refute it, and the next count would wrap to a lower one.
+    void refutation_count_that_cannot_grow_is_ignored()
+    {
+        constexpr core::instance_id self{1};
+        constexpr core::instance_id peer{2};
+        constexpr core::incarnation started{5};
+        membership::failure_detector detector({}, {}, self, started, 3);
+        detector.set_members({peer});
+        detector.start({});
+        constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+        const auto hear = [&](core::instance_id about, std::uint64_t refutation) {
+            membership::ping message;
+            message.m_sender = peer;
+            message.m_members = {
+                {about, started, refutation, static_cast<std::uint64_t>(liveness::failed)}};
+            detector.on_ping(message, {});
+        };
+        hear(self, largest);
+        CPPUNIT_ASSERT(detector.state_of(self) == liveness::alive);
+        hear(peer, largest);
+        CPPUNIT_ASSERT(detector.state_of(peer) == liveness::alive);
+        hear(peer, largest - 1);
+        CPPUNIT_ASSERT(detector.state_of(peer) == liveness::failed);
+    }
+
     void partitioned_regions_find_each_other_again()
     {
         test::fake_fleet fleet(7, 12);
