odd_headers_test: keep the request whose parts are looked through

The loop went over the parts of a request that was gone already, so its failure proved nothing. It holds the request now and also wants parts, so it is no less strict.

--- a/unit_tests/platform/odd_headers_test.cpp
+++ b/unit_tests/platform/odd_headers_test.cpp
@@ -81,7 +81,9 @@
             list += std::string(",a:") + largest;
         }
         std::uint64_t sum = 0;
-        for (const relay::prompt_part& part : read("X-Prompt-Prefix", list).m_prompt->m_parts)
+        const relay::caller_request request = read("X-Prompt-Prefix", list);
+        CPPUNIT_ASSERT(!request.m_prompt->m_parts.empty());
+        for (const relay::prompt_part& part : request.m_prompt->m_parts)
         {
             CPPUNIT_ASSERT(part.m_tokens < many_tokens - sum);
             sum += part.m_tokens;
