--- a/platform/document_fields.cpp
+++ b/tarragontrail/wire/json_fields.cpp
@@ -1,11 +1,11 @@
-#include "platform/document_fields.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
-#include "tarragontrail/relay/platform_interface.hpp"
+#include "tarragontrail/wire/json_document.hpp"
 
 #include <cmath>
 #include <fmt/format.h>
 
-namespace tarragontrail::platform {
+namespace tarragontrail::wire {
 namespace {
 
 using nlohmann::json;
@@ -33,8 +33,7 @@
 
 [[noreturn]] void refuse(const char* name, const char* wanted, const json& value)
 {
-    throw relay::document_error(
-        fmt::format("field {}: want {}, seen {}", name, wanted, shown(value)));
+    throw json_error(fmt::format("field {}: want {}, seen {}", name, wanted, shown(value)));
 }
 
 } // namespace
@@ -48,7 +47,7 @@
     const auto found = object.find(name);
     if (found == object.end())
     {
-        throw relay::document_error(fmt::format("field {}: missing", name));
+        throw json_error(fmt::format("field {}: missing", name));
     }
     return *found;
 }
@@ -176,4 +175,4 @@
     return field == nullptr ? none : to_list(*field, name);
 }
 
-} // namespace tarragontrail::platform
+} // namespace tarragontrail::wire
