Times beyond a year in documents count as a year

Seen: changed_config_test::limits_beyond_what_can_be_counted_refuse_nothing ended the platform suite with signal 11 (4 of 4 runs, the same with this test alone): a header-timeout-ms of 9e15 refused the whole configuration, and the test looked into none. Change: a time up to 2^53 ms is cut to 366 days; beyond, and below zero, it is refused as before.

--- a/tarragontrail/wire/json_fields.cpp
+++ b/tarragontrail/wire/json_fields.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/wire/json_document.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
@@ -10,7 +11,7 @@
 
 using nlohmann::json;
 
-/// Longest time in a document; sums of such times stay within the clock's range.
+/// Longer times in a document count as this one; sums of such times stay within the clock's range.
 constexpr double longest_time_ms = 1000.0 * 60 * 60 * 24 * 366;
 /// Doubles beyond it have no neighbour that differs by one.
 constexpr double largest_exact_double = 9007199254740992.0;
@@ -103,11 +104,11 @@
 std::chrono::milliseconds to_milliseconds(const json& value, const char* name)
 {
     const double count = value.is_number() ? value.get<double>() : -1;
-    if (!(count >= 0 && count <= longest_time_ms))
+    if (!(count >= 0 && count <= largest_exact_double))
     {
         refuse(name, "milliseconds in range", value);
     }
-    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(count, longest_time_ms)));
 }
 
 bool to_truth(const json& value, const char* name)
