--- a/tarragontrail/config/bundle_reader.cpp
+++ b/tarragontrail/config/bundle_reader.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragontrail/config/bundle_error.hpp"
 #include "tarragontrail/config/schema_check.hpp"
+#include "tarragontrail/wire/json_document.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <algorithm>
 #include <fmt/core.h>
@@ -67,6 +69,10 @@
 
 bundle bundle_reader::read(std::string_view text)
 {
+    if (wire::nests_too_deep(text))
+    {
+        throw bundle_error("", fmt::format("nests deeper than {} levels", wire::nesting_limit));
+    }
     bool in_workspaces = false;
     const auto keep = [&](int depth, json::parse_event_t event, json& parsed) {
         if (event == json::parse_event_t::key && depth == 1)
@@ -130,11 +136,15 @@
 {
     try
     {
-        m_base_version = document.at(base_member).get<std::uint64_t>();
+        m_base_version = wire::to_count(wire::field_at(document, base_member), base_member);
         m_removed = read_names(document.at(removed_member));
         document.erase(base_member);
         document.erase(removed_member);
     }
+    catch (const wire::json_error& failure)
+    {
+        throw bundle_error("", failure.what());
+    }
     catch (const json::exception& failure)
     {
         throw bundle_error("", failure.what());
--- a/tarragontrail/config/head_row.cpp
+++ b/tarragontrail/config/head_row.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/config/head_row.hpp"
 
 #include "tarragontrail/config/row_json.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <algorithm>
 #include <fmt/core.h>
@@ -49,12 +50,13 @@
         row.m_current = ref_from_json(from.at("current"));
         row.m_previous = ref_from_json(from.at("previous"));
         row.m_steps = steps_from_json(from.at("steps"));
-        row.m_step = from.at("step").get<std::uint64_t>();
-        for (const json& each : from.at("withdrawals"))
+        row.m_step = wire::to_count(wire::field_at(from, "step"), "step");
+        constexpr const char* withdrawals = "withdrawals";
+        for (const json& each : wire::to_list(wire::field_at(from, withdrawals), withdrawals))
         {
-            row.m_withdrawals.push_back({each.at(0).get<std::uint64_t>(),
-                                         each.at(1).get<std::uint64_t>(),
-                                         each.at(2).get<std::uint64_t>()});
+            row.m_withdrawals.push_back({wire::to_count(each.at(0), withdrawals, wire::any_word),
+                                         wire::to_count(each.at(1), withdrawals, wire::any_word),
+                                         wire::to_count(each.at(2), withdrawals)});
         }
         row.m_history = history_from_json(from.at("trail"));
         return row;
--- a/tarragontrail/config/row_json.cpp
+++ b/tarragontrail/config/row_json.cpp
@@ -1,5 +1,7 @@
 #include "tarragontrail/config/row_json.hpp"
 
+#include "tarragontrail/wire/json_fields.hpp"
+
 namespace tarragontrail::config {
 
 using nlohmann::json;
@@ -14,8 +16,13 @@
 
 bundle_ref ref_from_json(const json& from)
 {
-    return {from.at("version").get<std::uint64_t>(), from.at("object"),
-            from.at("base").get<std::uint64_t>(), from.at("change")};
+    const auto count = [&from](const char* name) {
+        return wire::to_count(wire::field_at(from, name), name);
+    };
+    const auto text = [&from](const char* name) {
+        return wire::to_text(wire::field_at(from, name), name);
+    };
+    return {count("version"), text("object"), count("base"), text("change")};
 }
 
 json steps_to_json(const std::vector<rollout_step>& steps)
@@ -31,7 +38,7 @@
 std::vector<rollout_step> steps_from_json(const json& from)
 {
     std::vector<rollout_step> steps;
-    for (const json& step : from)
+    for (const json& step : wire::to_list(from, "steps"))
     {
         steps.push_back({step.get<std::vector<std::string>>()});
     }
@@ -51,9 +58,10 @@
 write_history history_from_json(const json& from)
 {
     write_history history;
-    for (const json& entry : from)
+    for (const json& entry : wire::to_list(from, "trail"))
     {
-        history.add(entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>());
+        history.add(wire::to_count(entry.at(0), "trail"),
+                    wire::to_count(entry.at(1), "trail", wire::any_word));
     }
     return history;
 }
--- a/tarragontrail/config/row_json.hpp
+++ b/tarragontrail/config/row_json.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/config/bundle_error.hpp"
 #include "tarragontrail/config/head_row.hpp"
+#include "tarragontrail/wire/json_document.hpp"
 
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -22,7 +23,11 @@
 {
     try
     {
-        return read(nlohmann::json::parse(text));
+        return read(wire::parse_json(text));
+    }
+    catch (const wire::json_error& failure)
+    {
+        throw bundle_error("", failure.what());
     }
     catch (const nlohmann::json::exception& failure)
     {
