--- a/tarragontrail/membership/view.cpp
+++ b/tarragontrail/membership/view.cpp
@@ -2,9 +2,12 @@
 
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/wire/json_document.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -56,19 +59,26 @@
     return values.size() - 1;
 }
 
+std::uint16_t read_port(const json& from)
+{
+    constexpr wire::count_range ports{0, std::numeric_limits<std::uint16_t>::max()};
+    return static_cast<std::uint16_t>(wire::to_count(from, "port", ports));
+}
+
 member read_member(const json& from, const json& localities, const json& ports)
 {
     member read;
-    read.m_name = from.at(0);
-    const json& locality = localities.at(from.at(1).get<std::size_t>());
-    read.m_region = locality.at(0);
-    read.m_failure_domain = locality.at(1);
-    read.m_address = from.at(2);
-    const json& numbers = ports.at(from.at(3).get<std::size_t>());
-    read.m_ports = {numbers.at(0).get<std::uint16_t>(), numbers.at(1).get<std::uint16_t>(),
-                    numbers.at(2).get<std::uint16_t>()};
-    read.m_incarnation = core::incarnation{from.at(4).get<std::uint64_t>()};
-    read.m_state = from.at(5) == 0 ? member_state::live : member_state::draining;
+    read.m_name = wire::to_text(from.at(0), "name");
+    const json& locality = localities.at(wire::to_count(from.at(1), "place"));
+    read.m_region = wire::to_text(locality.at(0), "region");
+    read.m_failure_domain = wire::to_text(locality.at(1), "failure domain");
+    read.m_address = wire::to_text(from.at(2), "address");
+    const json& numbers = ports.at(wire::to_count(from.at(3), "ports"));
+    read.m_ports = {read_port(numbers.at(0)), read_port(numbers.at(1)), read_port(numbers.at(2))};
+    read.m_incarnation =
+        core::incarnation{wire::to_count(from.at(4), "incarnation", wire::any_word)};
+    read.m_state = wire::to_count(from.at(5), "state", {0, 1}) == 0 ? member_state::live
+                                                                    : member_state::draining;
     return make_member(std::move(read));
 }
 
@@ -195,13 +205,18 @@
 {
     try
     {
-        const json from = json::parse(text);
+        const json from = wire::parse_json(text);
         std::vector<member> members;
-        for (const json& each : from.at("members"))
+        for (const json& each : wire::to_list(wire::field_at(from, "members"), "members"))
         {
             members.push_back(read_member(each, from.at("places"), from.at("ports")));
         }
-        return {core::view_number{from.at("number").get<std::uint64_t>()}, std::move(members)};
+        return {core::view_number{wire::to_count(wire::field_at(from, "number"), "number")},
+                std::move(members)};
+    }
+    catch (const wire::json_error& failure)
+    {
+        throw view_error(failure.what());
     }
     catch (const json::exception& failure)
     {
