--- a/tarragontrail/entry/completion_retry.cpp
+++ b/tarragontrail/entry/completion_retry.cpp
@@ -1,8 +1,7 @@
 // Part of completion_flow that deals with failed attempts: whose fault it was, and what follows.
 #include "tarragontrail/entry/completion_flow.hpp"
 #include "tarragontrail/observe/log.hpp"
-
-#include <nlohmann/json.hpp>
+#include "tarragontrail/wire/json_document.hpp"
 
 namespace tarragontrail::entry {
 namespace {
@@ -82,7 +81,7 @@
                     found = parse_engine_report(result.m_response.body(), now).m_load.m_incarnation;
                 }
             }
-            catch (const nlohmann::json::exception&)
+            catch (const wire::json_error&)
             {
                 found = core::incarnation{};
             }
--- a/tarragontrail/entry/engine_watcher.cpp
+++ b/tarragontrail/entry/engine_watcher.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragontrail/entry/control_service.hpp"
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/wire/json_document.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -23,6 +25,22 @@
     return settings;
 }
 
+/// Reads a field of an answer that may be any number of 64 bits.
+std::uint64_t word_at(const json& from, const char* name)
+{
+    return wire::to_count(wire::field_at(from, name), name, wire::any_word);
+}
+
+std::vector<std::uint64_t> words_at(const json& from, const char* name)
+{
+    std::vector<std::uint64_t> words;
+    for (const json& each : wire::to_list(wire::field_at(from, name), name))
+    {
+        words.push_back(wire::to_count(each, name, wire::any_word));
+    }
+    return words;
+}
+
 } // namespace
 
 /// Hands an event stream's bytes to its watcher.
@@ -134,15 +152,15 @@
     const core::time_point now = core::runtime_clock::now();
     try
     {
-        const json body = json::parse(data);
+        const json body = wire::parse_json(data);
         routing::cache_event event;
-        event.m_incarnation = core::incarnation{body.at("incarnation").get<std::uint64_t>()};
-        event.m_sequence = body.at("sequence").get<std::uint64_t>();
-        event.m_stored = body.at("stored").get<std::vector<std::uint64_t>>();
-        event.m_evicted = body.at("evicted").get<std::vector<std::uint64_t>>();
+        event.m_incarnation = core::incarnation{word_at(body, "incarnation")};
+        event.m_sequence = word_at(body, "sequence");
+        event.m_stored = words_at(body, "stored");
+        event.m_evicted = words_at(body, "evicted");
         m_index.on_event(event, now);
     }
-    catch (const json::exception& failure)
+    catch (const wire::json_error& failure)
     {
         observe::log("cache_event_refused",
                      {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
@@ -200,7 +218,7 @@
             return;
         }
     }
-    catch (const json::exception& failure)
+    catch (const wire::json_error& failure)
     {
         observe::log("load_report_refused",
                      {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
@@ -234,14 +252,14 @@
     }
     try
     {
-        const json body = json::parse(result.m_response.body());
+        const json body = wire::parse_json(result.m_response.body());
         routing::cache_snapshot snapshot;
-        snapshot.m_incarnation = core::incarnation{body.at("incarnation").get<std::uint64_t>()};
-        snapshot.m_sequence = body.at("sequence").get<std::uint64_t>();
-        snapshot.m_blocks = body.at("blocks").get<std::vector<std::uint64_t>>();
+        snapshot.m_incarnation = core::incarnation{word_at(body, "incarnation")};
+        snapshot.m_sequence = word_at(body, "sequence");
+        snapshot.m_blocks = words_at(body, "blocks");
         m_index.on_snapshot(snapshot, core::runtime_clock::now());
     }
-    catch (const json::exception& failure)
+    catch (const wire::json_error& failure)
     {
         observe::log("cache_snapshot_refused",
                      {{"engine", core::value_of(m_engine)}, {"reason", failure.what()}});
@@ -259,16 +277,18 @@
 
 engine_report parse_engine_report(const std::string& body, core::time_point reported_at)
 {
-    const json report = json::parse(body);
+    const json report = wire::parse_json(body);
     engine_report parsed;
-    parsed.m_load.m_incarnation = core::incarnation{report.at("incarnation").get<std::uint64_t>()};
-    parsed.m_load.m_queued_tokens = report.at("queued_tokens").get<std::uint64_t>();
-    parsed.m_load.m_running = report.at("running").get<std::uint64_t>();
-    parsed.m_load.m_prefill_tokens_per_second = report.value("prefill_tokens_per_s", 0.0);
-    parsed.m_load.m_decode_tokens_per_second = report.value("decode_tokens_per_s", 0.0);
+    parsed.m_load.m_incarnation = core::incarnation{word_at(report, "incarnation")};
+    parsed.m_load.m_queued_tokens =
+        wire::to_count(wire::field_at(report, "queued_tokens"), "queued_tokens");
+    parsed.m_load.m_running = wire::to_count(wire::field_at(report, "running"), "running");
+    parsed.m_load.m_prefill_tokens_per_second = wire::amount_or(report, "prefill_tokens_per_s", 0);
+    parsed.m_load.m_decode_tokens_per_second = wire::amount_or(report, "decode_tokens_per_s", 0);
     parsed.m_load.m_reported_at = reported_at;
-    parsed.m_weights_version = report.at("weights_version").get<std::uint64_t>();
-    parsed.m_sequence = report.value("sequence", std::uint64_t{0});
+    parsed.m_weights_version =
+        wire::to_count(wire::field_at(report, "weights_version"), "weights_version");
+    parsed.m_sequence = wire::count_or(report, "sequence", 0);
     return parsed;
 }
 
--- a/tarragontrail/entry/engine_watcher.hpp
+++ b/tarragontrail/entry/engine_watcher.hpp
@@ -86,7 +86,7 @@
     bool m_stopped = false;                        ///< No further calls.
 };
 
-/// Reads a load report; throws nlohmann::json::exception on anything else.
+/// Reads a load report; throws wire::json_error on anything else.
 engine_report parse_engine_report(const std::string& body, core::time_point reported_at);
 
 } // namespace tarragontrail::entry
