--- a/tarragontrail/membership/failure_detector_updates.cpp
+++ b/tarragontrail/membership/failure_detector_updates.cpp
@@ -4,6 +4,7 @@
 #include "tarragontrail/core/invariant.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -106,7 +107,10 @@
 
 void failure_detector::apply_update(const member_word& update)
 {
-    if (update.m_liveness > static_cast<std::uint64_t>(liveness::failed))
+    // A count that cannot grow could never be refuted.
+    constexpr auto no_refutation = std::numeric_limits<std::uint64_t>::max();
+    if (update.m_liveness > static_cast<std::uint64_t>(liveness::failed) ||
+        update.m_refutation == no_refutation)
     {
         return;
     }
