Share rows and gossip about them: bounded nesting, checked numbers, no lost division of limits

Gossip was read with the library's recursive reader: a trial program that reads 1,000,000 nested arrays in the same way ended with signal 11. An odd row or key threw out of the reply's handler, after which the shares were never read again; an odd genesis row counted as known. Read from the code. Change: share_rows holds the readers. An unreadable row makes the reading fail and be tried again: without it a share that was given away would count as held. The retries of limits_service have no test.

--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -2,10 +2,9 @@
 
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/entry/share_rows.hpp"
 #include "tarragontrail/observe/log.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace tarragontrail::entry {
 namespace {
 
@@ -27,33 +26,6 @@
     return core::hash_pair(process, purpose);
 }
 
-std::string serialise(const limits::share_row& row)
-{
-    nlohmann::json fields{core::value_of(row.m_workspace), row.m_version};
-    for (const limits::share_slot& slot : row.m_slots)
-    {
-        fields.push_back(core::value_of(slot.m_holder));
-        fields.push_back(core::value_of(slot.m_claimant));
-    }
-    std::string bytes;
-    nlohmann::json::to_cbor(fields, bytes);
-    return bytes;
-}
-
-limits::share_row parse_share_row(const std::string& bytes)
-{
-    const nlohmann::json fields = nlohmann::json::from_cbor(bytes);
-    limits::share_row row{core::workspace_id{fields.at(0).get<std::uint64_t>()},
-                          fields.at(1).get<std::uint64_t>(),
-                          {}};
-    for (std::size_t i = 2; i + 1 < fields.size(); i += 2)
-    {
-        row.m_slots.push_back({core::instance_id{fields.at(i).get<std::uint64_t>()},
-                               core::instance_id{fields.at(i + 1).get<std::uint64_t>()}});
-    }
-    return row;
-}
-
 } // namespace
 
 control_plane::control_plane(net::duty& control, net::duty& callers, platform_client& platform,
@@ -279,7 +251,7 @@
         }
         if (item.m_kind == static_cast<std::uint64_t>(gossip_kind::share_row))
         {
-            m_limits.on_share_row(parse_share_row(item.m_payload), now);
+            m_limits.on_share_row(parse_gossip_row(item.m_payload), now);
             return;
         }
     }
@@ -337,7 +309,7 @@
 void control_plane::on_share_row_written(const limits::share_row& row)
 {
     m_membership.spread(gossip_kind::share_row, core::value_of(row.m_workspace), row.m_version,
-                        serialise(row));
+                        gossip_bytes(row));
 }
 
 void control_plane::on_reachable(core::upstream_id upstream, bool reachable)
--- a/tarragontrail/entry/limits_service.cpp
+++ b/tarragontrail/entry/limits_service.cpp
@@ -1,69 +1,61 @@
 #include "tarragontrail/entry/limits_service.hpp"
 
+#include "tarragontrail/entry/share_rows.hpp"
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/wire/json_document.hpp"
 
 #include <algorithm>
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <type_traits>
 
 namespace tarragontrail::entry {
 namespace {
 
-using nlohmann::json;
-
 constexpr const char* share_table = "shares";
 constexpr const char* genesis_table = "limits";
 constexpr const char* genesis_key = "genesis";
 
-std::string key_of(core::workspace_id workspace)
+void log_unreadable(const char* table, const std::string& key, const char* reason)
 {
-    return fmt::format("{:016x}", core::value_of(workspace));
+    observe::log("limits_row_refused", {{"table", table}, {"key", key}, {"reason", reason}});
 }
 
-std::string text_of(const limits::share_row& row)
+/// Share row of a read or conflicting row; nothing when it is unreadable, which counts as no
+/// answer.
+std::optional<limits::share_row> row_of(core::workspace_id workspace,
+                                        const idempotency::read_result& read)
 {
-    json slots = json::array();
-    for (const limits::share_slot& slot : row.m_slots)
+    try
     {
-        slots.push_back({core::value_of(slot.m_holder), core::value_of(slot.m_claimant)});
+        return parse_share_row(workspace, read.m_version, read.m_value);
     }
-    return slots.dump();
-}
-
-limits::share_row row_of(core::workspace_id workspace, std::uint64_t version,
-                         const std::string& text)
-{
-    limits::share_row row{workspace, version, {}};
-    const json slots = json::parse(text);
-    for (const json& slot : slots)
+    catch (const wire::json_error& failure)
     {
-        row.m_slots.push_back({core::instance_id{slot.at(0).get<std::uint64_t>()},
-                               core::instance_id{slot.at(1).get<std::uint64_t>()}});
+        log_unreadable(share_table, share_row_key(workspace), failure.what());
+        return std::nullopt;
     }
-    return row;
 }
 
-std::string text_of(const std::vector<limits::member>& members)
+/// Rows of the whole table; nothing when one of them is unreadable: without it a share that was
+/// given away would count as held. Keys of no workspace are passed over.
+std::optional<std::vector<limits::share_row>> rows_of(const std::vector<platform_row>& listed)
 {
-    json list = json::array();
-    for (const limits::member& each : members)
+    std::vector<limits::share_row> rows;
+    for (const platform_row& each : listed)
     {
-        list.push_back({core::value_of(each.m_instance), core::value_of(each.m_region)});
-    }
-    return list.dump();
-}
-
-std::vector<limits::member> members_of(const std::string& text)
-{
-    std::vector<limits::member> members;
-    const json list = json::parse(text);
-    for (const json& each : list)
-    {
-        members.push_back({core::instance_id{each.at(0).get<std::uint64_t>()},
-                           core::region_id{each.at(1).get<std::uint64_t>()}});
+        const auto workspace = workspace_of_key(each.m_key);
+        if (!workspace)
+        {
+            log_unreadable(share_table, each.m_key, "key names no workspace");
+            continue;
+        }
+        auto row = row_of(*workspace, {true, each.m_value, each.m_version});
+        if (!row)
+        {
+            return std::nullopt;
+        }
+        rows.push_back(std::move(*row));
     }
-    return members;
+    return rows;
 }
 
 } // namespace
@@ -215,23 +207,23 @@
     {
         return;
     }
-    m_context.m_platform.list_rows(
-        share_table, [this](const std::optional<std::vector<platform_row>>& rows) {
-            const core::time_point now = core::runtime_clock::now();
-            if (!rows)
-            {
-                retry_later(now);
-                return;
-            }
-            for (const platform_row& each : *rows)
-            {
-                const core::workspace_id workspace{std::stoull(each.m_key, nullptr, 16)};
-                m_admission.learn_share_row(row_of(workspace, each.m_version, each.m_value), now);
-            }
-            m_rows_known = true;
-            m_admission.on_rows_loaded(now);
-            m_context.m_pump();
-        });
+    m_context.m_platform.list_rows(share_table,
+                                   [this](const std::optional<std::vector<platform_row>>& listed) {
+                                       const core::time_point now = core::runtime_clock::now();
+                                       const auto rows = listed ? rows_of(*listed) : std::nullopt;
+                                       if (!rows)
+                                       {
+                                           retry_later(now);
+                                           return;
+                                       }
+                                       for (const limits::share_row& each : *rows)
+                                       {
+                                           m_admission.learn_share_row(each, now);
+                                       }
+                                       m_rows_known = true;
+                                       m_admission.on_rows_loaded(now);
+                                       m_context.m_pump();
+                                   });
 }
 
 void limits_service::read_genesis()
@@ -271,7 +263,7 @@
         return;
     }
     m_genesis_pending = true;
-    const std::string text = text_of(m_members);
+    const std::string text = genesis_text(m_members);
     m_context.m_platform.write(
         {{genesis_table, genesis_key, 0, text}},
         [this, text](const std::optional<idempotency::write_result>& result) {
@@ -292,8 +284,18 @@
     {
         return;
     }
+    std::vector<limits::member> members;
+    try
+    {
+        members = parse_genesis(text);
+    }
+    catch (const wire::json_error& failure)
+    {
+        log_unreadable(genesis_table, genesis_key, failure.what());
+        retry_later(core::runtime_clock::now());
+        return;
+    }
     m_genesis_known = true;
-    const std::vector<limits::member> members = members_of(text);
     observe::log("limits_divided", {{"members", members.size()}});
     m_admission.set_genesis(members, core::runtime_clock::now());
 }
@@ -301,20 +303,20 @@
 void limits_service::read_row(core::workspace_id workspace)
 {
     m_context.m_platform.read(
-        share_table, key_of(workspace), false,
+        share_table, share_row_key(workspace), false,
         [this, workspace](const std::optional<idempotency::read_result>& row) {
             const core::time_point now = core::runtime_clock::now();
             if (!row)
             {
                 return;
             }
-            if (row->m_found)
+            if (!row->m_found)
             {
-                m_admission.on_share_row(row_of(workspace, row->m_version, row->m_value), now);
+                m_admission.on_share_row_missing(workspace, now);
             }
-            else
+            else if (const auto read = row_of(workspace, *row))
             {
-                m_admission.on_share_row_missing(workspace, now);
+                m_admission.on_share_row(*read, now);
             }
             m_context.m_pump();
         });
@@ -323,27 +325,31 @@
 void limits_service::write_row(const limits::write_share_row& action)
 {
     limits::share_row row = action.m_row;
-    m_context.m_platform.write(
-        {{share_table, key_of(row.m_workspace), action.m_expected_version, text_of(row)}},
-        [this, row](const std::optional<idempotency::write_result>& result) {
-            if (!result)
-            {
-                return;
-            }
-            limits::share_row now_there = row;
-            if (result->m_ok)
-            {
-                now_there.m_version = result->m_versions.front();
-                m_listener.on_share_row_written(now_there);
-            }
-            else
-            {
-                now_there =
-                    row_of(row.m_workspace, result->m_current.m_version, result->m_current.m_value);
-            }
-            m_admission.on_share_row(now_there, core::runtime_clock::now());
-            m_context.m_pump();
-        });
+    m_context.m_platform.write({{share_table, share_row_key(row.m_workspace),
+                                 action.m_expected_version, share_row_text(row)}},
+                               [this, row](const std::optional<idempotency::write_result>& result) {
+                                   if (!result)
+                                   {
+                                       return;
+                                   }
+                                   limits::share_row now_there = row;
+                                   if (result->m_ok)
+                                   {
+                                       now_there.m_version = result->m_versions.front();
+                                       m_listener.on_share_row_written(now_there);
+                                   }
+                                   else
+                                   {
+                                       const auto read = row_of(row.m_workspace, result->m_current);
+                                       if (!read)
+                                       {
+                                           return;
+                                       }
+                                       now_there = *read;
+                                   }
+                                   m_admission.on_share_row(now_there, core::runtime_clock::now());
+                                   m_context.m_pump();
+                               });
 }
 
 void limits_service::retry_later(core::time_point now)
