--- a/tarragontrail/entry/completion_session.cpp
+++ b/tarragontrail/entry/completion_session.cpp
@@ -1,6 +1,8 @@
 #include "tarragontrail/entry/completion_session.hpp"
 
+#include "tarragontrail/entry/engine_chunk.hpp"
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/wire/json_document.hpp"
 
 #include <charconv>
 #include <fmt/format.h>
@@ -182,29 +184,29 @@
         run_actions();
         return;
     }
-    const json chunk = json::parse(data, nullptr, false);
-    if (chunk.is_discarded() || !chunk.is_object() || !chunk.contains("choices") ||
-        chunk["choices"].empty())
+    engine_chunk chunk;
+    try
     {
+        chunk = parse_engine_chunk(data);
+    }
+    catch (const wire::json_error& failure)
+    {
+        observe::log("engine_chunk_refused",
+                     {{"request", core::value_of(m_request->m_id)}, {"reason", failure.what()}});
         lose_attempt(attempt, {net::call_stage::receiving, net::call_fault::malformed, false});
         return;
     }
-    const auto [request, of_attempt] = parse_identity(chunk.value("id", std::string()));
-    const json& choice = chunk["choices"].front();
-    const std::uint64_t offset = chunk.value("offset", std::uint64_t{0});
-    const json delta = choice.value("delta", json::object());
-    const std::string text = delta.value("content", std::string());
-    if (!text.empty())
+    const auto [request, of_attempt] = parse_identity(chunk.m_id);
+    if (!chunk.m_text.empty())
     {
-        m_tracker->on_chunk({request, of_attempt, offset, 1, text}, now);
+        m_tracker->on_chunk({request, of_attempt, chunk.m_offset, 1, chunk.m_text}, now);
     }
     const bool is_own = request == m_request->m_id && of_attempt == m_tracker->attempt();
-    if (is_own && choice.contains("finish_reason") && choice["finish_reason"].is_string())
+    if (is_own && chunk.m_is_final)
     {
-        const json counted = chunk.value("usage", json::object());
-        m_prompt_tokens = counted.value("prompt_tokens", std::uint64_t{0});
-        m_cached_tokens = counted.value("cached_tokens", std::uint64_t{0});
-        m_final_offset = offset;
+        m_prompt_tokens = chunk.m_prompt_tokens;
+        m_cached_tokens = chunk.m_cached_tokens;
+        m_final_offset = chunk.m_offset;
         m_has_final = true;
     }
     run_actions();
