Placement: an odd report of an engine counts as none

Members of another type threw out of the reply's handler, so that the order's sender was never told. Read from the code; no test.

--- a/tarragontrail/entry/placement_service.cpp
+++ b/tarragontrail/entry/placement_service.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragontrail/entry/table_bridge.hpp"
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/wire/json_document.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -25,6 +27,27 @@
     return settings;
 }
 
+/// What `read` takes from an engine's report; nothing without a readable one.
+template <class Read>
+auto read_report(const net::http_client::fetch_result& result, core::upstream_id engine, Read read)
+    -> std::optional<decltype(read(json()))>
+{
+    if (!result.m_ok || result.m_response.result_int() != status_ok)
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        return read(wire::parse_json(result.m_response.body()));
+    }
+    catch (const wire::json_error& failure)
+    {
+        observe::log("load_report_refused",
+                     {{"engine", core::value_of(engine)}, {"reason", failure.what()}});
+        return std::nullopt;
+    }
+}
+
 const char* name_of(placement::order_kind kind)
 {
     switch (kind)
@@ -181,14 +204,11 @@
         [this, engine](const net::http_client::fetch_result& result) {
             managed& asked = m_engines.at(engine);
             asked.m_asked = false;
-            const bool ok = result.m_ok && result.m_response.result_int() == status_ok;
-            const json report = ok ? json::parse(result.m_response.body(), nullptr, false) : json();
-            asked.m_answers = report.is_object();
-            if (asked.m_answers)
-            {
-                asked.m_running = report.value("running", std::uint64_t{0}) +
-                                  report.value("waiting", std::uint64_t{0});
-            }
+            const auto running = read_report(result, engine, [](const json& report) {
+                return wire::count_or(report, "running", 0) + wire::count_or(report, "waiting", 0);
+            });
+            asked.m_answers = running.has_value();
+            asked.m_running = running.value_or(asked.m_running);
         });
 }
 
@@ -333,18 +353,17 @@
                    [this, engine, number](const net::http_client::fetch_result& result) {
                        const core::time_point now = core::runtime_clock::now();
                        placement::order_sender& sender = *m_engines.at(engine).m_sender;
-                       const json report =
-                           result.m_ok && result.m_response.result_int() == status_ok
-                               ? json::parse(result.m_response.body(), nullptr, false)
-                               : json();
-                       if (report.is_object())
-                       {
+                       const auto state = read_report(result, engine, [](const json& report) {
                            const auto model =
-                               core::id_of<core::model_id>(report.value("model", std::string()));
+                               core::id_of<core::model_id>(wire::text_or(report, "model", {}));
                            const placement::weights_version version{
-                               report.value("weights_version", std::uint64_t{0})};
-                           sender.on_engine_state(
-                               number, {model, version, {}, placement::engine_role::combined}, now);
+                               wire::count_or(report, "weights_version", 0)};
+                           return placement::engine_state{
+                               model, version, {}, placement::engine_role::combined};
+                       });
+                       if (state)
+                       {
+                           sender.on_engine_state(number, *state, now);
                        }
                        else
                        {
