Platform's answers at an entry: checked numbers, one version for each write

Ports beyond 16 bits were cut, versions cast from any number, and a list of versions shorter than the writes was indexed. odd_platform_test (3) passes; it was not run on the former client.

--- a/tarragontrail/entry/platform_client.cpp
+++ b/tarragontrail/entry/platform_client.cpp
@@ -1,9 +1,12 @@
 #include "tarragontrail/entry/platform_client.hpp"
 
+#include "tarragontrail/observe/log.hpp"
 #include "tarragontrail/wire/decode_error.hpp"
+#include "tarragontrail/wire/json_document.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <limits>
 
 namespace tarragontrail::entry {
 namespace {
@@ -32,9 +35,9 @@
 idempotency::read_result row_of(const json& body)
 {
     idempotency::read_result row;
-    row.m_version = body.at("version").get<std::uint64_t>();
+    row.m_version = wire::to_count(wire::field_at(body, "version"), "version");
     row.m_found = row.m_version != 0;
-    row.m_value = bytes_of_text(body.value("value", std::string()));
+    row.m_value = bytes_of_text(wire::text_or(body, "value", {}));
     return row;
 }
 
@@ -48,25 +51,34 @@
     {
         return std::nullopt;
     }
-    return row_of(json::parse(response.body()));
+    return row_of(wire::parse_json(response.body()));
 }
 
-std::optional<idempotency::write_result> parse_write(const net::http_response& response)
+/// Answer to a transaction of this many writes.
+std::optional<idempotency::write_result> parse_write(const net::http_response& response,
+                                                     std::size_t writes)
 {
     const unsigned status = response.result_int();
     if (status != status_ok && status != status_conflict)
     {
         return std::nullopt;
     }
-    const json body = json::parse(response.body());
+    const json body = wire::parse_json(response.body());
     idempotency::write_result result;
     result.m_ok = status == status_ok;
     if (result.m_ok)
     {
-        result.m_versions = body.at("versions").get<std::vector<std::uint64_t>>();
+        for (const json& version : wire::to_list(wire::field_at(body, "versions"), "versions"))
+        {
+            result.m_versions.push_back(wire::to_count(version, "versions"));
+        }
+        if (result.m_versions.size() != writes)
+        {
+            throw wire::json_error("field versions: not one for each write");
+        }
         return result;
     }
-    result.m_failing = body.at("failed").get<std::size_t>();
+    result.m_failing = wire::to_count(wire::field_at(body, "failed"), "failed", {0, writes - 1});
     result.m_current = row_of(body);
     return result;
 }
@@ -78,31 +90,34 @@
         return std::nullopt;
     }
     std::vector<platform_row> rows;
-    const json body = json::parse(response.body());
-    for (const json& row : body.at("rows"))
+    const json body = wire::parse_json(response.body());
+    for (const json& row : wire::to_list(wire::field_at(body, "rows"), "rows"))
     {
-        rows.push_back({row.at("key").get<std::string>(),
-                        bytes_of_text(row.at("value").get<std::string>()),
-                        row.at("version").get<std::uint64_t>()});
+        rows.push_back({wire::to_text(wire::field_at(row, "key"), "key"),
+                        bytes_of_text(wire::to_text(wire::field_at(row, "value"), "value")),
+                        wire::to_count(wire::field_at(row, "version"), "version")});
     }
     return rows;
 }
 
 std::uint16_t port_of(const json& item, const char* name)
 {
-    return item.value(name, std::uint16_t{0});
+    constexpr wire::count_range ports{0, std::numeric_limits<std::uint16_t>::max()};
+    const json* port = wire::find_field(item, name);
+    return port == nullptr ? std::uint16_t{0}
+                           : static_cast<std::uint16_t>(wire::to_count(*port, name, ports));
 }
 
 membership::listed_instance listed_of(const json& item)
 {
     membership::member named;
-    named.m_name = item.at("name").get<std::string>();
-    named.m_region = item.value("region", std::string());
-    named.m_failure_domain = item.value("failure_domain", std::string());
-    named.m_address = item.value("address", std::string());
+    named.m_name = wire::to_text(wire::field_at(item, "name"), "name");
+    named.m_region = wire::text_or(item, "region", {});
+    named.m_failure_domain = wire::text_or(item, "failure_domain", {});
+    named.m_address = wire::text_or(item, "address", {});
     named.m_ports = {port_of(item, "caller_port"), port_of(item, "peer_port"),
                      port_of(item, "admin_port")};
-    const bool leaving = item.value("state", std::string("live")) == "leaving";
+    const bool leaving = wire::text_or(item, "state", "live") == "leaving";
     return {membership::make_member(named),
             leaving ? membership::listed_state::leaving : membership::listed_state::live};
 }
@@ -115,8 +130,8 @@
         return std::nullopt;
     }
     std::vector<membership::listed_instance> listed;
-    const json body = json::parse(response.body());
-    for (const json& item : body.at("instances"))
+    const json body = wire::parse_json(response.body());
+    for (const json& item : wire::to_list(wire::field_at(body, "instances"), "instances"))
     {
         listed.push_back(listed_of(item));
     }
@@ -135,12 +150,9 @@
     {
         return parse(result.m_response);
     }
-    catch (const json::exception&)
-    {
-        return std::nullopt;
-    }
-    catch (const wire::decode_error&)
+    catch (const core::error& failure)
     {
+        observe::log("platform_answer_refused", {{"reason", failure.what()}});
         return std::nullopt;
     }
 }
@@ -213,7 +225,10 @@
     }
     const json body{{"writes", std::move(list)}};
     call<idempotency::write_result>(
-        net::make_request(http::verb::post, "/transaction", body.dump()), parse_write,
+        net::make_request(http::verb::post, "/transaction", body.dump()),
+        [count = writes.size()](const net::http_response& response) {
+            return parse_write(response, count);
+        },
         std::move(handler));
 }
 
