Members' rows: a key that names no instance removes none

strtoull read member/12abc as member 12 and member/abc as member 0, which a deleted row then removed. instance_of_key is new, so odd_member_key_test (1, passes) could not fail first.

--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -1,6 +1,7 @@
 // Handles messages of other instances and changed rows of the table store.
 #include "tarragontrail/observe/log.hpp"
 #include "tarragontrail/relay/fleet_service.hpp"
+#include "tarragontrail/relay/member_key.hpp"
 
 #include <algorithm>
 
@@ -191,13 +192,16 @@
         const bool is_member = row.m_key.starts_with(member_prefix);
         if (row.m_deleted)
         {
-            if (is_member)
+            if (const auto instance = instance_of_key(row.m_key))
             {
-                m_registry.remove(core::instance_id{std::strtoull(
-                                      row.m_key.c_str() + member_prefix.size(), nullptr, 10)},
-                                  core::runtime_clock::now());
+                m_registry.remove(*instance, core::runtime_clock::now());
                 members_changed = true;
             }
+            else if (is_member)
+            {
+                observe::log("fleet_row_refused",
+                             {{"key", row.m_key}, {"reason", "key names no instance"}});
+            }
             continue;
         }
         try
