--- a/platform/document_fields.cpp
+++ b/tarragontrail/wire/json_fields.cpp
@@ -1,16 +1,17 @@
-#include "platform/document_fields.hpp"
+#include "tarragontrail/wire/json_fields.hpp"
 
-#include "tarragontrail/relay/platform_interface.hpp"
+#include "tarragontrail/wire/json_document.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
-namespace tarragontrail::platform {
+namespace tarragontrail::wire {
 namespace {
 
 using nlohmann::json;
 
-/// Longest time in a document; sums of such times stay within the clock's range.
+/// Longer times in a document count as this one; sums of such times stay within the clock's range.
 constexpr double longest_time_ms = 1000.0 * 60 * 60 * 24 * 366;
 /// Doubles beyond it have no neighbour that differs by one.
 constexpr double largest_exact_double = 9007199254740992.0;
@@ -33,8 +34,7 @@
 
 [[noreturn]] void refuse(const char* name, const char* wanted, const json& value)
 {
-    throw relay::document_error(
-        fmt::format("field {}: want {}, seen {}", name, wanted, shown(value)));
+    throw json_error(fmt::format("field {}: want {}, seen {}", name, wanted, shown(value)));
 }
 
 } // namespace
@@ -48,7 +48,7 @@
     const auto found = object.find(name);
     if (found == object.end())
     {
-        throw relay::document_error(fmt::format("field {}: missing", name));
+        throw json_error(fmt::format("field {}: missing", name));
     }
     return *found;
 }
@@ -104,11 +104,11 @@
 std::chrono::milliseconds to_milliseconds(const json& value, const char* name)
 {
     const double count = value.is_number() ? value.get<double>() : -1;
-    if (!(count >= 0 && count <= longest_time_ms))
+    if (!(count >= 0 && count <= largest_exact_double))
     {
         refuse(name, "milliseconds in range", value);
     }
-    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(count, longest_time_ms)));
 }
 
 bool to_truth(const json& value, const char* name)
@@ -176,4 +176,4 @@
     return field == nullptr ? none : to_list(*field, name);
 }
 
-} // namespace tarragontrail::platform
+} // namespace tarragontrail::wire
