Soak: software versions of engines, and callers that take streams up again

Nothing in the suite let engines of two software versions write one stream, and no caller took a stream up again: engines all said `v1`, and callers gave up at a break.

Callers whose resumable stream broke off take it up again, up to three times within its deadline, at any instance, with the same path, body and headers, another id, Last-Event-Id and Resumes. Engines' reports say `born`, as all that they say of themselves.

- VERSIONS: no stream holds events of two software versions, in one answer or over its tries.
The first two at an engine that began again under its id less than 3 s before are counted only (versions_same_id).
- RESUMED: of 12 or more take-ups at instances in touch, while two engines of the version have served for 3 s, the share that goes on is at least half of that of new streams. share_new and share_taken_up are in the last line.

Answers are kept piece by piece, so that the events before a break count.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,6 +12,9 @@
 ANSWERS = (200, 401, 408, 421, 429, 502, 503, 504)
 # Wait for an answer beyond a request's deadline, in seconds; longer than any series of pauses.
 PATIENCE_S = 12.0
+# Tries after the first one of a stream that broke off, and the least time that must be left for one, in seconds.
+TAKE_UPS = 3
+LEAST_LEFT_S = 0.2
 CONNECT_S = 5.0
 
 
@@ -54,11 +57,13 @@
             number += 1
             request, data = self.make(link, opened, number, idle)
             try:
-                if not await self.exchange(request, data, reader, writer):
-                    return
+                goes_on = await self.exchange(request, data, reader, writer)
             finally:
-                if request.outcome != "running":
-                    self.run.checks.ended(request)
+                self.finish(request)
+            if request.route == "res" and request.outcome == "cut":
+                await self.take_up(request)
+            if not goes_on:
+                return
             if self.rng.random() < 0.02:
                 return
             idle = self.draw_idle()
@@ -66,18 +71,73 @@
             if self.run.closing:
                 return
 
-    def make(self, link, opened, number, idle):
+    def finish(self, request):
+        if request.outcome != "running":
+            if len(request.plan) == 3:
+                request.stream.add(request)
+            self.run.checks.ended(request)
+
+    async def take_up(self, first):
+        """Goes on with a stream that broke off behind an event, at any instance."""
+        for _ in range(TAKE_UPS):
+            left = first.deadline_at - time.monotonic()
+            if left < LEAST_LEFT_S or not 0 < first.stream.last() < int(first.plan[1]) or self.run.closing:
+                return
+            home = self.rng.choice(self.run.instances)
+            link = home.link if self.rng.random() < self.run.link_share else None
+            try:
+                connecting = asyncio.open_connection(*(link.listen if link else home.front))
+                reader, writer = await asyncio.wait_for(connecting, 1)
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+                continue
+            self.run.checks.counts["take_ups"] += 1
+            request, data = self.make_again(first, home, link.name if link else None)
+            try:
+                await self.exchange(request, data, reader, writer)
+            finally:
+                self.finish(request)
+                writer.close()
+            if request.status not in (None, 200, 502, 504, *checks.PROMISES):
+                return
+            await asyncio.sleep(self.rng.uniform(0, 0.1))
+
+    def make_again(self, first, home, link):
+        """The request that takes a stream up: another id, and where the stream began and is."""
+        left = first.deadline_at - time.monotonic()
+        request = checks.Request(self.next_id(), first.route, home, link, time.monotonic(), 1, 0.0,
+                                 min(left, *faults.ROUTE_TIMEOUTS_S))
+        request.plan, request.body, request.path, request.key = first.plan, first.body, first.path, first.key
+        request.stream, request.resumes, request.first = first.stream, first.stream.first_id, first.stream.last() + 1
+        request.withdrawn_at, request.key_answers = self.run.keys.withdrawn.get(first.key), home.key_answers
+        request.headers = {**first.headers, "X-Request-Id": request.id,
+                           "X-Request-Deadline-Ms": max(1, int(left * 1000)), "Resumes": request.resumes, "Last-Event-Id": first.stream.last()}
+        return request, self.bytes_of(request)
+
+    def bytes_of(self, request):
+        in_chunks = bool(request.body) and self.rng.random() < 0.3
+        line = f"{METHODS[request.route]} {request.path} HTTP/1.1"
+        return wire.message(line, request.headers, request.body, in_chunks)
+
+    def next_id(self):
         self.sent += 1
+        return f"{self.run.seed:x}c{self.number:x}n{self.sent:x}-{self.rng.getrandbits(32):08x}"
+
+    def make(self, link, opened, number, idle):
         routes = ("idem", "idem", "once", "once", "gen", "res", "open")
-        route = self.rng.choice((*routes, "some") if "configurations" in self.run.kinds else routes)
-        request_id = f"{self.run.seed:x}c{self.number:x}n{self.sent:x}-{self.rng.getrandbits(32):08x}"
+        if "configurations" in self.run.kinds:
+            routes = (*routes, "some")
+        has_versions = "versions" in self.run.kinds
+        route = self.rng.choice((*routes, *["res"] * 8) if has_versions else routes)
+        request_id = self.next_id()
         deadline = self.rng.randint(1000, 3000)
         # The instance may use another configuration than the newest.
         timeout = min(deadline / 1000, *faults.ROUTE_TIMEOUTS_S)
         request = checks.Request(request_id, route, self.home, link, opened, number, idle, timeout)
         delay = int(self.rng.choice((0, 2, 10, 60)) * self.rng.random())
         if route in ("gen", "res"):
-            plan = f"{delay},{self.rng.randint(1, 12)},{self.rng.choice((0, 5, 30))}"
+            events, gaps = ((5, 40), (10, 30, 60)) if has_versions else ((1, 12), (0, 5, 30))
+            plan = f"{delay},{self.rng.randint(*events)},{self.rng.choice(gaps)}"
         else:
             plan = f"{delay},{self.rng.choice((20, 400, 9000))}"
         request.plan = plan.split(",")
@@ -86,15 +146,16 @@
         # Any key is good enough for the public route.
         request.withdrawn_at = None if route == "open" else self.run.keys.withdrawn.get(key)
         request.key_answers = self.home.key_answers
-        body = b"" if METHODS[route] == "GET" else b"q" * self.rng.choice((1, 200, 5000))
-        headers = {"Host": HOST, "X-Request-Id": request_id, "X-Request-Deadline-Ms": deadline,
+        request.deadline_at, request.path = request.sent_at + deadline / 1000, f"/{route}/{request_id}"
+        request.body = body = b"" if METHODS[route] == "GET" else b"q" * self.rng.choice((1, 200, 5000))
+        request.headers = headers = {
+                   "Host": HOST, "X-Request-Id": request_id, "X-Request-Deadline-Ms": deadline,
                    "Authorization": f"Token {key}", "X-Soak": plan,
                    "X-Soak-Sum": wire.digest(body.decode())}
         if route in ("gen", "res"):
             headers.update({"X-Model": engines.MODEL, "X-Token-Usage": "300,40",
                             "X-Prompt-Prefix": f"{self.rng.randrange(20):x}:200,{request_id[-8:]}:100"})
-        in_chunks = bool(body) and self.rng.random() < 0.3
-        return request, wire.message(f"{METHODS[route]} /{route}/{request_id} HTTP/1.1", headers, body, in_chunks)
+        return request, self.bytes_of(request)
 
     async def exchange(self, request, data, reader, writer):
         """Sends a request and judges its answer; True when the connection serves another one."""
@@ -153,17 +214,15 @@
         if len(request.plan) == 2:
             expected = engines.plain_body(request.id, int(request.plan[1]))
         else:
-            expected = b"".join(engines.event(request.id, number) for number in range(1, int(request.plan[1]) + 1))
+            numbers = range(request.first, int(request.plan[1]) + 1)
+            expected = engines.masked(b"".join(engines.event(request.id, number) for number in numbers))
+        request.seen = seen = b""
+        async for piece in wire.read_pieces(reader, headers):
+            request.seen += piece
+            seen = request.seen if len(request.plan) == 2 else engines.masked(request.seen)
+            if not expected.startswith(seen):
+                break
         if wire.ends_with_close(headers):
-            seen = await reader.read()
             request.is_short = len(seen) < len(expected) and expected.startswith(seen)
-        elif "content-length" in headers:
-            seen = await wire.read_body(reader, headers)
-        else:
-            seen = b""
-            while piece := await wire.read_chunk(reader):
-                seen += piece
-                if not expected.startswith(seen):
-                    break
         if seen != expected and not request.is_short:
             self.run.checks.finding("MIXED", f"{request}: {seen[-120:]!r} of {len(expected)} bytes", request.id)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,6 +5,8 @@
 import subprocess
 import time
 
+import engines
+
 # Faults this long before a request's end may explain it, in seconds.
 SOUND_S = 3.0
 # Answers that promise that the request has not run and never will.
@@ -23,6 +25,10 @@
 USABLE_PART_OF_IDLE = 0.8
 # With at least this idle limit, in seconds, a request sent in its usable part is read in time on a busy machine, too.
 SURE_LIMIT_S = 1.0
+# Streams of a run that may go on at an engine that has just begun again under its id with another version.
+SAME_ID_STREAMS = 2
+# Streams that must have been taken up for a judgement of their share.
+LEAST_TAKE_UPS = 12
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -68,6 +74,28 @@
         return total
 
 
+class Stream:
+    """What a caller has of one stream, over all of its tries."""
+
+    def __init__(self):
+        # Id of the attempt that brought its first event.
+        self.first_id = None
+        self.events = []
+        self.is_judged = False
+
+    def add(self, request):
+        request.events = engines.events_in(request.seen)
+        if request.events and self.first_id is None:
+            self.first_id = request.id
+        self.events += request.events
+
+    def last(self):
+        return self.events[-1][0] if self.events else 0
+
+    def versions(self):
+        return sorted({version for _, version in self.events})
+
+
 class Request:
     """One attempt of a caller and how it ended."""
 
@@ -82,6 +110,9 @@
         self.withdrawn_at = None
         self.key_answers = {}
         self.idle_limit = 0.0
+        # Of a stream: what came in this attempt, its first event and the attempt that began what it takes up.
+        self.stream, self.seen, self.events, self.first, self.resumes = Stream(), b"", [], 1, None
+        self.had_choice = False
         # An ordinary close ended the answer before its last byte; only an engine's close allows that.
         self.is_short = False
 
@@ -131,6 +162,10 @@
     def ended(self, request):
         """Judges a request once everything about it is known."""
         self.counts["requests"] += 1
+        self.judge_versions(request)
+        # An instance has a choice where two engines of the version that began the stream serve.
+        first = request.stream.events[0][1] if request.stream.events else None
+        request.had_choice = request.resumes is not None and self.serving(first, request) > 1
         self.counts[f"status_{request.status}" if request.outcome == "answered" else request.outcome] += 1
         asyncio.get_running_loop().call_later(SETTLE_S, self.settle, request)
 
@@ -143,6 +178,8 @@
             self.settle_cut(request, executed)
         elif request.outcome == "hung":
             self.settle_hung(request)
+        if request.route == "res":
+            self.count_beginning(request)
         if request.is_short:
             self.settle_short(request, executed)
         if request.status in PROMISES and executed:
@@ -157,6 +194,51 @@
             self.settle_withdrawn(request)
         self.arrivals.pop(request.id, None)
 
+    def judge_versions(self, request):
+        """A stream goes on only at the software version that began it."""
+        versions = request.stream.versions()
+        if len(versions) < 2 or request.stream.is_judged:
+            return
+        request.stream.is_judged = True
+        # Nothing tells at once that an engine has begun again under its id with another version.
+        if any(one.since_other_version < APPLY_S for one in self.arrivals[request.id]):
+            self.counts["versions_same_id"] += 1
+            if self.counts["versions_same_id"] <= SAME_ID_STREAMS:
+                return
+        where = "over its tries" if request.resumes else "in one answer"
+        self.finding("VERSIONS", f"{request}: events of {versions} {where}, began as {request.stream.first_id}; "
+                                 f"{request.stream.events}", request.id)
+
+    def serving(self, version, request):
+        """Engines of a software version that have been sound since some time before the request."""
+        ready = [one.name for one in self.run.engines if one.service == "gen" and one.version == version
+                 and one.server is not None and not one.leaving and one.fault is None]
+        begin = request.sent_at - SOUND_S
+        return sum(not self.faults.during([name, f"link:{name}"], begin, request.ended_at) for name in ready)
+
+    def count_beginning(self, request):
+        """Counts new streams that begin and taken up ones that go on, at instances in touch."""
+        name, begin = request.instance.name, request.sent_at - SOUND_S
+        targets = [name, f"link:store:{name}", "store", *([request.link] if request.link else [])]
+        if request.instance.started_at > begin or self.faults.during(targets, begin, request.ended_at):
+            return
+        if request.outcome == "abandoned" or request.status == 401 or request.resumes and not request.had_choice:
+            return
+        if request.outcome == "closed" and request.number > 1 and not self.arrivals.get(request.id):
+            return  # Its connection was idle for too long.
+        kind = "taken_up" if request.resumes else "new"
+        self.counts[f"streams_{kind}"] += 1
+        self.counts[f"streams_{kind}_began"] += bool(request.events)
+
+    def share(self, kind):
+        return self.counts[f"streams_{kind}_began"] / max(1, self.counts[f"streams_{kind}"])
+
+    def judge_shares(self):
+        """Of streams that are taken up where that can go well, at least half as many go on as new ones begin."""
+        if self.counts["streams_taken_up"] >= LEAST_TAKE_UPS and self.share("taken_up") < self.share("new") / 2:
+            self.finding("RESUMED", f"{self.share('taken_up'):.2f} of {self.counts['streams_taken_up']} streams went on, "
+                                    f"{self.share('new'):.2f} of {self.counts['streams_new']} new ones began")
+
     def break_causes(self, request, arrivals):
         """What explains a broken connection other than a fault of the instance."""
         causes = []
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -25,6 +25,7 @@
         self.addCleanup(folder.cleanup)
         self.run_under_test = types.SimpleNamespace(seed=1, folder=pathlib.Path(folder.name), lag=0.0)
         self.checks = self.run_under_test.checks = checks.Checks(self.run_under_test)
+        self.run_under_test.engines = []
         self.instance = types.SimpleNamespace(name="r00", started_at=0.0, was_killed=lambda begin, end: False)
 
     def request(self, outcome, route="once", status=None, link=None):
@@ -36,9 +37,13 @@
 
     def arrive(self, state, count=1):
         for _ in range(count):
-            arrival = engines.Arrival("e0", "x-1", {})
-            arrival.state = state
-            self.checks.arrived(arrival)
+            self.checks.arrived(self.arrival("x-1", state))
+
+    def arrival(self, request_id, state="answered", version="v1", other_version_at=0.0):
+        engine = types.SimpleNamespace(name="e0", version=version, other_version_at=other_version_at)
+        arrival = engines.Arrival(engine, request_id, {})
+        arrival.state = state
+        return arrival
 
     def found(self, request):
         self.checks.findings.clear()
@@ -342,6 +347,135 @@
         for wrong in (body + b"x", b"x" + body[:7]):
             self.assertEqual(self.read(request, own, wrong), {"MIXED": 1})
 
+    def attempt(self, number, events, first=None, status=200, outcome="cut", instance=None):
+        """One attempt of a stream, with its events as number and software version, settled at once."""
+        made = checks.Request(f"x-{number}", "res", instance or self.instance, None, time.monotonic(), 1, 0.0, 2.0)
+        made.plan, made.status = ["0", "9", "0"], status
+        if first is not None:
+            made.stream, made.resumes, made.first = first.stream, first.stream.first_id, first.stream.last() + 1
+        made.seen = b"".join(engines.event(made.id, *one) for one in events)
+        made.end(outcome)
+        made.stream.add(made)
+        made.had_choice = True
+        return made
+
+    def test_half_an_event_is_none(self):
+        whole = engines.event("x-1", 1, "v12")
+        self.assertEqual(engines.events_in(whole + engines.event("x-1", 2, "v1")[:-1]), [(1, "v12")])
+        for size in range(len(whole)):
+            expected = engines.masked(engines.event("x-1", 1, "v9"))
+            self.assertTrue(expected.startswith(engines.masked(whole[:size])), size)
+
+    def test_stream_goes_on_only_at_the_software_version_that_began_it(self):
+        first = self.attempt(1, [(1, "v1"), (2, "v1")])
+        second = self.attempt(2, [(3, "v1")], first)
+        self.checks.judge_versions(second)
+        self.assertEqual(self.checks.findings, {})
+        self.assertEqual((second.resumes, second.first), ("x-1", 3))
+        third = self.attempt(3, [(4, "v2")], second)
+        self.assertEqual(third.resumes, "x-1")
+        self.checks.judge_versions(third)
+        self.assertEqual(self.checks.findings, {"VERSIONS": 1})
+        # Each stream counts once; one answer may hold the join, too.
+        self.checks.judge_versions(self.attempt(4, [(5, "v1")], third))
+        self.checks.judge_versions(self.attempt(5, [(1, "v1"), (2, "v2")]))
+        self.assertEqual(self.checks.findings, {"VERSIONS": 2})
+
+    def test_two_streams_may_go_on_at_an_engine_that_has_just_begun_again_under_its_id(self):
+        for number in range(1, 5):
+            joined = self.attempt(number, [(1, "v1"), (2, "v2")])
+            self.checks.arrived(self.arrival(joined.id, version="v2", other_version_at=time.monotonic() - 1))
+            self.checks.judge_versions(joined)
+            self.assertEqual(self.checks.findings["VERSIONS"], max(0, number - checks.SAME_ID_STREAMS))
+        late = self.attempt(9, [(1, "v1"), (2, "v2")])
+        self.checks.arrived(self.arrival(late.id, version="v2", other_version_at=time.monotonic() - checks.APPLY_S - 1))
+        self.checks.findings.clear()
+        self.checks.counts.clear()
+        self.checks.judge_versions(late)
+        self.assertEqual(self.checks.findings, {"VERSIONS": 1})
+
+    def test_id_of_the_first_event_names_a_stream(self):
+        empty = self.attempt(1, [])
+        self.assertIsNone(empty.stream.first_id)
+        self.assertEqual(self.attempt(2, [(1, "v1")], empty).stream.first_id, "x-2")
+
+    def counted(self, new, new_began, taken_up, taken_up_began):
+        self.checks.findings.clear()
+        self.checks.counts.clear()
+        for number in range(new):
+            self.checks.count_beginning(self.attempt(number, [(1, "v1")] if number < new_began else []))
+        first = self.attempt(0, [(1, "v1")])
+        for number in range(taken_up):
+            first.stream = checks.Stream()
+            first.stream.add(first)
+            self.checks.count_beginning(self.attempt(number, [(2, "v1")] if number < taken_up_began else [], first))
+        self.checks.judge_shares()
+        return dict(self.checks.findings)
+
+    def test_streams_that_are_taken_up_go_on_at_least_half_as_often_as_new_ones_begin(self):
+        self.assertEqual(self.counted(20, 20, 12, 6), {})
+        self.assertEqual(self.counted(20, 20, 12, 5), {"RESUMED": 1})
+        self.assertEqual(self.counted(20, 10, 12, 3), {})
+        self.assertEqual(self.counted(20, 10, 12, 2), {"RESUMED": 1})
+        self.assertEqual(self.counted(20, 20, 11, 0), {})
+
+    def test_share_counts_instances_in_touch_and_a_choice_of_engines(self):
+        first = self.attempt(1, [(1, "v1")])
+        alone = self.attempt(2, [], first)
+        alone.had_choice = False
+        refused = self.attempt(3, [], first, status=401, outcome="answered")
+        started = types.SimpleNamespace(name="r01", started_at=time.monotonic() - 1)
+        for one in (alone, refused, self.attempt(4, [], first, instance=started)):
+            self.checks.count_beginning(one)
+        for target in ("r00", "store", "link:store:r00"):
+            entry = self.checks.faults.begin(target, "down")
+            self.checks.count_beginning(self.attempt(5, [], first))
+            del self.checks.faults.by_target[target][:]
+        self.assertEqual(self.checks.counts["streams_taken_up"], 0)
+        self.checks.count_beginning(self.attempt(6, [], first))
+        self.assertEqual(self.checks.counts["streams_taken_up"], 1)
+
+    def test_engines_that_serve_a_version_are_sound_for_some_time(self):
+        def engine(name, version="v1", leaving=False, fault=None, server=True):
+            return types.SimpleNamespace(name=name, service="gen", version=version, leaving=leaving, fault=fault,
+                                         server=server or None)
+        self.run_under_test.engines = [engine("e0"), engine("e1"), engine("e2", "v2"), engine("e3", leaving=True),
+                                       engine("e4", fault="stall"), engine("e5", server=False)]
+        request = self.attempt(1, [(1, "v1")])
+        self.assertEqual(self.checks.serving("v1", request), 2)
+        self.checks.faults.end(self.checks.faults.begin("e1", "release"))
+        request.end("cut")
+        self.assertEqual(self.checks.serving("v1", request), 1)
+
+    def test_stream_that_broke_off_is_taken_up_with_its_own_body_and_another_id(self):
+        run = types.SimpleNamespace(seed=1, keys=faults.Keys(), rng=lambda name: random.Random(1))
+        home = types.SimpleNamespace(name="r01", key_answers={})
+        caller = callers.Caller(1, self.instance, run)
+        first = self.attempt(1, [(1, "v1"), (2, "v1")])
+        first.body, first.path, first.key, first.deadline_at = b"qq", "/res/x-1", "lasting-1", time.monotonic() + 2
+        first.headers = {"X-Request-Id": "x-1", "X-Request-Deadline-Ms": 3000, "Authorization": "Token lasting-1"}
+        request, data = caller.make_again(first, home, None)
+        self.assertEqual((request.resumes, request.first, request.instance), ("x-1", 3, home))
+        self.assertTrue(data.startswith(b"POST /res/x-1 HTTP/1.1\r\n"))
+        for line in (f"X-Request-Id: {request.id}", "Last-Event-Id: 2", "Resumes: x-1",
+                     "Authorization: Token lasting-1"):
+            self.assertIn(f"\r\n{line}\r\n".encode(), data)
+        self.assertNotEqual(request.id, "x-1")
+        self.assertLessEqual(int(request.headers["X-Request-Deadline-Ms"]), 2000)
+
+    def test_events_before_a_break_are_kept(self):
+        request = self.request("cut", "res", 200)
+        request.plan = ["0", "3", "0"]
+        own = {"x-response-seal": wire.digest("seal", "x-1"), "transfer-encoding": "chunked"}
+        with self.assertRaises(asyncio.IncompleteReadError):
+            self.read(request, own, wire.chunk(engines.event("x-1", 1)) + b"22\r\nid")
+        request.stream.add(request)
+        self.assertEqual(request.stream.events, [(1, "v1")])
+        own = {"x-response-seal": wire.digest("seal", "x-1"), "content-length": "500"}
+        with self.assertRaises(asyncio.IncompleteReadError):
+            self.read(request, own, engines.event("x-1", 1) + engines.event("x-1", 2)[:5])
+        self.assertEqual(engines.events_in(request.seen), [(1, "v1")])
+
     def test_finding_about_a_running_request_can_be_written(self):
         running = checks.Request("x-1", "once", self.instance, None, time.monotonic(), 2, 0.7, 2.0)
         self.assertIn("ended=no", str(running))
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -2,6 +2,7 @@
 import asyncio
 import hashlib
 import json
+import re
 import time
 
 import wire
@@ -9,6 +10,9 @@
 KEEP_ALIVE_S = 6
 MODEL = "model-1"
 EVENT_STREAM = "text/event-stream"
+# Version of the software that engines start with.
+FIRST_VERSION = "v1"
+EVENT = re.compile(rb"id: (\d+)\ndata: \S+ \d+ (v\d+)\n\n")
 # How an answer says where it ends; with "close" only its connection does.
 FRAMINGS = ("length", "chunks", "close")
 
@@ -19,16 +23,26 @@
     return (request_id + ":" + stem * (size // len(stem) + 1))[:max(size, len(request_id))].encode()
 
 
-def event(request_id, number):
-    """Event of a stream; names its request so that a mix-up shows."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+def event(request_id, number, version=FIRST_VERSION):
+    """Event of a stream; names its request so that a mix-up shows, and the software version that wrote it."""
+    return f"id: {number}\ndata: {request_id} {number} {version}\n\n".encode()
+
+
+def masked(data):
+    """Events, whole or in part, without what tells software versions apart."""
+    return re.sub(rb"(?<= v)\d+", b"", data)
+
+
+def events_in(data):
+    """Number and software version of each whole event."""
+    return [(int(number), version.decode()) for number, version in EVENT.findall(data)]
 
 
 class Arrival:
     """A request that an engine has read whole."""
 
     def __init__(self, engine, request_id, headers):
-        self.engine, self.id = engine, request_id
+        self.engine, self.id = engine.name, request_id
         self.at = time.monotonic()
         self.state = "running"
         self.answered_at = None
@@ -39,13 +53,16 @@
         # Whether a refusal was written twice on its connection before.
         self.after_repeat = False
         self.was_silent = False
+        self.version = engine.version
+        # Time since the engine began again under its id with another software version, in seconds.
+        self.since_other_version = self.at - engine.other_version_at
 
     def proves_ordinary_close(self):
         """Whether the close of the connection is all that ended the answer, and looks like its end."""
         return self.framing == "close" and self.end == "closed"
 
     def __str__(self):
-        return f"{self.engine} at {self.at:.3f} {self.state} framing={self.framing} end={self.end}"
+        return f"{self.engine} {self.version} at {self.at:.3f} {self.state} framing={self.framing} end={self.end}"
 
 
 class Engine:
@@ -67,9 +84,15 @@
         self.repeats = "repeats" in run.kinds and number % 3 == 0
         self.silent_until = 0.0
         self.row_is_odd = False
+        self.version, self.other_version_at = FIRST_VERSION, 0.0
+        # Held by what starts or breaks it.
+        self.turn = asyncio.Lock()
 
-    async def start(self, same_id=False):
+    async def start(self, same_id=False, version=None):
         self.starts += 1
+        if version is not None and version != self.version:
+            self.version = version
+            self.other_version_at = time.monotonic() if same_id else 0.0
         if self.id is None or not same_id:
             self.id = f"i-{self.name}-{self.starts}"
         self.born, self.reports = int(time.time() * 1000), 0
@@ -94,7 +117,7 @@
 
     def describe(self):
         self.reports += 1
-        row = {"service": self.service, "address": "%s:%d" % self.shown, "zone": "zone-a", "version": "v1",
+        row = {"service": self.service, "address": "%s:%d" % self.shown, "zone": "zone-a", "version": self.version,
                "slots": 64, "state": "draining" if self.leaving else "ready", "cold-remaining-ms": 0,
                "sequence": self.reports, "born": self.born}
         if self.service == "gen":
@@ -146,7 +169,7 @@
         if target.startswith("/-/") or target == "/health":
             return self.answer_platform(target, writer)
         request_id = headers.get("x-request-id", "")
-        arrival = Arrival(self.name, request_id, headers)
+        arrival = Arrival(self, request_id, headers)
         arrival.after_repeat = bool(repeats)
         self.run.checks.arrived(arrival)
         if repeats and (late := repeats[-1]) is not None:
@@ -180,7 +203,7 @@
         is_stream = len(plan) == 3
         if is_stream:
             first = int(headers.get("last-event-id", "0")) + 1
-            pieces = [event(arrival.id, number) for number in range(first, int(plan[1]) + 1)]
+            pieces = [event(arrival.id, number, arrival.version) for number in range(first, int(plan[1]) + 1)]
         else:
             pieces = [plain_body(arrival.id, int(plan[1]))]
         gap = int(plan[2]) / 1000 if is_stream else 0
@@ -265,7 +288,7 @@
         document = {}
         if target.startswith("/-/report"):
             document = {"stage": "prefill_decode", "models": [{"name": MODEL, "version": 1, "adapters": []}],
-                        "busy": False, "sequence": 0, "queued": 0, "active": 0, "kv-used": 0,
+                        "busy": False, "sequence": 0, "born": self.born, "queued": 0, "active": 0, "kv-used": 0,
                         "kv-total": 1_000_000, "handles": 0}
         head = {"Content-Type": "application/json", "X-Instance-Id": self.id}
         writer.write(wire.message("HTTP/1.1 200 OK", head, json.dumps(document).encode()))
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,6 +1,7 @@
 """Schedules of faults, drawn from the seed: processes, links, engines, store and configuration."""
 import asyncio
 import base64
+import contextlib
 import math
 import signal
 import time
@@ -81,6 +82,7 @@
         self.run = run
         self.log = run.checks.faults
         self.version = 1
+        self.newest_software = 1
 
     def loops(self):
         """Coroutines of the schedule, one for each thing that fails by itself."""
@@ -94,24 +96,73 @@
         yield self.renew_rows()
         yield self.trouble_store(run.rng("fault-store"))
         yield self.change_configuration(run.rng("configuration"))
+        if "versions" in run.kinds:
+            yield self.release_software(run.rng("releases"))
+            yield self.kill_all(run.rng("kill-all"))
         yield self.silence_engines(run.rng("silence"))
         yield self.write_odd_rows(run.rng("odd-rows"))
 
     async def trouble_instance(self, instance, rng):
+        # Streams are taken up after kills, and pauses hide whether they could have gone on.
+        shares, slower = ((10, 1, 1, 4, 16, 4), 2) if "versions" in self.run.kinds else ((50, 16, 16, 6, 4, 8), 1)
         while True:
-            await asyncio.sleep(rng.uniform(0.2, 3.0) * self.run.calm)
-            kind = rng.choices(("pause", "series", "throttle", "hup", "kill", "term"),
-                               (50, 16, 16, 6, 4, 8))[0]
+            await asyncio.sleep(rng.uniform(0.2, 3.0) * self.run.calm * slower)
+            kind = rng.choices(("pause", "series", "throttle", "hup", "kill", "term"), shares)[0]
             while instance.held_for_check:
                 await asyncio.sleep(0.1)
             if "process" not in self.run.kinds and kind in ("hup", "kill", "term"):
                 kind = "pause"
-            entry = self.log.begin(instance.name, kind)
-            self.run.checks.counts[f"fault_{kind}"] += 1
-            try:
-                await getattr(self, kind)(instance, rng)
-            finally:
-                self.log.end(entry)
+            async with instance.turn:
+                entry = self.log.begin(instance.name, kind)
+                self.run.checks.counts[f"fault_{kind}"] += 1
+                try:
+                    await getattr(self, kind)(instance, rng)
+                finally:
+                    self.log.end(entry)
+
+    async def kill_all(self, rng):
+        """All instances lose what they hold in memory at once."""
+        while True:
+            await asyncio.sleep(rng.uniform(8, 16) * self.run.calm)
+            async with contextlib.AsyncExitStack() as turns:
+                for instance in self.run.instances:
+                    await turns.enter_async_context(instance.turn)
+                entries = [self.log.begin(instance.name, "kill all") for instance in self.run.instances]
+                self.run.checks.counts["fault_kill_all"] += 1
+                for instance in self.run.instances:
+                    instance.kill()
+                await asyncio.sleep(rng.uniform(0, 0.5))
+                for instance, entry in zip(self.run.instances, entries):
+                    instance.start()
+                    self.log.end(entry)
+
+    async def release_software(self, rng):
+        """Engines of the next software version start beside those of older ones, which drain or just end."""
+        while True:
+            await asyncio.sleep(rng.uniform(2, 5) * self.run.calm)
+            self.newest_software += 1
+            fleet = [engine for engine in self.run.engines if engine.service == "gen"]
+            rng.shuffle(fleet)
+            self.run.checks.counts["releases"] += 1
+            for number in range(0, rng.randint(len(fleet) // 3, len(fleet)), 2):
+                await asyncio.gather(*(self.replace(engine, rng) for engine in fleet[number:number + 2]))
+
+    async def replace(self, engine, rng):
+        async with engine.turn:
+            entry = self.log.begin(engine.name, "release")
+            if rng.random() < 0.7:
+                engine.leaving = True
+                engine.register()
+                await asyncio.sleep(rng.uniform(2.5, 4))
+            same_id = rng.random() < 0.3
+            if not same_id or rng.random() < 0.7:
+                engine.unregister()
+            await engine.crash(with_reset=rng.random() < 0.5)
+            await asyncio.sleep(rng.uniform(0, 1))
+            engine.unregister() if not same_id else None
+            self.note(f"{engine.name} starts as v{self.newest_software}{' under its id' if same_id else ''}")
+            await engine.start(same_id, f"v{self.newest_software}")
+            self.log.end(entry)
 
     async def pause(self, instance, rng):
         if rng.random() < 0.04:
@@ -172,31 +223,36 @@
         while True:
             await asyncio.sleep(rng.uniform(4, 14) * self.run.calm)
             kind = rng.choice(("stall", "reset", "late", "refuse", "truncate", "extra", "crash", "leave"))
-            entry = self.log.begin(engine.name, kind)
-            self.run.checks.counts[f"fault_engine_{kind}"] += 1
-            if kind == "crash":
-                await engine.crash(with_reset=rng.random() < 0.5)
-                gone = rng.random() < 0.5
-                await asyncio.sleep(rng.uniform(0.3, 3))
-                if gone:
-                    engine.unregister()
-                    await asyncio.sleep(rng.uniform(0.1, 1))
-                same_id = rng.random() < 0.2
-                if not same_id:
-                    engine.unregister()
-                await engine.start(same_id)
-            elif kind == "leave":
-                engine.leaving = True
-                engine.register()
-                await asyncio.sleep(rng.uniform(2.5, 4))
+            async with engine.turn:
+                await self.break_engine(engine, kind, rng)
+
+    async def break_engine(self, engine, kind, rng):
+        entry = self.log.begin(engine.name, kind)
+        self.run.checks.counts[f"fault_engine_{kind}"] += 1
+        if kind == "crash":
+            await engine.crash(with_reset=rng.random() < 0.5)
+            gone = rng.random() < 0.5
+            await asyncio.sleep(rng.uniform(0.3, 3))
+            if gone:
                 engine.unregister()
-                await engine.crash()
-                await engine.start()
-            else:
-                engine.fault = kind
-                await asyncio.sleep(rng.uniform(0.3, 2.5))
-                engine.fault = None
-            self.log.end(entry)
+                await asyncio.sleep(rng.uniform(0.1, 1))
+            same_id = rng.random() < 0.2
+            if not same_id:
+                engine.unregister()
+            has_other = "versions" in self.run.kinds and rng.random() < 0.3
+            await engine.start(same_id, f"v{self.newest_software}" if has_other else None)
+        elif kind == "leave":
+            engine.leaving = True
+            engine.register()
+            await asyncio.sleep(rng.uniform(2.5, 4))
+            engine.unregister()
+            await engine.crash()
+            await engine.start()
+        else:
+            engine.fault = kind
+            await asyncio.sleep(rng.uniform(0.3, 2.5))
+            engine.fault = None
+        self.log.end(entry)
 
     async def silence_engines(self, rng):
         """A sound engine sends nothing for about a second; that is no fault and excuses nothing."""
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -36,6 +36,8 @@
         self.key_answers = {}
         self.log_path = run.folder / f"{self.name}.log"
         self.scanned = 0
+        # Held by what ends or stops it.
+        self.turn = asyncio.Lock()
 
     def start(self):
         flags = {"name": self.name, "region": "region-a", "failure_domain": "zone-a",
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -32,7 +32,7 @@
 CONFIGURATION_S = 15
 ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
 # Kinds that run only when they are named.
-OTHER_KINDS = "odd-rows"
+OTHER_KINDS = "odd-rows,versions"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -46,6 +46,8 @@
         self.folder = pathlib.Path(options.logs or tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
         self.folder.mkdir(parents=True, exist_ok=True)
         self.kinds = set(options.kinds.split(","))
+        if "versions" in self.kinds:
+            self.kinds |= {"process", "engines", "store"}
         self.calm, self.link_share, self.grace = options.calm, options.link_share, GRACE_S
         self.idle_timeout, self.route_timeout, self.lag = 1.0, 2.0, 0.0
         self.closing = False
@@ -105,7 +107,8 @@
             own = (f"{self.network}.{10 + number}", 8080)
             shown = (f"{self.network}.{50 + number}", 8080)
             moved = "configurations" in self.kinds and number % 6 == 4
-            service = "gen" if number % 2 else "spare" if moved else "plain"
+            is_gen = number % 4 if "versions" in self.kinds else number % 2
+            service = "gen" if is_gen else "spare" if moved else "plain"
             engine = engines.Engine(number, service, own, shown, self)
             engine.link = await self.add_link(f"link:{engine.name}", shown, own)
             await engine.start()
@@ -163,7 +166,8 @@
         found = sum(self.checks.findings.values())
         kinds = " ".join(f"{kind}={count}" for kind, count in sorted(self.checks.findings.items()))
         counts = " ".join(f"{name}={count}" for name, count in sorted(self.checks.counts.items()))
-        return f"soak seed={self.seed} findings={found} {kinds} {counts} logs={self.folder}"
+        shares = " ".join(f"share_{kind}={self.checks.share(kind):.2f}" for kind in ("new", "taken_up"))
+        return f"soak seed={self.seed} findings={found} {kinds} {counts} {shares} logs={self.folder}"
 
 
 def read_options(arguments):
@@ -217,6 +221,7 @@
                 run.checks.finding("LOG", f"{instance.name}: {line}")
         with open(instance.log_path, encoding="utf-8", errors="replace") as log:
             run.checks.check_unread(log)
+    run.checks.judge_shares()
     print(run.summary())
     return 1 if run.checks.findings else 0
 
--- a/tools/soak/wire.py
+++ b/tools/soak/wire.py
@@ -45,6 +45,23 @@
     return b"".join(pieces)
 
 
+async def read_pieces(reader, headers):
+    """Pieces of a body of any frame as they come."""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while piece := await read_chunk(reader):
+            yield piece
+        return
+    left = None if ends_with_close(headers) else int(headers["content-length"])
+    while left is None or left > 0:
+        piece = await reader.read(65536 if left is None else min(left, 65536))
+        if not piece and left is not None:
+            raise asyncio.IncompleteReadError(b"", left)
+        if not piece:
+            return
+        yield piece
+        left = None if left is None else left - len(piece)
+
+
 def head(first_line, headers):
     """Bytes of a message's head."""
     lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
