Soak: engines that say in their answers that they leave, and that ask an instance to wait

Nothing in the suite played `Server-Leaving` or an engine's `Retry-After`. An engine learns which instance sends from the request's id, as callers know where they sent it; connections on loopback do not tell.

- LEAVING: a request that was sent more than 2.5 s after the same process had passed on an answer with Server-Leaving reaches that start of the engine.
- WAIT: more than two requests from an instance between half a second after its 503 with Retry-After and the end of that time.
A restart of the instance, a stop of it or a fault of the link excuses that.

The last line leaves out shares of which nothing was counted.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -160,6 +160,7 @@
     async def exchange(self, request, data, reader, writer):
         """Sends a request and judges its answer; True when the connection serves another one."""
         request.sent_at = time.monotonic()
+        self.run.checks.under_way[request.id] = request
         try:
             if len(data) > 100 and self.rng.random() < 0.1:
                 middle = self.rng.randrange(1, len(data))
@@ -189,6 +190,7 @@
             request.status = int(line.split(" ")[1])
             if request.status != 100:
                 break
+        self.run.checks.passed_on(request)
         if request.status == 200:
             await self.read_success(request, headers, reader)
         else:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -29,6 +29,11 @@
 SAME_ID_STREAMS = 2
 # Streams that must have been taken up for a judgement of their share.
 LEAST_TAKE_UPS = 12
+# An engine that leaves may get requests for this long after an instance learned of it, in seconds.
+DRAIN_S = 2.5
+# Requests that were on their way when an engine asked an instance to wait come within this time, in seconds.
+WAIT_SLACK_S = 0.5
+MOST_IN_WAIT = 2
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -137,6 +142,10 @@
         self.findings = collections.Counter()
         self.watched = set()
         self.unread = {}
+        # Requests by id, until they are settled; they tell engines which instance sends.
+        self.under_way = {}
+        # By instance and start of an engine: since when it knows that the engine leaves, and the waits asked of it.
+        self.known_leaving, self.waits = {}, {}
 
     def finding(self, kind, text, request_id=None):
         self.findings[kind] += 1
@@ -158,6 +167,44 @@
     def arrived(self, arrival):
         self.arrivals[arrival.id].append(arrival)
         self.counts["arrivals"] += 1
+        request = self.under_way.get(arrival.id)
+        if request is not None:
+            self.judge_leaving(request, arrival)
+            self.judge_wait(request, arrival)
+
+    def passed_on(self, request):
+        """An answer has come through an instance: if its engine said that it leaves, the instance knows."""
+        for one in self.arrivals.get(request.id, ())[-1:]:
+            if one.said_leaving and one.answered_at is not None and request.status == 200:
+                self.known_leaving.setdefault((request.instance.name, one.start), time.monotonic())
+
+    def judge_leaving(self, request, arrival):
+        known = self.known_leaving.get((request.instance.name, arrival.start))
+        if known is None or request.instance.started_at > known or request.sent_at < known + DRAIN_S:
+            return
+        self.finding("LEAVING", f"{request}: {arrival} had said through it at {known:.3f} that it leaves", request.id)
+
+    def asked_to_wait(self, arrival, seconds):
+        request = self.under_way.get(arrival.id)
+        if request is not None:
+            now = time.monotonic()
+            # An answer with a shorter time does not take back what another asked for.
+            _, until, _ = self.waits.get((request.instance.name, arrival.start), (0.0, 0.0, 0))
+            if now > until:
+                self.counts["waits_asked"] += 1
+                self.waits[(request.instance.name, arrival.start)] = (now, now + seconds, 0)
+
+    def judge_wait(self, request, arrival):
+        key = (request.instance.name, arrival.start)
+        asked, until, count = self.waits.get(key, (0.0, 0.0, 0))
+        if not asked + WAIT_SLACK_S <= arrival.at <= until or request.instance.started_at > asked:
+            return
+        if self.faults.during([request.instance.name, f"link:{arrival.engine}"], asked - WAIT_SLACK_S, arrival.at):
+            return
+        self.waits[key] = (asked, until, count + 1)
+        if count + 1 == MOST_IN_WAIT + 1:
+            self.finding("WAIT", f"{request}: the third at {arrival}, which asked it at {asked:.3f} to wait until "
+                                 f"{until:.3f}", request.id)
 
     def ended(self, request):
         """Judges a request once everything about it is known."""
@@ -193,6 +240,7 @@
         if request.withdrawn_at is not None and request.status == 200:
             self.settle_withdrawn(request)
         self.arrivals.pop(request.id, None)
+        self.under_way.pop(request.id, None)
 
     def judge_versions(self, request):
         """A stream goes on only at the software version that began it."""
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Tests that the soak's checks tell a fault of the relay from what a fault of the surroundings explains."""
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -40,7 +41,8 @@
             self.checks.arrived(self.arrival("x-1", state))
 
     def arrival(self, request_id, state="answered", version="v1", other_version_at=0.0):
-        engine = types.SimpleNamespace(name="e0", version=version, other_version_at=other_version_at)
+        engine = types.SimpleNamespace(name="e0", version=version, other_version_at=other_version_at, starts=1,
+                                       says_leaving=False)
         arrival = engines.Arrival(engine, request_id, {})
         arrival.state = state
         return arrival
@@ -463,6 +465,64 @@
         self.assertNotEqual(request.id, "x-1")
         self.assertLessEqual(int(request.headers["X-Request-Deadline-Ms"]), 2000)
 
+    def sent(self, number):
+        """A request that an instance sends to an engine, with its arrival there."""
+        request = self.request("answered", "idem", 200)
+        request.id = f"x-{number}"
+        self.checks.under_way[request.id] = request
+        arrival = self.arrival(request.id)
+        arrival.answered_at = time.monotonic()
+        return request, arrival
+
+    def test_engine_that_leaves_gets_no_request_after_its_time_from_an_instance_that_knows(self):
+        request, arrival = self.sent(1)
+        arrival.said_leaving = True
+        self.checks.arrived(arrival)
+        self.checks.passed_on(request)
+        key = ("r00", arrival.start)
+        self.assertIn(key, self.checks.known_leaving)
+        self.checks.arrived(self.sent(2)[1])
+        self.assertEqual(self.checks.findings, {})
+        self.checks.known_leaving[key] -= checks.DRAIN_S + 0.1
+        self.checks.arrived(self.sent(3)[1])
+        self.assertEqual(self.checks.findings, {"LEAVING": 1})
+        # Another start of the engine, and a process that started since, know nothing of it.
+        other = self.sent(4)[1]
+        other.start = ("e0", 2)
+        self.checks.arrived(other)
+        self.instance.started_at = time.monotonic() - 0.1
+        self.checks.arrived(self.sent(5)[1])
+        self.assertEqual(self.checks.findings, {"LEAVING": 1})
+
+    def waited(self, *ages, seconds=2, prepare=lambda: None):
+        """Findings about requests that arrive that long after their engine asked the instance to wait."""
+        self.checks.findings.clear()
+        self.checks.waits.clear()
+        request, asking = self.sent(0)
+        self.checks.asked_to_wait(asking, seconds)
+        prepare()
+        for number, age in enumerate(ages, 1):
+            arrival = self.sent(number)[1]
+            arrival.at += age
+            self.checks.arrived(arrival)
+        return dict(self.checks.findings)
+
+    def test_engine_that_asked_to_wait_gets_at_most_two_requests_meanwhile(self):
+        self.assertEqual(self.waited(0.6, 1.0), {})
+        self.assertEqual(self.waited(0.6, 1.0, 1.9), {"WAIT": 1})
+        self.assertEqual(self.waited(0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.1, 2.2), {})
+        self.assertEqual(self.waited(0.6, 1.0, 1.9, seconds=1), {})
+
+    def test_stop_cut_and_restart_excuse_requests_while_an_engine_waits(self):
+        for target in ("r00", "link:e0"):
+            begin = functools.partial(self.checks.faults.begin, target, "pause")
+            self.assertEqual(self.waited(0.6, 1.0, 1.9, prepare=begin), {})
+            self.checks.faults.by_target.clear()
+
+        def restart():
+            self.instance.started_at = time.monotonic() + 0.1
+        self.assertEqual(self.waited(0.6, 1.0, 1.9, prepare=restart), {})
+
     def test_events_before_a_break_are_kept(self):
         request = self.request("cut", "res", 200)
         request.plan = ["0", "3", "0"]
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -54,6 +54,9 @@
         self.after_repeat = False
         self.was_silent = False
         self.version = engine.version
+        # The start of the engine; what was learned of one is not true of another.
+        self.start = (engine.name, engine.starts)
+        self.said_leaving = engine.says_leaving
         # Time since the engine began again under its id with another software version, in seconds.
         self.since_other_version = self.at - engine.other_version_at
 
@@ -84,6 +87,8 @@
         self.repeats = "repeats" in run.kinds and number % 3 == 0
         self.silent_until = 0.0
         self.row_is_odd = False
+        # Whether its answers say that it leaves, and until when it asks an instance to send it nothing.
+        self.says_leaving = False
         self.version, self.other_version_at = FIRST_VERSION, 0.0
         # Held by what starts or breaks it.
         self.turn = asyncio.Lock()
@@ -96,7 +101,7 @@
         if self.id is None or not same_id:
             self.id = f"i-{self.name}-{self.starts}"
         self.born, self.reports = int(time.time() * 1000), 0
-        self.leaving = False
+        self.leaving = self.says_leaving = False
         self.server = await asyncio.start_server(self.serve, *self.listen, backlog=1024)
         if self.link is not None:
             await self.link.set_target_down(False)
@@ -253,6 +258,8 @@
                 "Keep-Alive": f"timeout={KEEP_ALIVE_S}"}
         if not keep:
             head["Connection"] = "close"
+        if self.says_leaving:
+            head["Server-Leaving"] = 1
         if is_stream:
             head.update({"Content-Type": EVENT_STREAM, "X-Weight-Versions": "1"})
         if arrival.framing == "length":
@@ -268,6 +275,11 @@
     def decline(self, arrival, status, writer, more, repeats):
         arrival.state = "not_executed"
         head = {"X-Request-Id": arrival.id, "X-Not-Executed": "1", **more}
+        if self.says_leaving:
+            head["Server-Leaving"] = 1
+        if status.startswith("503") and "leaving" in self.run.kinds and self.rng.random() < 0.6:
+            seconds = head["Retry-After"] = self.rng.choice((1, 2, 3))
+            self.run.checks.asked_to_wait(arrival, seconds)
         refusal = wire.message(f"HTTP/1.1 {status}", head)
         writer.write(refusal)
         if self.repeats and self.rng.random() < 0.8:
@@ -291,5 +303,7 @@
                         "busy": False, "sequence": 0, "born": self.born, "queued": 0, "active": 0, "kv-used": 0,
                         "kv-total": 1_000_000, "handles": 0}
         head = {"Content-Type": "application/json", "X-Instance-Id": self.id}
+        if self.says_leaving:
+            head["Server-Leaving"] = 1
         writer.write(wire.message("HTTP/1.1 200 OK", head, json.dumps(document).encode()))
         return True
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -242,7 +242,11 @@
             has_other = "versions" in self.run.kinds and rng.random() < 0.3
             await engine.start(same_id, f"v{self.newest_software}" if has_other else None)
         elif kind == "leave":
-            engine.leaving = True
+            if "leaving" in self.run.kinds:
+                # Its answers say so before its row does, or where its row never does.
+                engine.says_leaving = True
+                await asyncio.sleep(rng.uniform(0, 4))
+            engine.leaving = "leaving" not in self.run.kinds or rng.random() < 0.6
             engine.register()
             await asyncio.sleep(rng.uniform(2.5, 4))
             engine.unregister()
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -32,7 +32,7 @@
 CONFIGURATION_S = 15
 ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
 # Kinds that run only when they are named.
-OTHER_KINDS = "odd-rows,versions"
+OTHER_KINDS = "odd-rows,versions,leaving"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -166,7 +166,8 @@
         found = sum(self.checks.findings.values())
         kinds = " ".join(f"{kind}={count}" for kind, count in sorted(self.checks.findings.items()))
         counts = " ".join(f"{name}={count}" for name, count in sorted(self.checks.counts.items()))
-        shares = " ".join(f"share_{kind}={self.checks.share(kind):.2f}" for kind in ("new", "taken_up"))
+        shares = " ".join(f"share_{kind}={self.checks.share(kind):.2f}" for kind in ("new", "taken_up")
+                          if self.checks.counts[f"streams_{kind}"])
         return f"soak seed={self.seed} findings={found} {kinds} {counts} {shares} logs={self.folder}"
 
 
