--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,6 +5,8 @@
 import subprocess
 import time
 
+import engines
+
 # Faults this long before a request's end may explain it, in seconds.
 SOUND_S = 3.0
 # Answers that promise that the request has not run and never will.
@@ -23,6 +25,15 @@
 USABLE_PART_OF_IDLE = 0.8
 # With at least this idle limit, in seconds, a request sent in its usable part is read in time on a busy machine, too.
 SURE_LIMIT_S = 1.0
+# Streams of a run that may go on at an engine that has just begun again under its id with another version.
+SAME_ID_STREAMS = 2
+# Streams that must have been taken up for a judgement of their share.
+LEAST_TAKE_UPS = 12
+# An engine that leaves may get requests for this long after an instance learned of it, in seconds.
+DRAIN_S = 2.5
+# Requests that were on their way when an engine asked an instance to wait come within this time, in seconds.
+WAIT_SLACK_S = 0.5
+MOST_IN_WAIT = 2
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -68,6 +79,28 @@
         return total
 
 
+class Stream:
+    """What a caller has of one stream, over all of its tries."""
+
+    def __init__(self):
+        # Id of the attempt that brought its first event.
+        self.first_id = None
+        self.events = []
+        self.is_judged = False
+
+    def add(self, request):
+        request.events = engines.events_in(request.seen)
+        if request.events and self.first_id is None:
+            self.first_id = request.id
+        self.events += request.events
+
+    def last(self):
+        return self.events[-1][0] if self.events else 0
+
+    def versions(self):
+        return sorted({version for _, version in self.events})
+
+
 class Request:
     """One attempt of a caller and how it ended."""
 
@@ -82,6 +115,9 @@
         self.withdrawn_at = None
         self.key_answers = {}
         self.idle_limit = 0.0
+        # Of a stream: what came in this attempt, its first event and the attempt that began what it takes up.
+        self.stream, self.seen, self.events, self.first, self.resumes = Stream(), b"", [], 1, None
+        self.had_choice = False
         # An ordinary close ended the answer before its last byte; only an engine's close allows that.
         self.is_short = False
 
@@ -106,6 +142,10 @@
         self.findings = collections.Counter()
         self.watched = set()
         self.unread = {}
+        # Requests by id, until they are settled; they tell engines which instance sends.
+        self.under_way = {}
+        # By instance and start of an engine: since when it knows that the engine leaves, and the waits asked of it.
+        self.known_leaving, self.waits = {}, {}
 
     def finding(self, kind, text, request_id=None):
         self.findings[kind] += 1
@@ -127,10 +167,52 @@
     def arrived(self, arrival):
         self.arrivals[arrival.id].append(arrival)
         self.counts["arrivals"] += 1
+        request = self.under_way.get(arrival.id)
+        if request is not None:
+            self.judge_leaving(request, arrival)
+            self.judge_wait(request, arrival)
+
+    def passed_on(self, request):
+        """An answer has come through an instance: if its engine said that it leaves, the instance knows."""
+        for one in self.arrivals.get(request.id, ())[-1:]:
+            if one.said_leaving and one.answered_at is not None and request.status == 200:
+                self.known_leaving.setdefault((request.instance.name, one.start), time.monotonic())
+
+    def judge_leaving(self, request, arrival):
+        known = self.known_leaving.get((request.instance.name, arrival.start))
+        if known is None or request.instance.started_at > known or request.sent_at < known + DRAIN_S:
+            return
+        self.finding("LEAVING", f"{request}: {arrival} had said through it at {known:.3f} that it leaves", request.id)
+
+    def asked_to_wait(self, arrival, seconds):
+        request = self.under_way.get(arrival.id)
+        if request is not None:
+            now = time.monotonic()
+            # An answer with a shorter time does not take back what another asked for.
+            _, until, _ = self.waits.get((request.instance.name, arrival.start), (0.0, 0.0, 0))
+            if now > until:
+                self.counts["waits_asked"] += 1
+                self.waits[(request.instance.name, arrival.start)] = (now, now + seconds, 0)
+
+    def judge_wait(self, request, arrival):
+        key = (request.instance.name, arrival.start)
+        asked, until, count = self.waits.get(key, (0.0, 0.0, 0))
+        if not asked + WAIT_SLACK_S <= arrival.at <= until or request.instance.started_at > asked:
+            return
+        if self.faults.during([request.instance.name, f"link:{arrival.engine}"], asked - WAIT_SLACK_S, arrival.at):
+            return
+        self.waits[key] = (asked, until, count + 1)
+        if count + 1 == MOST_IN_WAIT + 1:
+            self.finding("WAIT", f"{request}: the third at {arrival}, which asked it at {asked:.3f} to wait until "
+                                 f"{until:.3f}", request.id)
 
     def ended(self, request):
         """Judges a request once everything about it is known."""
         self.counts["requests"] += 1
+        self.judge_versions(request)
+        # An instance has a choice where two engines of the version that began the stream serve.
+        first = request.stream.events[0][1] if request.stream.events else None
+        request.had_choice = request.resumes is not None and self.serving(first, request) > 1
         self.counts[f"status_{request.status}" if request.outcome == "answered" else request.outcome] += 1
         asyncio.get_running_loop().call_later(SETTLE_S, self.settle, request)
 
@@ -143,6 +225,8 @@
             self.settle_cut(request, executed)
         elif request.outcome == "hung":
             self.settle_hung(request)
+        if request.route == "res":
+            self.count_beginning(request)
         if request.is_short:
             self.settle_short(request, executed)
         if request.status in PROMISES and executed:
@@ -156,6 +240,52 @@
         if request.withdrawn_at is not None and request.status == 200:
             self.settle_withdrawn(request)
         self.arrivals.pop(request.id, None)
+        self.under_way.pop(request.id, None)
+
+    def judge_versions(self, request):
+        """A stream goes on only at the software version that began it."""
+        versions = request.stream.versions()
+        if len(versions) < 2 or request.stream.is_judged:
+            return
+        request.stream.is_judged = True
+        # Nothing tells at once that an engine has begun again under its id with another version.
+        if any(one.since_other_version < APPLY_S for one in self.arrivals[request.id]):
+            self.counts["versions_same_id"] += 1
+            if self.counts["versions_same_id"] <= SAME_ID_STREAMS:
+                return
+        where = "over its tries" if request.resumes else "in one answer"
+        self.finding("VERSIONS", f"{request}: events of {versions} {where}, began as {request.stream.first_id}; "
+                                 f"{request.stream.events}", request.id)
+
+    def serving(self, version, request):
+        """Engines of a software version that have been sound since some time before the request."""
+        ready = [one.name for one in self.run.engines if one.service == "gen" and one.version == version
+                 and one.server is not None and not one.leaving and one.fault is None]
+        begin = request.sent_at - SOUND_S
+        return sum(not self.faults.during([name, f"link:{name}"], begin, request.ended_at) for name in ready)
+
+    def count_beginning(self, request):
+        """Counts new streams that begin and taken up ones that go on, at instances in touch."""
+        name, begin = request.instance.name, request.sent_at - SOUND_S
+        targets = [name, f"link:store:{name}", "store", *([request.link] if request.link else [])]
+        if request.instance.started_at > begin or self.faults.during(targets, begin, request.ended_at):
+            return
+        if request.outcome == "abandoned" or request.status == 401 or request.resumes and not request.had_choice:
+            return
+        if request.outcome == "closed" and request.number > 1 and not self.arrivals.get(request.id):
+            return  # Its connection was idle for too long.
+        kind = "taken_up" if request.resumes else "new"
+        self.counts[f"streams_{kind}"] += 1
+        self.counts[f"streams_{kind}_began"] += bool(request.events)
+
+    def share(self, kind):
+        return self.counts[f"streams_{kind}_began"] / max(1, self.counts[f"streams_{kind}"])
+
+    def judge_shares(self):
+        """Of streams that are taken up where that can go well, at least half as many go on as new ones begin."""
+        if self.counts["streams_taken_up"] >= LEAST_TAKE_UPS and self.share("taken_up") < self.share("new") / 2:
+            self.finding("RESUMED", f"{self.share('taken_up'):.2f} of {self.counts['streams_taken_up']} streams went on, "
+                                    f"{self.share('new'):.2f} of {self.counts['streams_new']} new ones began")
 
     def break_causes(self, request, arrivals):
         """What explains a broken connection other than a fault of the instance."""
