Failing tests: a change that fails to apply freezes a table

An exception other than document_error or decode_error out of the handler of changes skipped the schedule of the next call, for as long as the process lived, and the rows behind the one that failed.

--- a/unit_tests/relay/followers_test.cpp
+++ b/unit_tests/relay/followers_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST_SUITE(followers_test);
     CPPUNIT_TEST(table_is_read_and_then_followed);
     CPPUNIT_TEST(first_call_after_a_failure_is_short);
+    CPPUNIT_TEST(change_that_fails_does_not_freeze_the_copy);
     CPPUNIT_TEST(lost_history_causes_a_full_read);
     CPPUNIT_TEST(lost_rows_are_deleted_unless_they_are_written_again);
     CPPUNIT_TEST(answer_from_before_a_return_is_dropped);
@@ -70,6 +71,8 @@
     boost::asio::io_context m_context;
     scripted_store m_store;
     std::vector<table_row> m_changes;
+    bool m_fails = false; ///< The next change cannot be applied.
+    int m_escaped = 0;    ///< Failures that came out of the follower.
     std::unique_ptr<table_follower> m_follower;
 
     void run_until_called()
@@ -88,6 +91,10 @@
         m_follower = std::make_unique<table_follower>(
             m_context, m_store, followed_table::operators, settings,
             [this](const std::vector<table_row>& rows, bool /*from_store*/) {
+                if (m_fails)
+                {
+                    throw core::error("change");
+                }
                 m_changes.insert(m_changes.end(), rows.begin(), rows.end());
             });
         m_follower->start();
@@ -116,6 +123,39 @@
         CPPUNIT_ASSERT(m_store.m_waits.back() == m_store.m_waits.front());
     }
 
+    /// Answers the pending call; a failed change may end the handler, as in the loop of a process.
+    void answer_and_fail(const table_rows& rows)
+    {
+        m_fails = true;
+        try
+        {
+            m_store.answer(rows);
+        }
+        catch (const core::error&)
+        {
+            ++m_escaped;
+        }
+        m_fails = false;
+    }
+
+    void change_that_fails_does_not_freeze_the_copy()
+    {
+        answer_and_fail({{{"a", "1", {1, 3}, false}}, {1, 8}});
+        CPPUNIT_ASSERT_MESSAGE("frozen after the whole table", m_store.m_pending);
+        answer_and_fail({{{"b", "2", {1, 9}, false}}, {1, 9}});
+        run_until_called();
+        m_store.answer(table_rows{{{"c", "3", {1, 10}, false}}, {1, 10}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), m_changes.back().m_key);
+
+        m_follower->begin_era(2);
+        run_until_called();
+        answer_and_fail({{{"c", "4", {2, 4}, false}}, {2, 4}});
+        m_store.answer(table_rows{{{"c", "5", {2, 5}, false}}, {2, 5}});
+        CPPUNIT_ASSERT_EQUAL(std::string("5"), m_changes.back().m_value);
+        CPPUNIT_ASSERT_EQUAL(0, m_escaped);
+    }
+
     void lost_history_causes_a_full_read()
     {
         m_store.answer(table_rows{{{"a", "1", {1, 3}, false}}, {1, 8}});
