A handler that fails ends its request with what is certain of it

Callers saw 503 (not run) for requests that had run, or nothing until their deadline. Cause: an exception in a later handler reached the loop and left the session half ended; the deadline inferred "not sent" from the missing load. Change: one guard around timers, call events, client gone, probe and give_up logs session_failed and ends the request; an attempt counts as possibly run from before its send until it is refused, fails to connect or is counted, so nothing that throws later hides it.

--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -39,7 +39,7 @@
     m_exchange->on_client_gone([weak = weak_from_this()](net::close_cause cause) {
         if (const auto self = weak.lock())
         {
-            self->on_client_gone(cause);
+            self->run_guarded("client_gone", [&self, cause] { self->on_client_gone(cause); });
         }
     });
     m_routes = m_state.m_routes;
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "tarragontrail/net/connection_probe.hpp"
 #include "tarragontrail/net/http_server.hpp"
 #include "tarragontrail/net/timer.hpp"
+#include "tarragontrail/observe/log.hpp"
 #include "tarragontrail/relay/event_framer.hpp"
 #include "tarragontrail/relay/relay_state.hpp"
 
@@ -28,7 +30,7 @@
     void start();
 
     /// Ends the request with the response that is certain now, as at its deadline.
-    void give_up() { on_deadline(); }
+    void give_up();
 
 private:
     class attempt_listener;
@@ -50,6 +52,14 @@
         lost,      ///< The connection broke; the upstream may have crashed.
     };
 
+    /// Runs a step of the session; one that fails ends the request with what is certain of it.
+    template <class Step>
+    void run_guarded(const char* entry, Step step);
+    void end_after_failure();
+    void end_with_what_is_certain(const char* stream_cause, refusal_reason sent);
+    bool may_have_run() const noexcept { return m_is_outcome_open || m_possible_executions > 0; }
+    void note_possible_execution() noexcept;
+
     bool authorize();
     bool charge_rate_limit();
     void build_prompt_profile();
@@ -72,6 +82,7 @@
     void on_connection_lost(const char* cause);
     void on_end_unproven();
     void confirm_upstream_is_there();
+    void on_end_probed(net::probe_result result);
     void finish_response();
     void on_overdue();
     void on_deadline();
@@ -120,6 +131,7 @@
     std::vector<core::upstream_id> m_tried;  ///< Upstreams of all attempts so far.
     core::time_point m_attempt_started{};    ///< Start of the current attempt.
     std::optional<recovery::attempt_id> m_part_attempt; ///< Current attempt, if it has parts.
+    bool m_is_outcome_open = false;     ///< The current attempt was sent and may have run.
     bool m_counted_as_load = false;     ///< The current attempt counts towards the upstream's load.
     bool m_first_byte_received = false; ///< The current attempt's first byte has arrived.
     response_mode m_mode = response_mode::none; ///< Of the current attempt.
@@ -142,4 +154,20 @@
     bool m_ended = false;
 };
 
+template <class Step>
+void relay_session::run_guarded(const char* entry, Step step)
+{
+    const auto self = shared_from_this();
+    try
+    {
+        step();
+    }
+    catch (const std::exception& failure)
+    {
+        observe::log("session_failed",
+                     {{"request", m_request.m_id}, {"entry", entry}, {"reason", failure.what()}});
+        end_after_failure();
+    }
+}
+
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -208,18 +208,24 @@
                               {
                                   return;
                               }
-                              if (result != net::probe_result::refused)
-                              {
-                                  self->finish_response();
-                                  return;
-                              }
-                              const upstream_record ended = self->m_selection.m_upstream->m_record;
-                              self->on_connection_lost("upstream_crashed");
-                              self->m_state.m_crash_attribution.on_connection_refused(
-                                  ended.m_id, ended.m_started, core::runtime_clock::now());
+                              self->run_guarded("probe",
+                                                [&self, result] { self->on_end_probed(result); });
                           });
 }
 
+void relay_session::on_end_probed(net::probe_result result)
+{
+    if (result != net::probe_result::refused)
+    {
+        finish_response();
+        return;
+    }
+    const upstream_record ended = m_selection.m_upstream->m_record;
+    on_connection_lost("upstream_crashed");
+    m_state.m_crash_attribution.on_connection_refused(ended.m_id, ended.m_started,
+                                                      core::runtime_clock::now());
+}
+
 /// Passes on the end of a response that is whole as far as its upstream tells.
 void relay_session::finish_response()
 {
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -19,8 +19,7 @@
     {
         return false;
     }
-    ++m_sends;
-    ++m_possible_executions;
+    note_possible_execution();
     const core::time_point now = core::runtime_clock::now();
     m_selection.m_upstream->m_health.on_failure(now);
     ++m_selection.m_upstream->m_unreported_failures;
@@ -42,6 +41,7 @@
         return;
     }
     // Nothing was sent, so any request may be retried on another upstream.
+    m_is_outcome_open = false;
     const core::time_point now = core::runtime_clock::now();
     m_selection.m_upstream->m_health.on_unreachable(now);
     if (failure.m_fault == net::call_fault::refused)
@@ -66,6 +66,7 @@
 /// The upstream reported that it did not execute the request.
 void relay_session::on_not_executed()
 {
+    m_is_outcome_open = false;
     const core::time_point now = core::runtime_clock::now();
     upstream& current = *m_selection.m_upstream;
     ++m_sends;
@@ -86,8 +87,7 @@
 {
     upstream& current = *m_selection.m_upstream;
     record_response_end(cause);
-    ++m_sends;
-    ++m_possible_executions;
+    note_possible_execution();
     current.m_health.on_failure(core::runtime_clock::now());
     ++current.m_unreported_failures;
     release_upstream(attempt_outcome::lost);
@@ -109,8 +109,7 @@
 void relay_session::on_end_unproven()
 {
     record_response_end("unproven");
-    ++m_sends;
-    ++m_possible_executions;
+    note_possible_execution();
     release_upstream(attempt_outcome::abandoned);
     observe::log("end_unproven", {{"request", m_request.m_id},
                                   {"upstream", m_selection.m_upstream->m_record.m_name},
@@ -146,7 +145,7 @@
         abort_stream("no_retry");
         return;
     }
-    if (m_possible_executions > 0)
+    if (may_have_run())
     {
         refuse(refusal_reason::outcome_unknown);
         return;
@@ -201,8 +200,7 @@
         return;
     }
     m_call->cancel();
-    ++m_sends;
-    ++m_possible_executions;
+    note_possible_execution();
     release_upstream(attempt_outcome::abandoned);
     start_timer(m_retry_timer, now + *delay, &relay_session::dispatch);
 }
@@ -213,7 +211,18 @@
     {
         return;
     }
-    const bool in_progress = m_counted_as_load;
+    end_with_what_is_certain("deadline", refusal_reason::timed_out);
+}
+
+void relay_session::give_up()
+{
+    run_guarded("give_up", [this] { on_deadline(); });
+}
+
+/// Ends the request now: aborts a response that has begun, otherwise refuses; `sent` is the reason
+/// when the request may have run.
+void relay_session::end_with_what_is_certain(const char* stream_cause, refusal_reason sent)
+{
     if (m_call)
     {
         m_call->cancel();
@@ -221,11 +230,44 @@
     release_upstream(attempt_outcome::abandoned);
     if (m_response_started)
     {
-        abort_stream("deadline");
+        abort_stream(stream_cause);
         return;
     }
-    refuse(in_progress || m_possible_executions > 0 ? refusal_reason::timed_out
-                                                    : refusal_reason::not_run_in_time);
+    refuse(may_have_run() ? sent : refusal_reason::not_run_in_time);
+}
+
+/// A step of the session has failed, and may have done anything up to its half.
+void relay_session::end_after_failure()
+{
+    // What fails once, such as the release of the upstream, is not done again.
+    constexpr int tries = 2;
+    for (int i = 0; i < tries && !m_ended; ++i)
+    {
+        try
+        {
+            end_with_what_is_certain("failed", refusal_reason::outcome_unknown);
+        }
+        catch (const std::exception& failure)
+        {
+            observe::log("session_end_failed",
+                         {{"request", m_request.m_id}, {"reason", failure.what()}});
+        }
+    }
+    // Without an answer of the session the server answers for it.
+    m_ended = true;
+    m_deadline_timer.cancel();
+    m_overdue_timer.cancel();
+    m_retry_timer.cancel();
+    m_call.reset();
+    m_state.m_sessions.erase(shared_from_this());
+}
+
+/// The current attempt was sent, and its outcome will not be learned.
+void relay_session::note_possible_execution() noexcept
+{
+    ++m_sends;
+    ++m_possible_executions;
+    m_is_outcome_open = false;
 }
 
 void relay_session::on_client_gone(net::close_cause cause)
@@ -360,7 +402,7 @@
         const auto self = weak.lock();
         if (self && !self->m_ended)
         {
-            (self.get()->*handler)();
+            self->run_guarded("timer", [&self, handler] { (self.get()->*handler)(); });
         }
     });
 }
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -18,16 +18,22 @@
 
     void on_head(const net::http_response& head, net::body_framing framing) override
     {
-        m_session->on_head(m_attempt, head, framing);
+        m_session->run_guarded("head", [&] { m_session->on_head(m_attempt, head, framing); });
     }
 
-    void on_body(std::string_view chunk) override { m_session->on_body(m_attempt, chunk); }
+    void on_body(std::string_view chunk) override
+    {
+        m_session->run_guarded("body", [&] { m_session->on_body(m_attempt, chunk); });
+    }
 
-    void on_complete() override { m_session->on_complete(m_attempt); }
+    void on_complete() override
+    {
+        m_session->run_guarded("complete", [this] { m_session->on_complete(m_attempt); });
+    }
 
     void on_failed(const net::call_failure& failure) override
     {
-        m_session->on_failed(m_attempt, failure);
+        m_session->run_guarded("failed", [&] { m_session->on_failed(m_attempt, failure); });
     }
 
 private:
@@ -285,9 +291,11 @@
     timing.m_body_limit_bytes = m_state.m_session_settings.m_response_limit_bytes;
     timing.m_reuse_limit = is_repeatable() ? m_state.m_session_settings.m_reuse_limit
                                            : m_state.m_session_settings.m_unrepeatable_reuse_limit;
-    m_call = m_state.m_client.start(
-        record.m_endpoint, m_state.m_codec.encode(m_request, make_request_metadata(chosen)), timing,
-        std::make_shared<attempt_listener>(shared_from_this(), attempt));
+    net::http_request message = m_state.m_codec.encode(m_request, make_request_metadata(chosen));
+    m_is_outcome_open = true;
+    m_call =
+        m_state.m_client.start(record.m_endpoint, std::move(message), timing,
+                               std::make_shared<attempt_listener>(shared_from_this(), attempt));
 
     const auto forecast_bound = std::chrono::duration<double>(chosen.m_predicted_first_byte) *
                                 m_state.m_session_settings.m_overdue_factor;
