Load accounts clamp, and sums of tokens end at the largest count

A caller's huge token counts wrapped the load of an engine, and the invariant load_returns_to_zero then threw between the run of a request and its answer. The account now clamps with the line load_clamped, and sums of tokens in relay/ saturate. Result: load_that_was_lost_costs_no_answer passes. The wrap itself has no test of its own; the test takes the load away.

--- a/tarragontrail/relay/fleet_exchange_messages.cpp
+++ b/tarragontrail/relay/fleet_exchange_messages.cpp
@@ -1,4 +1,5 @@
 // Heartbeats and region digests that an instance sends.
+#include "tarragontrail/core/saturating_sum.hpp"
 #include "tarragontrail/relay/fleet_exchange.hpp"
 
 namespace tarragontrail::relay {
@@ -13,7 +14,7 @@
         wire::upstream_pulse& sum = sums[report.m_upstream];
         sum.m_upstream = report.m_upstream;
         sum.m_in_flight += report.m_in_flight;
-        sum.m_tokens += report.m_tokens;
+        sum.m_tokens = core::saturating_sum(sum.m_tokens, report.m_tokens);
         sum.m_backlog += report.m_backlog;
     }
 }
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/relay/relay_session.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/core/saturating_sum.hpp"
 #include "tarragontrail/observe/log.hpp"
 #include "tarragontrail/relay/log_times.hpp"
 
@@ -163,7 +164,7 @@
         m_prompt->m_shared.push_back(core::hash_pair(description.m_parts[i].m_id, isolation_id));
         m_prompt->m_shared_tokens.push_back(description.m_parts[i].m_tokens);
         m_part_ids.push_back(core::hash_pair(description.m_parts[i].m_id, model));
-        shared_tokens += description.m_parts[i].m_tokens;
+        shared_tokens = core::saturating_sum(shared_tokens, description.m_parts[i].m_tokens);
     }
     m_prompt->m_unshared_tokens = description.m_input_tokens > shared_tokens
                                       ? description.m_input_tokens - shared_tokens
--- a/tarragontrail/relay/upstream_load.cpp
+++ b/tarragontrail/relay/upstream_load.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/relay/upstream_load.hpp"
 
-#include "tarragontrail/core/invariant.hpp"
+#include "tarragontrail/core/saturating_sum.hpp"
+#include "tarragontrail/observe/log.hpp"
 
 #include <algorithm>
 
@@ -9,7 +10,7 @@
 void upstream_load::on_sent(const request_work& work)
 {
     ++m_own.m_in_flight;
-    m_own.m_tokens += work.m_tokens;
+    m_own.m_tokens = core::saturating_sum(m_own.m_tokens, work.m_tokens);
     m_own.m_backlog += work.m_before_first_byte;
 }
 
@@ -20,10 +21,15 @@
 
 void upstream_load::on_ended(const request_work& work, bool had_first_byte)
 {
-    TARRAGONTRAIL_INVARIANT(m_own.m_in_flight > 0 && m_own.m_tokens >= work.m_tokens,
-                            "load_returns_to_zero");
-    --m_own.m_in_flight;
-    m_own.m_tokens -= work.m_tokens;
+    if (m_own.m_in_flight == 0 || m_own.m_tokens < work.m_tokens)
+    {
+        // The request that ends has an answer to pass on, whatever the account says.
+        observe::log("load_clamped", {{"in_flight", m_own.m_in_flight},
+                                      {"tokens", m_own.m_tokens},
+                                      {"ended_tokens", work.m_tokens}});
+    }
+    m_own.m_in_flight -= std::min<std::uint64_t>(m_own.m_in_flight, 1);
+    m_own.m_tokens -= std::min(m_own.m_tokens, work.m_tokens);
     if (!had_first_byte)
     {
         m_own.m_backlog -= work.m_before_first_byte;
@@ -47,7 +53,7 @@
     }
     report.m_load.m_backlog =
         std::max(core::duration::zero(), report.m_load.m_backlog - age) + work.m_before_first_byte;
-    report.m_load.m_tokens += work.m_tokens;
+    report.m_load.m_tokens = core::saturating_sum(report.m_load.m_tokens, work.m_tokens);
     ++report.m_load.m_in_flight;
     report.m_received = now;
 }
@@ -63,7 +69,7 @@
             continue;
         }
         sum.m_in_flight += report.m_load.m_in_flight;
-        sum.m_tokens += report.m_load.m_tokens;
+        sum.m_tokens = core::saturating_sum(sum.m_tokens, report.m_load.m_tokens);
         sum.m_backlog += std::max(core::duration::zero(), report.m_load.m_backlog - age);
     }
     return sum;
--- a/tarragontrail/relay/upstream_selector.cpp
+++ b/tarragontrail/relay/upstream_selector.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/relay/upstream_selector.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/core/saturating_sum.hpp"
 
 #include <algorithm>
 
@@ -163,10 +164,10 @@
     const core::duration prefill = missing + prefill_time(prompt.m_unshared_tokens);
     const load_totals load = candidate.m_load.total(now);
     chosen.m_work.m_before_first_byte = prefill;
-    chosen.m_work.m_tokens = prompt.m_unshared_tokens + prompt.m_output_tokens;
+    chosen.m_work.m_tokens = core::saturating_sum(prompt.m_unshared_tokens, prompt.m_output_tokens);
     for (const std::uint64_t tokens : prompt.m_shared_tokens)
     {
-        chosen.m_work.m_tokens += tokens;
+        chosen.m_work.m_tokens = core::saturating_sum(chosen.m_work.m_tokens, tokens);
     }
 
     // Beyond its slots or its memory the upstream queues a request until others have ended.
@@ -178,7 +179,7 @@
             static_cast<double>(load.m_in_flight - slots + 1) / static_cast<double>(slots);
         chosen.m_predicted_queue_time += core::scaled(candidate.m_mean_request_time, waves);
     }
-    const std::uint64_t tokens_needed = load.m_tokens + chosen.m_work.m_tokens;
+    const std::uint64_t tokens_needed = core::saturating_sum(load.m_tokens, chosen.m_work.m_tokens);
     if (request.m_engine_capacity > 0 && tokens_needed > request.m_engine_capacity)
     {
         const double excess = static_cast<double>(tokens_needed - request.m_engine_capacity) /
@@ -236,10 +237,11 @@
         const bool affects_routing = prompt.m_shared_tokens[i] >= m_settings.m_min_shared_tokens;
         if (missing_tokens == 0 && (!affects_routing || parts.holds(part, candidate.m_record.m_id)))
         {
-            chosen.m_cached_tokens += prompt.m_shared_tokens[i];
+            chosen.m_cached_tokens =
+                core::saturating_sum(chosen.m_cached_tokens, prompt.m_shared_tokens[i]);
             continue;
         }
-        missing_tokens += prompt.m_shared_tokens[i];
+        missing_tokens = core::saturating_sum(missing_tokens, prompt.m_shared_tokens[i]);
         last_missing = part;
     }
     if (is_short_prompt(prompt) && request.m_cache_store.m_store != nullptr &&
