Chunks within chunks of a CBOR message are refused

60,000 bytes 0x7f or 0x5f, which fit a row of the store, ended the process: the library reads chunks of unknown length recursively, before any callback. One iterative scan now passes over the bytes before the library and takes the place of the pass with callbacks: no heads of unknown length (nothing here writes any), depth, counts. Rows of shares are read by the same function.

--- a/tarragontrail/entry/control_plane.cpp
+++ b/tarragontrail/entry/control_plane.cpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/core/hash.hpp"
 #include "tarragontrail/core/invariant.hpp"
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/wire/cbor_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -42,7 +43,7 @@
 
 limits::share_row parse_share_row(const std::string& bytes)
 {
-    const nlohmann::json fields = nlohmann::json::from_cbor(bytes);
+    const nlohmann::json fields = wire::parse_cbor(bytes);
     limits::share_row row{core::workspace_id{fields.at(0).get<std::uint64_t>()},
                           fields.at(1).get<std::uint64_t>(),
                           {}};
--- a/tarragontrail/wire/cbor_fields.cpp
+++ b/tarragontrail/wire/cbor_fields.cpp
@@ -4,61 +4,150 @@
 
 #include <cmath>
 #include <limits>
+#include <optional>
+#include <string_view>
+#include <vector>
 
 namespace tarragontrail::wire {
 
 namespace {
 
-/// Passes over CBOR bytes and stops at what no message has: the library reads nested arrays
-/// recursively, and counts that no memory holds end in an exception.
-class cbor_bounds : public nlohmann::json_sax<nlohmann::json>
+/// Passes over the items of CBOR bytes and tells what no message has. The library reads nested
+/// items recursively, chunks of texts and bytes among them, and counts that no memory holds end in
+/// an exception, so it gets only bytes that passed.
+class cbor_scan
 {
 public:
-    explicit cbor_bounds(std::size_t bytes) : m_bytes(bytes) {}
-
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(number_integer_t /*value*/) override { return true; }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
-    bool string(string_t& /*value*/) override { return true; }
-    bool binary(binary_t& /*value*/) override { return true; }
-    bool key(string_t& /*value*/) override { return true; }
-    bool start_object(std::size_t count) override { return enter(count); }
-    bool end_object() override { return leave(); }
-    bool start_array(std::size_t count) override { return enter(count); }
-    bool end_array() override { return leave(); }
-
-    bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
-                     const nlohmann::json::exception& /*failure*/) override
+    explicit cbor_scan(std::string_view bytes) : m_bytes(bytes) {}
+
+    /// Whether the bytes are one item without heads of unknown length, within the nesting limit
+    /// and with no count beyond the size of the message.
+    bool is_bounded()
     {
-        return false;
+        std::vector<std::uint64_t> open{1}; // Items that each open array or object still lacks.
+        while (!open.empty())
+        {
+            if (open.back() == 0)
+            {
+                open.pop_back();
+                continue;
+            }
+            --open.back();
+            const std::optional<std::uint64_t> items = read_item();
+            if (!items)
+            {
+                return false;
+            }
+            if (*items > 0)
+            {
+                open.push_back(*items);
+            }
+            // The first level is that of the message itself.
+            if (open.size() > nesting_limit + 1)
+            {
+                return false;
+            }
+        }
+        return m_position == m_bytes.size();
     }
 
 private:
-    bool enter(std::size_t count)
+    /// Passes over one item's head, and over the content of a text or bytes; returns the number of
+    /// items inside, or nothing when the message cannot be read.
+    std::optional<std::uint64_t> read_item()
     {
-        constexpr auto unknown_count = static_cast<std::size_t>(-1);
-        // Each entry takes a byte or more.
-        return ++m_depth <= nesting_limit && (count == unknown_count || count <= m_bytes);
+        if (left() == 0)
+        {
+            return std::nullopt;
+        }
+        const auto head = static_cast<std::uint8_t>(m_bytes[m_position++]);
+        const auto kind = static_cast<cbor_kind>(head >> argument_bits);
+        const std::optional<std::uint64_t> argument = read_argument(head & largest_argument);
+        if (!argument)
+        {
+            return std::nullopt;
+        }
+        switch (kind)
+        {
+        case cbor_kind::bytes:
+        case cbor_kind::text:
+            if (*argument > left())
+            {
+                return std::nullopt;
+            }
+            m_position += *argument;
+            return 0;
+        case cbor_kind::array:
+            // Each entry takes a byte or more.
+            return *argument <= left() ? argument : std::nullopt;
+        case cbor_kind::object:
+            return *argument <= left() / 2 ? std::make_optional(*argument * 2) : std::nullopt;
+        case cbor_kind::tag:
+            return std::nullopt;
+        case cbor_kind::positive:
+        case cbor_kind::negative:
+        case cbor_kind::simple:
+            return 0;
+        }
+        return std::nullopt;
     }
 
-    bool leave()
+    /// Argument of a head: its low bits, or up to eight bytes behind it.
+    std::optional<std::uint64_t> read_argument(std::uint8_t low)
     {
-        --m_depth;
-        return true;
+        if (low < first_wide_argument)
+        {
+            return low;
+        }
+        if (low > last_wide_argument)
+        {
+            // Reserved, or a length that is not told.
+            return std::nullopt;
+        }
+        const std::size_t width = std::size_t{1} << (low - first_wide_argument);
+        if (left() < width)
+        {
+            return std::nullopt;
+        }
+        std::uint64_t value = 0;
+        for (const char byte : m_bytes.substr(m_position, width))
+        {
+            constexpr unsigned byte_bits = 8;
+            value = value << byte_bits | static_cast<std::uint8_t>(byte);
+        }
+        m_position += width;
+        return value;
     }
 
-    std::size_t m_bytes;     ///< Size of the whole message.
-    std::size_t m_depth = 0; ///< Arrays and objects that are open.
+    std::size_t left() const noexcept { return m_bytes.size() - m_position; }
+
+    /// Upper bits of a head.
+    enum class cbor_kind : std::uint8_t
+    {
+        positive,
+        negative,
+        bytes,
+        text,
+        array,
+        object,
+        tag,
+        simple, ///< Truth values, null and floating point, whose bytes stand in for the argument.
+    };
+
+    static constexpr unsigned argument_bits = 5;
+    static constexpr std::uint8_t largest_argument = 31;
+    static constexpr std::uint8_t first_wide_argument = 24; ///< One byte follows; then 2, 4, 8.
+    static constexpr std::uint8_t last_wide_argument = 27;
+
+    std::string_view m_bytes;
+    std::size_t m_position = 0; ///< Of the next head.
 };
 
 } // namespace
 
 nlohmann::json parse_cbor(const std::string& bytes)
 {
-    cbor_bounds bounds(bytes.size());
-    if (!nlohmann::json::sax_parse(bytes, &bounds, nlohmann::json::input_format_t::cbor))
+    if (!cbor_scan(bytes).is_bounded())
     {
         throw decode_error("message is malformed, nests too deep or counts too much");
     }
--- a/unit_tests/relay/odd_messages_test.cpp
+++ b/unit_tests/relay/odd_messages_test.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_messages_test);
     CPPUNIT_TEST(deep_nesting_is_refused);
+    CPPUNIT_TEST(chunks_within_chunks_are_refused);
     CPPUNIT_TEST(impossible_counts_are_refused);
     CPPUNIT_TEST(times_beyond_the_clock_are_refused);
     CPPUNIT_TEST(changed_bytes_are_refused_or_read);
@@ -36,6 +37,24 @@
         }
     }
 
+    void chunks_within_chunks_are_refused()
+    {
+        // Heads of texts and of bytes without a length, which hold chunks.
+        for (const char head : {'\x7f', '\x5f'})
+        {
+            for (const std::size_t size : {std::size_t{1}, std::size_t{60'000}})
+            {
+                const std::string bytes(size, head);
+                for (const char* first : {"", "\x81", "\x82\x01", "\xa1", "\xa1\x61x", "\xc1"})
+                {
+                    CPPUNIT_ASSERT_THROW(wire::decode(first + bytes), wire::decode_error);
+                    CPPUNIT_ASSERT_THROW(placement::decode_row(first + bytes),
+                                         placement::lease_row_error);
+                }
+            }
+        }
+    }
+
     void impossible_counts_are_refused()
     {
         for (const char* head : {"\x9b", "\xbb", "\x7b", "\x5b"})
