A change that fails to apply freezes no table and costs no other row

The follower guards its steps (table_step_failed) and always makes its next call: after a failed copy a whole read, after a failed report the next wait. The applier's loops catch any exception of one row (row_failed).

--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -26,9 +26,22 @@
                                               {"bytes", row.m_value.size()},
                                               {"reason", failure.what()}});
         }
+        catch (const std::exception& failure)
+        {
+            log_failed_row("operators", row, failure);
+        }
     }
 }
 
+/// A row that cannot be applied costs none of those behind it.
+void document_applier::log_failed_row(const char* reader, const table_row& row,
+                                      const std::exception& failure)
+{
+    m_state.m_metrics.count_refused_document(reader);
+    observe::log("row_failed",
+                 {{"reader", reader}, {"key", row.m_key}, {"reason", failure.what()}});
+}
+
 void document_applier::apply_operator_row(const table_row& row)
 {
     operator_document document = m_reader.read_operator_row(row);
@@ -100,13 +113,13 @@
 {
     for (const table_row& row : rows)
     {
-        if (row.m_deleted)
-        {
-            remove_upstream(core::id_of<core::upstream_id>(row.m_key), row.m_version.m_era);
-            continue;
-        }
         try
         {
+            if (row.m_deleted)
+            {
+                remove_upstream(core::id_of<core::upstream_id>(row.m_key), row.m_version.m_era);
+                continue;
+            }
             on_upstream_row(m_reader.read_upstream_row(row), row.m_version.m_era);
         }
         catch (const document_error& failure)
@@ -118,6 +131,10 @@
                                               {"reason", failure.what()}});
             withdraw_upstream(core::id_of<core::upstream_id>(row.m_key), row.m_version.m_era);
         }
+        catch (const std::exception& failure)
+        {
+            log_failed_row("upstreams", row, failure);
+        }
     }
 }
 
--- a/tarragontrail/relay/document_applier.hpp
+++ b/tarragontrail/relay/document_applier.hpp
@@ -53,6 +53,7 @@
     };
 
     void apply_operator_row(const table_row& row);
+    void log_failed_row(const char* reader, const table_row& row, const std::exception& failure);
     bool apply_config(relay_config config);
     void on_upstream_row(const upstream_record& record, std::uint64_t era);
     bool is_doubted(const upstream& known, const upstream_record& record, std::uint64_t era,
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -62,7 +62,7 @@
     const std::vector<table_row> changes = m_mirror.apply(rows);
     if (!changes.empty())
     {
-        m_on_change(changes, false);
+        report_changes(changes, false);
     }
 }
 
@@ -97,11 +97,11 @@
     }
     if (!changes.empty())
     {
-        m_on_change(changes, from_store);
+        report_changes(changes, from_store);
     }
     if ((is_first || is_return) && m_on_new_era)
     {
-        m_on_new_era();
+        run_guarded("new_era", m_on_new_era);
     }
 }
 
@@ -131,7 +131,30 @@
     }
     if (!deleted.empty())
     {
-        m_on_change(deleted, false);
+        report_changes(deleted, false);
+    }
+}
+
+/// Reports changes; whoever fails at them keeps no later ones from coming.
+void table_follower::report_changes(const std::vector<table_row>& rows, bool from_store)
+{
+    run_guarded("report", [this, &rows, from_store] { m_on_change(rows, from_store); });
+}
+
+/// Runs a step between two calls; returns false when it failed.
+bool table_follower::run_guarded(const char* step_name, const std::function<void()>& step)
+{
+    try
+    {
+        step();
+        return true;
+    }
+    catch (const std::exception& failure)
+    {
+        observe::log(
+            "table_step_failed",
+            {{"table", to_string(m_table)}, {"step", step_name}, {"reason", failure.what()}});
+        return false;
     }
 }
 
@@ -153,12 +176,19 @@
         }
         on_success();
         const auto& whole = std::get<table_rows>(answer);
-        m_last_version = whole.m_version;
-        apply_whole(whole.m_rows, whole.m_version, true);
-        if (m_is_rewrite_due)
+        const bool is_taken = run_guarded("whole_table", [this, &whole] {
+            apply_whole(whole.m_rows, whole.m_version, true);
+            if (m_is_rewrite_due)
+            {
+                report_lost_rows();
+            }
+        });
+        if (!is_taken)
         {
-            report_lost_rows();
+            schedule(m_settings.m_max_backoff, &table_follower::read);
+            return;
         }
+        m_last_version = whole.m_version;
         follow();
     });
 }
@@ -198,13 +228,20 @@
                            read();
                            return;
                        }
-                       m_last_version = std::max(m_last_version, changed.m_version);
-                       const std::vector<table_row> changes = m_mirror.apply(changed.m_rows);
-                       log_dropped_rows(changed.m_version);
-                       if (!changes.empty())
+                       const bool is_taken = run_guarded("changes", [this, &changed] {
+                           const std::vector<table_row> changes = m_mirror.apply(changed.m_rows);
+                           log_dropped_rows(changed.m_version);
+                           if (!changes.empty())
+                           {
+                               report_changes(changes, true);
+                           }
+                       });
+                       if (!is_taken)
                        {
-                           m_on_change(changes, true);
+                           schedule(m_settings.m_max_backoff, &table_follower::read);
+                           return;
                        }
+                       m_last_version = std::max(m_last_version, changed.m_version);
                        schedule(changed.m_rows.empty() ? std::chrono::milliseconds(0)
                                                        : m_settings.m_delay_after_changes,
                                 &table_follower::follow);
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -73,6 +73,8 @@
                      bool from_store);
     void on_rewrite_grace_over();
     void report_lost_rows();
+    void report_changes(const std::vector<table_row>& rows, bool from_store);
+    bool run_guarded(const char* step_name, const std::function<void()>& step);
     void on_failure(const store_failure& failure);
     void on_success();
     void log_dropped_rows(const core::store_version& version);
