A drain does not end while a request arrives

Callers whose request had begun to arrive when a drain ended got no answer. Cause: a connection counts as busy only from the whole request on. Change: the drain's looks also see connections with bytes of a request read or unread, or with a refusal to write. So that a caller that sends without pause cannot hold the process until its grace is over, from the end of the time for which callers are served each answer closes its connection whatever lies behind it; the test of that bound is new with it and was not run without it.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +36,7 @@
     http_server::request_handler m_on_request;  ///< Receives whole requests.
     http_server::fault_handler m_on_fault;      ///< Words the refusal of a bad request.
     bool m_stopping = false;                    ///< No request after the current one.
+    bool m_ends_pipelines = false;              ///< Not even one that has arrived already.
     bool m_is_server_gone = false;              ///< The handlers must not be called any more.
     std::set<server_connection*> m_connections; ///< Open connections.
     std::size_t m_busy = 0; ///< Connections with a request or a response under way.
@@ -189,6 +191,18 @@
 
     void abort() { drop(close_cause::aborted); }
 
+    /// Whether bytes of a request that is not handed on have been read or can be, or those of a
+    /// refusal are to be written.
+    bool has_arrival() const
+    {
+        if (m_is_busy || !m_socket.is_open())
+        {
+            return false;
+        }
+        error_code ignored;
+        return m_writing || m_has_begun || m_socket.available(ignored) > 0;
+    }
+
     void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
 
     /// A client may use an idle connection for as long as the longest limit since its last answer.
@@ -254,6 +268,7 @@
     void read_head()
     {
         m_timed_out = false;
+        m_has_begun = true;
         m_parser.emplace();
         m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
         m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
@@ -327,6 +342,7 @@
                                            {"read_timeout_ms", bounds.m_read_timeout.count()},
                                            {"timer_late_ms", m_timer_lateness.count()}});
         m_reading = false;
+        m_has_begun = false;
         m_keep_alive = false;
         m_answered = false;
         m_complete = false;
@@ -343,7 +359,7 @@
     void finish_head(http_response& response)
     {
         response.version(11);
-        if (m_shared->m_stopping && !has_next_request())
+        if (m_shared->m_ends_pipelines || (m_shared->m_stopping && !has_next_request()))
         {
             m_keep_alive = false;
         }
@@ -600,6 +616,7 @@
     bool m_idle = false;                          ///< No byte of the next request has arrived.
     bool m_is_busy = false;                       ///< A request or its response is under way.
     bool m_reading = false;                       ///< A request is arriving.
+    bool m_has_begun = false;                     ///< Its first byte has arrived.
     bool m_writing = false;                       ///< A write is pending.
     bool m_keep_alive = false;                    ///< Connection serves another request.
     bool m_client_reads_chunks = true;            ///< False for HTTP/1.0.
@@ -708,6 +725,7 @@
         return;
     }
     m_reading = false;
+    m_has_begun = false;
     m_timer.cancel();
     ++m_requests;
     http_request request = m_parser->release();
@@ -817,6 +835,18 @@
     m_listener->m_shared->m_stopping = true;
 }
 
+void http_server::end_pipelines()
+{
+    m_listener->m_shared->m_ends_pipelines = true;
+}
+
+bool http_server::has_arrivals() const
+{
+    const auto& connections = m_listener->m_shared->m_connections;
+    return std::any_of(connections.begin(), connections.end(),
+                       [](const server_connection* each) { return each->has_arrival(); });
+}
+
 void http_server::abort_connections()
 {
     std::vector<std::shared_ptr<server_connection>> open;
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -113,6 +113,10 @@
     /// Keeps accepting, but asks each client to leave after its next response.
     void announce_leaving();
 
+    /// Asks each client to leave after its next response whatever it has sent behind its request;
+    /// what is unread by then stays so.
+    void end_pipelines();
+
     /// Closes every open connection at once, whatever its request has come to.
     void abort_connections();
 
@@ -125,6 +129,10 @@
     /// Connections whose request is not answered, or whose response is not written whole.
     std::size_t busy_count() const;
 
+    /// Whether a connection that is not busy holds bytes of a request, read or unread, or has bytes
+    /// of a refusal to write. Looks at every connection.
+    bool has_arrivals() const;
+
 private:
     struct listener;
     std::shared_ptr<listener> m_listener; ///< Shared with its pending accept.
--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -96,7 +96,7 @@
 
 bool relay_service::is_idle() const
 {
-    return in_flight() == 0 && m_server.busy_count() == 0;
+    return in_flight() == 0 && m_server.busy_count() == 0 && !m_server.has_arrivals();
 }
 
 void relay_service::on_request(const std::shared_ptr<net::http_exchange>& exchange)
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -22,6 +22,10 @@
     /// Continues to serve, but closes each connection after its next response.
     void announce_leaving() { m_server.announce_leaving(); }
 
+    /// Continues to serve, but closes each connection after its next response even when the caller
+    /// has sent more requests behind it.
+    void end_pipelines() { m_server.end_pipelines(); }
+
     /// Bound port, also when the endpoint's port was zero.
     std::uint16_t port() const { return m_server.port(); }
 
--- a/unit_tests/platform/drain_look_test.cpp
+++ b/unit_tests/platform/drain_look_test.cpp
@@ -1,5 +1,6 @@
 #include "unit_tests/platform/relay_fixture.hpp"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/TestAssert.h>
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(request_that_lies_unread_is_waited_for);
     CPPUNIT_TEST(request_behind_an_answer_is_waited_for);
     CPPUNIT_TEST(connection_that_is_not_accepted_yet_is_waited_for);
+    CPPUNIT_TEST(caller_that_sends_without_pause_is_asked_to_leave);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<boost::asio::ip::tcp::socket> m_caller;
@@ -134,6 +136,25 @@
         write(request_text());
         expect_answer_before_idle();
     }
+
+    void caller_that_sends_without_pause_is_asked_to_leave()
+    {
+        connect();
+        m_relay->announce_leaving();
+        write(request_text() + request_text() + request_text());
+        m_loop.run_until([this] { return m_upstreams.front()->m_requests.size() == 2; });
+        m_relay->end_pipelines();
+        run_what_is_due();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_upstreams.front()->m_requests.size());
+        CPPUNIT_ASSERT(m_relay->is_idle());
+        boost::system::error_code end;
+        std::string received;
+        boost::asio::read(*m_caller, boost::asio::dynamic_buffer(received), end);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             std::size_t(std::count(received.begin(), received.end(), 'w')));
+        CPPUNIT_ASSERT(received.find("Connection: close") > received.find("answer"));
+        CPPUNIT_ASSERT(end == boost::asio::error::eof);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(drain_look_test, "platform");
