Log the software versions of upstreams, and streams that callers take up

Callers saw streams that go on at another version than the one that began them; no log line had a version, and none told that a request takes a stream up. The version of an upstream's row is decoded (a row without one names no upstream to use, as the protocol says), is in the lines 'upstream' and 'routed', and Resumes is decoded into the request and logged. No decision changes but for rows without a version; three tests had such rows and name one now.

--- a/tarragontrail/relay/caller_request.hpp
+++ b/tarragontrail/relay/caller_request.hpp
@@ -26,6 +26,13 @@
     std::vector<prompt_part> m_parts;  ///< In order; the last one is never shared.
 };
 
+/// Stream that a caller takes up after its connection broke.
+struct taken_up_stream
+{
+    /// Id of the attempt that brought its first event; empty when the caller does not name it.
+    std::string m_first_attempt;
+};
+
 /// Request of a caller, decoded from HTTP.
 struct caller_request
 {
@@ -38,6 +45,8 @@
     std::optional<prompt_description> m_prompt; ///< Set for a request to a model.
     /// Tokens charged to the workspace; empty when the caller states none.
     std::optional<std::uint64_t> m_charged_tokens;
+    /// Set when the caller takes up a stream whose connection broke.
+    std::optional<taken_up_stream> m_taken_up;
     std::uint64_t m_fingerprint = 0; ///< Equal for repeats of a request by the same caller.
     net::http_request m_message;     ///< Method, target, headers to forward, and body.
 };
--- a/tarragontrail/relay/document_applier.cpp
+++ b/tarragontrail/relay/document_applier.cpp
@@ -241,6 +241,8 @@
     observe::log("upstream",
                  {{"name", updated.m_name},
                   {"service", updated.m_service},
+                  {"software", updated.m_software.m_name},
+                  {"started", core::value_of(updated.m_started)},
                   {"leaving", updated.m_leaving},
                   {"weights", updated.m_models.empty() ? 0
                                                        : static_cast<std::uint64_t>(
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -75,6 +75,11 @@
     {
         return;
     }
+    if (m_request.m_taken_up)
+    {
+        observe::log("stream_taken_up", {{"request", m_request.m_id},
+                                         {"first_attempt", m_request.m_taken_up->m_first_attempt}});
+    }
     m_service = choose_target(*m_route, m_state.m_random()).m_service;
     build_prompt_profile();
     if (!m_part_ids.empty() && !m_state.m_quarantines_known)
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -259,6 +259,7 @@
          {"config", m_routes->config().m_version},
          {"attempt", attempt},
          {"upstream", record.m_name},
+         {"software", record.m_software.m_name},
          {"candidates", chosen.m_candidates},
          {"in_flight", load.m_in_flight},
          {"queued_ms", rounded_milliseconds(chosen.m_predicted_queue_time)},
--- a/tarragontrail/relay/upstream_record.hpp
+++ b/tarragontrail/relay/upstream_record.hpp
@@ -4,6 +4,7 @@
 #include "tarragontrail/core/ids.hpp"
 #include "tarragontrail/net/http_types.hpp"
 #include "tarragontrail/placement/order_types.hpp"
+#include "tarragontrail/relay/upstream_identity.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -33,10 +34,14 @@
     std::uint64_t m_slots = 1;                   ///< Requests that it runs concurrently.
     bool m_leaving = false;                      ///< Accepts no new requests.
     core::incarnation m_started{};               ///< Grows with each start under the same name.
+    software_version m_software;                 ///< Software of this start.
     std::uint64_t m_reports = 0;                 ///< Rows that it has written since its start.
     std::chrono::milliseconds m_cold_duration{}; ///< It is slow for this long after its start.
     std::vector<model_weights> m_models;         ///< Models in memory; empty for a plain service.
 
+    /// The run of its process that wrote the row.
+    upstream_identity identity() const { return {m_id, m_started, m_software}; }
+
     bool operator==(const upstream_record&) const = default;
 };
 
--- a/unit_tests/platform/codec_test.cpp
+++ b/unit_tests/platform/codec_test.cpp
@@ -208,11 +208,12 @@
 
     void unreadable_rows_are_refused()
     {
-        for (const char* value :
-             {"", "{", "[]", "{}", R"({"service":1})",
-              R"({"service":"s","address":"nowhere","zone":"d1","slots":2,"state":"ready"})",
-              R"({"service":"s","address":"10.0.0.1:80","zone":"d1","slots":2,"state":"odd"})",
-              R"({"service":"s","address":"10.0.0.1:80","zone":"d1","slots":"x","state":"ready"})"})
+        for (
+            const char* value :
+            {"", "{", "[]", "{}", R"({"service":1})",
+             R"({"service":"s","address":"nowhere","zone":"d1","version":"v1","slots":2,"state":"ready"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"d1","version":"v1","slots":2,"state":"odd"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"d1","version":"v1","slots":"x","state":"ready"})"})
         {
             CPPUNIT_ASSERT_THROW(read_upstream(value), relay::document_error);
         }
@@ -224,7 +225,7 @@
     void upstream_row_is_read()
     {
         const relay::upstream_record record = read_upstream(
-            R"({"service":"s","address":"10.0.0.1:80","zone":"d1","slots":16,"state":"draining",)"
+            R"({"service":"s","address":"10.0.0.1:80","zone":"d1","version":"v1","slots":16,"state":"draining",)"
             R"("born":77,"models":[{"name":"m","version":3}],"sequence":9})");
         CPPUNIT_ASSERT(record.m_leaving);
         CPPUNIT_ASSERT_EQUAL(std::string("r1"), record.m_region);
--- a/unit_tests/platform/odd_rows_path_test.cpp
+++ b/unit_tests/platform/odd_rows_path_test.cpp
@@ -30,7 +30,7 @@
     {
         m_store.put("servers", name,
                     fmt::format(R"({{"service":"s","address":"127.0.0.1:{}","zone":"here",)"
-                                R"("state":"ready","slots":{}}})",
+                                R"("version":"v1","state":"ready","slots":{}}})",
                                 m_upstreams.front()->port(), slots));
     }
 
--- a/unit_tests/platform/restored_upstreams_test.cpp
+++ b/unit_tests/platform/restored_upstreams_test.cpp
@@ -33,7 +33,7 @@
                 int born = 7)
     {
         const std::string value = fmt::format(
-            R"({{"service":"s","address":"127.0.0.1:80","zone":"zone-a","slots":4,"state":"{}",)"
+            R"({{"service":"s","address":"127.0.0.1:80","zone":"zone-a","version":"v1","slots":4,"state":"{}",)"
             R"("cold-remaining-ms":0,"sequence":{},"born":{}}})",
             state, reports, born);
         m_applier.on_upstream_rows({{"e", value, version, false}});
