Send no requests to an upstream that is first seen leaving

Cause: the time for which a leaving upstream is a fallback began when its row was first read, however long it had been leaving. Change: one whose first row says that it leaves counts as leaving for long.

--- a/tarragontrail/relay/upstream_table.cpp
+++ b/tarragontrail/relay/upstream_table.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace tarragontrail::relay {
+namespace {
+
+/// Longer than any upstream gets requests after it said that it leaves.
+constexpr std::chrono::hours unknown_leaving_time{1};
+
+} // namespace
 
 std::optional<placement::weights_version> upstream::version_of(std::string_view model) const
 {
@@ -37,7 +43,8 @@
         added->m_record = record;
         if (record.m_leaving)
         {
-            added->m_leaving_since = now;
+            // Nobody tells for how long it has been leaving.
+            added->m_leaving_since = now - unknown_leaving_time;
         }
         m_by_id.emplace(record.m_id, added);
         m_by_service[record.m_service].push_back(added);
