Let a stream go on at the software version that began it

Cause: an upstream's identity here was its id and its start. Its software version was not part of it, so each resume, take-up and retry could go to any engine, and nothing told at which version a stream began.

Change: every attempt of a resumable stream goes to an engine that surely runs its version. New streams begin at the version of their slot in the service's plan, which any instance writes by compare-and-set as engines come and go. A take-up goes to the version that memory or the plan tells for its first attempt, and is refused at once with 503 when nothing can tell. Streams of slots that have just moved are told to the other instances. An engine whose connection was refused, closed or reset gets no such stream until its report or its row tells whether it is the same start. The service of a route with several targets follows from the stream too. The clock that counts suspension moves to core.

--- a/tarragontrail/core/clock.cpp
+++ b/tarragontrail/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "tarragontrail/core/clock.hpp"
 
+#include <ctime>
+
 #include <atomic>
 
 namespace tarragontrail::core {
@@ -50,4 +52,12 @@
     paused_reading.store(not_paused);
 }
 
+time_point suspension_counting_now() noexcept
+{
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return time_point(std::chrono::seconds(reading.tv_sec) +
+                      std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 } // namespace tarragontrail::core
--- a/tarragontrail/observe/metrics.cpp
+++ b/tarragontrail/observe/metrics.cpp
@@ -41,6 +41,9 @@
                          "Responses of upstreams that do not prove to answer their request")),
       m_refused_documents(counter_family(*m_registry, "tarragontrail_refused_documents_total",
                                          "Documents from outside that could not be read")),
+      m_taken_up_streams(
+          counter_family(*m_registry, "tarragontrail_taken_up_streams_total",
+                         "Streams that callers took up, by what told their software version")),
       m_control(prometheus::BuildGauge()
                     .Name("tarragontrail_control")
                     .Help("State and traffic of the control duties")
@@ -96,6 +99,11 @@
     m_refused_documents.Add({{"reader", reader}}).Increment();
 }
 
+void metrics::count_taken_up_stream(const std::string& known_by)
+{
+    m_taken_up_streams.Add({{"known_by", known_by}}).Increment();
+}
+
 void metrics::set_control(const std::string& name, double value)
 {
     m_control.Add({{"name", name}}).Set(value);
--- a/tarragontrail/observe/metrics.hpp
+++ b/tarragontrail/observe/metrics.hpp
@@ -47,6 +47,9 @@
     /// Counts a document from outside that could not be read, by its reader.
     void count_refused_document(const std::string& reader);
 
+    /// Counts a stream that a caller takes up, by what told its version.
+    void count_taken_up_stream(const std::string& known_by);
+
     /// Sets a gauge of the control duties, for example messages or bytes by role.
     void set_control(const std::string& name, double value);
 
@@ -60,6 +63,7 @@
     prometheus::Family<prometheus::Counter>& m_upstream_responses; ///< By framing and end.
     prometheus::Family<prometheus::Counter>& m_unproven_responses; ///< By kind.
     prometheus::Family<prometheus::Counter>& m_refused_documents;  ///< By reader.
+    prometheus::Family<prometheus::Counter>& m_taken_up_streams;   ///< By evidence of the version.
     prometheus::Family<prometheus::Gauge>& m_control;              ///< By name.
     prometheus::Histogram& m_first_token;                          ///< Seconds.
 };
--- a/tarragontrail/placement/weights_rollout.hpp
+++ b/tarragontrail/placement/weights_rollout.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,6 +49,7 @@
     bool m_busy = false;         ///< Whether it is carrying out an order.
     std::uint64_t m_orders = 0;  ///< Number of orders that it has accepted.
     weights_version m_version{}; ///< Loaded version of the model that was asked about.
+    std::optional<core::incarnation> m_started = std::nullopt; ///< Its start, if the report tells.
 };
 
 /// Answer of an engine to an order.
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -32,7 +32,14 @@
       m_exchange(context, {}, m_self, peer_endpoint, state, m_registry, *this),
       m_rollout(context, {}, lease, state, m_registry, store, engines, *this, m_self),
       m_cache_events(context, {}, state, m_registry, engines, m_self.m_instance),
-      m_quarantine_rows(context, store), m_check_timer(context), m_register_timer(context)
+      m_quarantine_rows(context, store),
+      m_version_plans(state, store,
+                      [this](const table_row& row) {
+                          follower(followed_table::fleet).apply_changes({row});
+                          m_exchange.send_to_fleet(wire::rows_news{
+                              static_cast<std::uint64_t>(followed_table::fleet), {row}});
+                      }),
+      m_identity_checks(state, engines, {}), m_check_timer(context), m_register_timer(context)
 {
     for (const followed_table table :
          {followed_table::operators, followed_table::upstreams, followed_table::fleet})
@@ -48,6 +55,12 @@
     follower(followed_table::upstreams).on_new_era([this] {
         m_document_applier.on_upstreams_restored(core::runtime_clock::now());
     });
+    for (const auto& each : m_followers)
+    {
+        each->on_store_time([this](std::chrono::milliseconds time) {
+            m_state.m_stream_versions.set_store_time(time, core::runtime_clock::now());
+        });
+    }
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
     m_state.m_part_crashes.set_sender(this);
@@ -153,11 +166,46 @@
         observe::log("instances", {{"alive", alive}, {"known", m_registry.members().size()}});
     }
     update_store_reader(now);
+    check_contact(now);
+    check_versions(now);
     m_state.m_crash_attribution.on_timer(now);
     share_crash_reports();
     m_check_timer.run_after(m_settings.m_check_interval, [this] { run_periodic_checks(); });
 }
 
+/// Keeps the plans of the services' software versions, and asks about upstreams in doubt.
+void fleet_service::check_versions(core::time_point now)
+{
+    if (!m_state.m_routes || !is_ready())
+    {
+        return;
+    }
+    m_version_plans.check(m_registry.first_ready(now) == m_self.m_instance,
+                          follower(followed_table::fleet).mirror(), now);
+    for (const std::string& service : m_version_plans.services())
+    {
+        m_identity_checks.check(service, now);
+    }
+}
+
+/// An instance that has stood still knows nothing of the time; one without others, which the store
+/// answers, has the newest rows.
+void fleet_service::check_contact(core::time_point now)
+{
+    const core::time_point counted_now = core::suspension_counting_now();
+    if (m_checked_at != core::time_point{} &&
+        counted_now - m_checked_at > m_settings.m_check_interval + m_settings.m_standstill)
+    {
+        m_state.m_stream_versions.forget_contact();
+    }
+    m_checked_at = counted_now;
+    const bool is_alone = m_registry.alive_count(now) <= 1;
+    if (is_alone && follower(followed_table::fleet).is_store_reachable())
+    {
+        m_state.m_stream_versions.on_contact(now);
+    }
+}
+
 /// Few instances of each region read the table store; the others receive changes from them.
 void fleet_service::update_store_reader(core::time_point now)
 {
@@ -239,6 +287,10 @@
             m_exchange.send_to(peer, wire::rows_request{table});
         }
     }
+    if (versions.m_fleet <= follower(followed_table::fleet).mirror().newest_version())
+    {
+        m_state.m_stream_versions.on_contact(now);
+    }
     // With a table as new as the peer's, only a return of the store explains an older document.
     if (versions.m_operators <= follower(followed_table::operators).mirror().newest_version() &&
         m_configuration_staleness.on_peer_version(versions.m_configuration,
@@ -264,6 +316,16 @@
                           std::chrono::duration_cast<std::chrono::milliseconds>(use.m_work)});
 }
 
+void fleet_service::announce_streams(const std::vector<begun_stream>& streams)
+{
+    wire::streams_notice notice;
+    for (const begun_stream& each : streams)
+    {
+        notice.m_streams.push_back({each.m_stream, each.m_version.m_name});
+    }
+    m_exchange.send_to_fleet(notice);
+}
+
 void fleet_service::send_part_evidence(const recovery::part_attribution_action& evidence)
 {
     std::visit([this](const auto& message) { m_exchange.send_to_fleet(message); }, evidence);
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -3,9 +3,11 @@
 #include "tarragontrail/relay/cache_event_follower.hpp"
 #include "tarragontrail/relay/document_applier.hpp"
 #include "tarragontrail/relay/fleet_exchange.hpp"
+#include "tarragontrail/relay/identity_checks.hpp"
 #include "tarragontrail/relay/quarantine_rows.hpp"
 #include "tarragontrail/relay/staleness_detector.hpp"
 #include "tarragontrail/relay/table_follower.hpp"
+#include "tarragontrail/relay/version_plan_rows.hpp"
 #include "tarragontrail/relay/weights_rollout_coordinator.hpp"
 
 #include <array>
@@ -24,6 +26,8 @@
     std::chrono::milliseconds m_registration_retry_delay{400};
     /// Upstreams are removed this long after their row was deleted.
     std::chrono::milliseconds m_departed_retention{30'000};
+    /// An instance whose checks come this late has stood still and may have missed news.
+    std::chrono::milliseconds m_standstill{600};
 };
 
 /// Connects this instance to the fleet: registers it, follows the tables of the table store,
@@ -54,6 +58,7 @@
     void announce_part_use(const part_use& use) override;
     void announce_weights(core::upstream_id engine, const std::string& model,
                           placement::weights_version version) override;
+    void announce_streams(const std::vector<begun_stream>& streams) override;
     void announce_weights_update(const placement::announce_engine& update) override;
     void send_part_evidence(const recovery::part_attribution_action& evidence) override;
 
@@ -79,6 +84,8 @@
     void run_periodic_checks();
     void update_store_reader(core::time_point now);
     void share_crash_reports();
+    void check_versions(core::time_point now);
+    void check_contact(core::time_point now);
     bool is_table_store_reachable() const;
     table_follower& follower(followed_table table);
 
@@ -98,6 +105,10 @@
     /// Of the configuration in force, by the version of its document.
     staleness_detector<std::uint64_t> m_configuration_staleness;
     quarantine_rows m_quarantine_rows;
+    version_plan_rows m_version_plans;
+    identity_checks m_identity_checks;
+    /// Last checks, by a clock that counts the time for which the instance was suspended.
+    core::time_point m_checked_at{};
     net::timer m_check_timer;
     net::timer m_register_timer;
     /// Version of this instance's row, as the table store acknowledged it last.
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -31,6 +31,13 @@
     {
         on_rows_answer(*answer);
     }
+    else if (const auto* begun = std::get_if<wire::streams_notice>(&message))
+    {
+        for (const wire::begun_stream& each : begun->m_streams)
+        {
+            m_state.m_stream_versions.on_announced({each.m_stream, {each.m_version}}, now);
+        }
+    }
     else if (const auto* crash = std::get_if<recovery::crash_report>(&message))
     {
         m_state.m_crash_attribution.on_crash_report(*crash, now);
@@ -224,6 +231,16 @@
                     m_state.m_part_crashes.on_evidence(*notice, core::runtime_clock::now());
                 }
             }
+            else if (const auto* plan = std::get_if<wire::version_plan_entry>(&message);
+                     plan && row.m_key.starts_with(version_plan_rows::key_prefix))
+            {
+                m_version_plans.on_row(*plan, core::runtime_clock::now());
+                const auto announced = m_state.m_stream_versions.take_announcements();
+                if (!announced.empty())
+                {
+                    announce_streams(announced);
+                }
+            }
             else
             {
                 observe::log(
--- a/tarragontrail/relay/http_codec.cpp
+++ b/tarragontrail/relay/http_codec.cpp
@@ -34,6 +34,8 @@
         return "overloaded";
     case refusal_reason::no_upstream:
         return "no_upstream";
+    case refusal_reason::version_unknown:
+        return "version_unknown";
     case refusal_reason::leaving:
         return "leaving";
     case refusal_reason::quarantined:
@@ -58,6 +60,7 @@
     case refusal_reason::over_limit:
     case refusal_reason::overloaded:
     case refusal_reason::no_upstream:
+    case refusal_reason::version_unknown:
     case refusal_reason::leaving:
     case refusal_reason::quarantined:
     case refusal_reason::suspected:
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -62,6 +62,7 @@
     over_limit,      ///< The workspace's rate and burst are used up.
     overloaded,      ///< It cannot be served in time.
     no_upstream,     ///< No upstream is available.
+    version_unknown, ///< The version at which its stream began, or is to begin, cannot be told.
     leaving,         ///< This instance shuts down before the request could be served.
     quarantined,     ///< Upstreams that executed it, or a part of its prompt, have crashed.
     suspected,       ///< A part of its prompt is suspected of crashing upstreams.
--- a/tarragontrail/relay/platform_interface.hpp
+++ b/tarragontrail/relay/platform_interface.hpp
@@ -41,6 +41,8 @@
 {
     std::vector<table_row> m_rows; ///< All rows, or those that changed.
     core::store_version m_version; ///< Version of the table that the rows reflect.
+    /// Time of the store's steady clock, if the answer shows it.
+    std::optional<std::chrono::milliseconds> m_store_time = std::nullopt;
 };
 
 /// Result of reading or following a table.
--- a/tarragontrail/relay/relay_config.hpp
+++ b/tarragontrail/relay/relay_config.hpp
@@ -41,6 +41,9 @@
     std::uint64_t m_max_attempts = 1;    ///< Upstreams that may run one request.
     bool m_public = false;               ///< Requests need no key.
     bool m_resumable = false;            ///< A stream can resume after its last event.
+
+    /// Whether streams of this route may go on at another upstream.
+    bool is_resumable_stream() const { return m_kind == request_kind::stream && m_resumable; }
 };
 
 /// Memory and bandwidth of the engines of a service.
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -76,12 +76,7 @@
     {
         return;
     }
-    if (m_request.m_taken_up)
-    {
-        observe::log("stream_taken_up", {{"request", m_request.m_id},
-                                         {"first_attempt", m_request.m_taken_up->m_first_attempt}});
-    }
-    m_service = choose_target(*m_route, m_state.m_random()).m_service;
+    identify_stream();
     build_prompt_profile();
     if (!m_part_ids.empty() && !m_state.m_quarantines_known)
     {
@@ -92,6 +87,25 @@
     dispatch();
 }
 
+/// Chooses the request's service. The parts of a stream that may be resumed have one service and
+/// one identity, which are those of the attempt that brought its first event.
+void relay_session::identify_stream()
+{
+    const auto& taken_up = m_request.m_taken_up;
+    const bool is_named = !taken_up || !taken_up->m_first_attempt.empty();
+    if (m_route->is_resumable_stream() && is_named)
+    {
+        m_stream = core::id_of<stream_id>(taken_up ? taken_up->m_first_attempt : m_request.m_id);
+    }
+    const std::uint64_t draw = m_stream ? core::value_of(*m_stream) : m_state.m_random();
+    m_service = choose_target(*m_route, draw).m_service;
+    if (!taken_up && m_request.m_deadline)
+    {
+        std::chrono::milliseconds& longest = m_state.m_longest_deadlines[m_route->m_name];
+        longest = std::max(longest, *m_request.m_deadline);
+    }
+}
+
 /// Finds the workspace of the request's key; refuses the request when the route needs a valid key.
 bool relay_session::authorize()
 {
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -63,7 +63,12 @@
     bool authorize();
     bool charge_rate_limit();
     void build_prompt_profile();
+    void identify_stream();
     void dispatch();
+    bool is_software_chosen(core::time_point now);
+    bool choose_software_of_taken_up(core::time_point now);
+    core::duration max_stream_age(core::time_point now) const;
+    void note_begun_stream(core::time_point now);
     bool is_held_as_suspect(core::time_point now);
     bool is_held_for_parts(core::upstream_id engine, core::time_point now);
     selection_request make_selection_request() const;
@@ -112,8 +117,11 @@
     caller_request m_request;
     std::shared_ptr<const route_table> m_routes; ///< Configuration in force at arrival.
     const route* m_route = nullptr;
-    const workspace* m_workspace = nullptr;       ///< Null when the request has no known key.
-    std::string m_service;                        ///< Name of the target service.
+    const workspace* m_workspace = nullptr; ///< Null when the request has no known key.
+    std::string m_service;                  ///< Name of the target service.
+    std::optional<stream_id> m_stream;      ///< Set for a stream that may be resumed.
+    /// Software that the stream's events come from; every attempt goes to an upstream that runs it.
+    std::optional<software_version> m_software;
     std::optional<prompt_profile> m_prompt;       ///< Set for a request to a model.
     std::vector<std::uint64_t> m_part_ids;        ///< Model and identity of each part but the last.
     std::optional<core::time_point> m_held_since; ///< Start of the hold for a suspected part.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -148,6 +148,7 @@
         {
             m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
             m_state.m_metrics.note_first_token(m_time_to_first_byte);
+            note_begun_stream(core::runtime_clock::now());
             begin_response();
         }
         const core::time_point now = core::runtime_clock::now();
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -6,6 +6,25 @@
 #include <algorithm>
 
 namespace tarragontrail::relay {
+namespace {
+
+/// Whether a failed call may be the end of the upstream's process.
+bool shows_end_of_process(const net::call_failure& failure)
+{
+    switch (failure.m_fault)
+    {
+    case net::call_fault::refused:
+    case net::call_fault::closed:
+    case net::call_fault::reset:
+        return true;
+    case net::call_fault::timed_out:
+        return failure.m_stage == net::call_stage::connecting;
+    default:
+        return false;
+    }
+}
+
+} // namespace
 
 /// Retries a repeatable request after an error response, if the retry budget allows it.
 bool relay_session::retry_after_error()
@@ -35,6 +54,11 @@
     {
         return;
     }
+    if (shows_end_of_process(failure))
+    {
+        // What listens there next may be another start, of another version.
+        m_selection.m_upstream->doubt(core::runtime_clock::now());
+    }
     if (failure.m_stage != net::call_stage::connecting)
     {
         on_connection_lost(net::to_string(failure.m_fault));
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -47,6 +47,7 @@
     request.m_service = &m_service;
     request.m_body_bytes = m_request.m_message.body().size();
     request.m_tried = &m_tried;
+    request.m_software = m_software ? &*m_software : nullptr;
     if (!m_prompt)
     {
         return request;
@@ -78,7 +79,8 @@
 void relay_session::dispatch()
 {
     const core::time_point now = core::runtime_clock::now();
-    if (is_held_as_suspect(now) || is_held_for_parts(core::upstream_id{}, now))
+    if (is_held_as_suspect(now) || is_held_for_parts(core::upstream_id{}, now) ||
+        !is_software_chosen(now))
     {
         return;
     }
--- /dev/null
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -0,0 +1,112 @@
+// Chooses the software version that all events of a resumable stream come from.
+#include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/relay/log_times.hpp"
+#include "tarragontrail/relay/relay_session.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::relay {
+
+/// False when the stream's version cannot be told now; the request is then delayed or refused.
+bool relay_session::is_software_chosen(core::time_point now)
+{
+    if (!m_route->is_resumable_stream() || m_software)
+    {
+        return true;
+    }
+    if (m_request.m_taken_up)
+    {
+        return choose_software_of_taken_up(now);
+    }
+    m_software = m_state.m_stream_versions.version_of_new(
+        m_service, *m_stream, m_state.m_upstreams.software_of(m_service), now);
+    if (m_software)
+    {
+        return true;
+    }
+    if (now < m_arrival + m_state.m_session_settings.m_max_version_hold)
+    {
+        start_timer(m_retry_timer, now + m_state.m_session_settings.m_version_recheck_interval,
+                    &relay_session::dispatch);
+        return false;
+    }
+    observe::log("version_not_chosen", {{"request", m_request.m_id}, {"service", m_service}});
+    end_without_upstream(refusal_reason::version_unknown,
+                         m_state.m_session_settings.m_no_upstream_retry_after);
+    return false;
+}
+
+/// Finds the version at which the stream began; without it the request is refused at once, as
+/// events of another version would not fit.
+bool relay_session::choose_software_of_taken_up(core::time_point now)
+{
+    const core::duration max_age = max_stream_age(now);
+    const bool is_service_known = m_stream || m_route->m_targets.size() == 1;
+    const stream_origin origin =
+        is_service_known
+            ? m_state.m_stream_versions.origin(
+                  m_service, m_stream, m_state.m_upstreams.software_of(m_service), max_age, now)
+            : stream_origin{};
+    const bool may_learn = !m_state.m_stream_versions.is_informed(m_service, now) &&
+                           now < m_arrival + m_state.m_session_settings.m_max_version_hold;
+    if (!origin.m_version && may_learn)
+    {
+        start_timer(m_retry_timer, now + m_state.m_session_settings.m_version_recheck_interval,
+                    &relay_session::dispatch);
+        return false;
+    }
+    observe::log("stream_taken_up",
+                 {{"request", m_request.m_id},
+                  {"first_attempt", m_request.m_taken_up->m_first_attempt},
+                  {"service", m_service},
+                  {"software", origin.m_version ? origin.m_version->m_name : std::string("none")},
+                  {"known_by", to_string(origin.m_evidence)},
+                  {"max_age_ms", rounded_milliseconds(max_age)}});
+    m_state.m_metrics.count_taken_up_stream(to_string(origin.m_evidence));
+    m_software = origin.m_version;
+    if (!m_software)
+    {
+        end_without_upstream(refusal_reason::version_unknown,
+                             m_state.m_session_settings.m_no_upstream_retry_after);
+        return false;
+    }
+    return true;
+}
+
+/// Longest time since the first event of the stream that the caller takes up: its caller has waited
+/// no longer than callers of the route wait, less what it still waits.
+core::duration relay_session::max_stream_age(core::time_point now) const
+{
+    const std::chrono::milliseconds left =
+        m_request.m_deadline.value_or(std::chrono::milliseconds(0));
+    const auto seen = m_state.m_longest_deadlines.find(m_route->m_name);
+    std::chrono::milliseconds longest = m_route->m_timeout.count() > 0
+                                            ? m_route->m_timeout
+                                            : m_state.m_session_settings.m_default_deadline;
+    if (seen != m_state.m_longest_deadlines.end())
+    {
+        longest = std::max(longest, seen->second);
+    }
+    // A caller may name any time.
+    constexpr std::chrono::milliseconds longest_counted{60'000};
+    longest = std::min(std::max(longest, left), longest_counted);
+    return longest - std::min(left, longest) + (now - m_arrival);
+}
+
+/// The stream has begun: its version is remembered, and told to other instances where they may not
+/// be able to tell it.
+void relay_session::note_begun_stream(core::time_point now)
+{
+    if (!m_stream || !m_software)
+    {
+        return;
+    }
+    m_state.m_stream_versions.on_begun(m_service, *m_stream, *m_software, now);
+    const std::vector<begun_stream> announced = m_state.m_stream_versions.take_announcements();
+    if (!announced.empty() && m_state.m_announcer != nullptr)
+    {
+        m_state.m_announcer->announce_streams(announced);
+    }
+}
+
+} // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -11,6 +11,7 @@
 #include "tarragontrail/relay/http_codec.hpp"
 #include "tarragontrail/relay/part_crash_monitor.hpp"
 #include "tarragontrail/relay/route_table.hpp"
+#include "tarragontrail/relay/stream_versions.hpp"
 #include "tarragontrail/relay/upstream_selector.hpp"
 
 #include <functional>
@@ -47,6 +48,9 @@
     /// An engine runs another version of the weights than was known.
     virtual void announce_weights(core::upstream_id engine, const std::string& model,
                                   placement::weights_version version) = 0;
+
+    /// Streams have begun whose version the other instances may not be able to tell.
+    virtual void announce_streams(const std::vector<begun_stream>& streams) = 0;
 };
 
 /// Timeouts and limits of sessions, beyond the settings of the route.
@@ -89,6 +93,10 @@
     std::chrono::milliseconds m_suspect_part_retry_after{1'000};
     /// Retry delay reported when no upstream is available.
     std::chrono::milliseconds m_no_upstream_retry_after{250};
+    /// Longest time that a stream is held until its version can be chosen.
+    std::chrono::milliseconds m_max_version_hold{400};
+    /// Interval of checks while it is held.
+    std::chrono::milliseconds m_version_recheck_interval{20};
     /// Retry delay reported before the first configuration.
     std::chrono::milliseconds m_not_ready_retry_after{500};
 };
@@ -122,14 +130,17 @@
     upstream_table m_upstreams;
     cached_part_index m_cached_parts; ///< Predicted cache contents.
     upstream_selector m_selector;
+    stream_versions m_stream_versions; ///< Software versions at which streams begin and go on.
     admission_policy m_admission;
     limits::demand_share m_limits;                     ///< Rate limits of workspaces.
     recovery::crash_attribution m_crash_attribution;   ///< Finds requests that crash upstreams.
     part_crash_monitor m_part_crashes;                 ///< Finds parts that crash engines.
     recovery::retry_budget_settings m_budget_settings; ///< For each service.
     std::map<std::string, recovery::retry_budget> m_budgets; ///< By service.
-    bool m_quarantines_known = true;     ///< False until the rows of quarantines were read.
-    std::uint64_t m_live_instances = 1;  ///< Alive instances of the fleet, this one included.
+    bool m_quarantines_known = true;    ///< False until the rows of quarantines were read.
+    std::uint64_t m_live_instances = 1; ///< Alive instances of the fleet, this one included.
+    /// Longest time that callers of a route were seen to wait, by route.
+    std::map<std::string, std::chrono::milliseconds> m_longest_deadlines;
     std::optional<drain_window> m_drain; ///< Set once this instance is leaving.
     std::map<std::string, target_weights_history> m_target_weights; ///< By model.
     std::set<std::shared_ptr<relay_session>> m_sessions;            ///< Requests in progress.
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -176,6 +176,7 @@
         }
         on_success();
         const auto& whole = std::get<table_rows>(answer);
+        note_store_time(whole);
         const bool is_taken = run_guarded("whole_table", [this, &whole] {
             apply_whole(whole.m_rows, whole.m_version, true);
             if (m_is_rewrite_due)
@@ -193,6 +194,14 @@
     });
 }
 
+void table_follower::note_store_time(const table_rows& answer) const
+{
+    if (answer.m_store_time && m_on_store_time)
+    {
+        m_on_store_time(*answer.m_store_time);
+    }
+}
+
 void table_follower::follow()
 {
     if (!m_active && m_mirror.is_complete())
@@ -222,6 +231,7 @@
                        }
                        on_success();
                        const auto& changed = std::get<table_rows>(answer);
+                       note_store_time(changed);
                        if (changed.m_version.m_era != m_last_version.m_era)
                        {
                            // Numbers of two eras do not join: changes in between would be missing.
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -43,6 +43,12 @@
     table_follower(boost::asio::io_context& context, table_store& store, followed_table table,
                    table_follower_settings settings, change_handler on_change);
 
+    /// Sets who is told the time of the store's clock that an answer shows, ahead of its changes.
+    void on_store_time(std::function<void(std::chrono::milliseconds time)> handler)
+    {
+        m_on_store_time = std::move(handler);
+    }
+
     /// Sets who is told when the first whole table of an era was applied, after its changes.
     void on_new_era(std::function<void()> handler) { m_on_new_era = std::move(handler); }
 
@@ -78,6 +84,7 @@
     void on_failure(const store_failure& failure);
     void on_success();
     void log_dropped_rows(const core::store_version& version);
+    void note_store_time(const table_rows& answer) const;
     void schedule(std::chrono::milliseconds delay, void (table_follower::*step)());
 
     table_store& m_store;
@@ -85,6 +92,7 @@
     table_follower_settings m_settings;
     change_handler m_on_change;
     std::function<void()> m_on_new_era;
+    std::function<void(std::chrono::milliseconds)> m_on_store_time;
     table_mirror m_mirror;
     net::timer m_timer;
     net::timer m_rewrite_timer;         ///< Until lost rows are reported.
--- a/tarragontrail/relay/upstream_selector.cpp
+++ b/tarragontrail/relay/upstream_selector.cpp
@@ -96,6 +96,10 @@
     {
         return eligibility::excluded;
     }
+    if (request.m_software != nullptr && !candidate.surely_runs(*request.m_software))
+    {
+        return eligibility::excluded;
+    }
     if (request.m_prompt != nullptr)
     {
         const auto version = candidate.version_of(request.m_prompt->m_model);
--- a/tarragontrail/relay/upstream_selector.hpp
+++ b/tarragontrail/relay/upstream_selector.hpp
@@ -97,6 +97,8 @@
     std::uint64_t m_body_bytes = 0;
     /// Upstreams of earlier attempts; they are not selected again.
     const std::vector<core::upstream_id>* m_tried = nullptr;
+    /// Software that the upstream must run; null when any will do.
+    const software_version* m_software = nullptr;
     /// Target versions of the model's weights; null when operators set none.
     const target_weights_history* m_target_weights = nullptr;
     /// Tokens that fit into an engine's memory; zero when unknown.
--- a/tarragontrail/relay/upstream_table.cpp
+++ b/tarragontrail/relay/upstream_table.cpp
@@ -63,9 +63,10 @@
         remove_from_service(found->second);
         m_by_service[record.m_service].push_back(found->second);
     }
-    if (known.m_record.m_started != record.m_started)
+    if (known.m_record.identity() != record.identity())
     {
         known.m_health.reset();
+        known.m_doubted_since.reset();
     }
     known.m_record = record;
     if (!record.m_leaving)
@@ -117,6 +118,16 @@
     return found == m_by_id.end() ? nullptr : found->second;
 }
 
+std::set<software_version> upstream_table::software_of(const std::string& service) const
+{
+    std::set<software_version> versions;
+    for (const upstream_pointer& each : of_service(service))
+    {
+        versions.insert(each->m_record.m_software);
+    }
+    return versions;
+}
+
 const std::vector<upstream_table::upstream_pointer>&
 upstream_table::of_service(const std::string& service) const
 {
--- a/tarragontrail/relay/upstream_table.hpp
+++ b/tarragontrail/relay/upstream_table.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,9 @@
     std::optional<core::time_point> m_leaving_since;
     /// Era of the table store in which its last row was written or deleted.
     std::uint64_t m_era = 0;
+    /// Last sign that its process may have ended since its row was read: what starts under its id
+    /// and address may be of another version. Reset once it is known to be the same.
+    std::optional<core::time_point> m_doubted_since;
     /// It loads new weights and gets no requests until then.
     core::time_point m_loading_weights_until = core::time_point::min();
     /// Exponential moving average of the duration of a request.
@@ -37,6 +41,15 @@
     /// Version of a model's loaded weights; nothing when the model is not in memory.
     std::optional<placement::weights_version> version_of(std::string_view model) const;
 
+    /// Its process may have ended.
+    void doubt(core::time_point now) { m_doubted_since = now; }
+
+    /// Whether its process is known to run this software.
+    bool surely_runs(const software_version& software) const
+    {
+        return !m_doubted_since && m_record.m_software == software;
+    }
+
     /// Sets a version seen in a response or reported by a peer.
     void set_version(std::string_view model, placement::weights_version version);
 };
@@ -62,6 +75,9 @@
     /// Null when it is unknown.
     upstream_pointer find(core::upstream_id id) const;
 
+    /// Software versions of a service's upstreams, those that leave included.
+    std::set<software_version> software_of(const std::string& service) const;
+
     /// Upstreams of a service; empty when the service is unknown.
     const std::vector<upstream_pointer>& of_service(const std::string& service) const;
 
--- a/tarragontrail/relay/weights_rollout_coordinator.cpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.cpp
@@ -4,7 +4,6 @@
 #include "tarragontrail/wire/generated_messages.hpp"
 
 #include <algorithm>
-#include <ctime>
 
 namespace tarragontrail::relay {
 
@@ -38,13 +37,13 @@
 
 void weights_rollout_coordinator::begin_era(std::uint64_t era)
 {
-    m_lease.begin_era(era, lease_clock_now());
+    m_lease.begin_era(era, core::suspension_counting_now());
 }
 
 void weights_rollout_coordinator::on_row(const std::optional<placement::duty_row>& row,
                                          const core::store_version& version)
 {
-    m_lease.on_row(row, version, lease_clock_now());
+    m_lease.on_row(row, version, core::suspension_counting_now());
     observe::log("duty_row", {{"holder", row ? core::value_of(row->m_holder) : 0},
                               {"era", version.m_era},
                               {"version", version.m_number},
@@ -76,7 +75,7 @@
     }
     m_work_since = std::min(m_work_since, now);
     acquire_lease(now);
-    if (m_lease.is_held(lease_clock_now()))
+    if (m_lease.is_held(core::suspension_counting_now()))
     {
         execute_actions(m_rollout.advance(work, engine_count(), now));
     }
@@ -128,7 +127,7 @@
     {
         return;
     }
-    const auto request = m_lease.acquire_or_renew(holder, lease_clock_now());
+    const auto request = m_lease.acquire_or_renew(holder, core::suspension_counting_now());
     if (!request)
     {
         return;
@@ -142,15 +141,15 @@
                       switch (written.m_outcome)
                       {
                       case row_write_result::outcome::applied:
-                          m_lease.on_written(written.m_version, lease_clock_now());
+                          m_lease.on_written(written.m_version, core::suspension_counting_now());
                           observe::log("duty_taken", {{"fence", m_lease.fence()}});
                           return;
                       case row_write_result::outcome::conflict:
                       case row_write_result::outcome::refused:
-                          m_lease.on_write_refused(lease_clock_now());
+                          m_lease.on_write_refused(core::suspension_counting_now());
                           return;
                       case row_write_result::outcome::unknown:
-                          m_lease.on_write_lost(lease_clock_now());
+                          m_lease.on_write_lost(core::suspension_counting_now());
                           return;
                       }
                   });
@@ -205,7 +204,7 @@
 void weights_rollout_coordinator::send_order(const placement::order_weights& order)
 {
     const auto engine = m_state.m_upstreams.find(order.m_engine);
-    if (!engine || !m_lease.is_held(lease_clock_now()))
+    if (!engine || !m_lease.is_held(core::suspension_counting_now()))
     {
         on_order_answer(order, placement::order_answer::refused);
         return;
@@ -227,7 +226,7 @@
                                    {"answer", static_cast<int>(answer)}});
     if (answer == placement::order_answer::fence_refused)
     {
-        m_lease.on_fence_refused(lease_clock_now());
+        m_lease.on_fence_refused(core::suspension_counting_now());
     }
     execute_actions(m_rollout.on_order(order.m_engine, answer, core::runtime_clock::now()));
 }
@@ -240,13 +239,4 @@
         }));
 }
 
-/// Clock of the lease; it continues while the machine is suspended.
-core::time_point weights_rollout_coordinator::lease_clock_now()
-{
-    timespec reading{};
-    clock_gettime(CLOCK_BOOTTIME, &reading);
-    return core::time_point(std::chrono::seconds(reading.tv_sec) +
-                            std::chrono::nanoseconds(reading.tv_nsec));
-}
-
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/weights_rollout_coordinator.hpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.hpp
@@ -72,7 +72,6 @@
     void send_order(const placement::order_weights& order);
     void on_order_answer(const placement::order_weights& order, placement::order_answer answer);
     std::size_t engine_count() const;
-    static core::time_point lease_clock_now();
 
     weights_rollout_coordinator_settings m_settings;
     relay_state& m_state;
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -1089,6 +1089,86 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const version_assignment& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_slot);
+    put_field(fields, value.m_version);
+    put_field(fields, value.m_since);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] version_assignment& value)
+{
+    fields.get(value.m_slot);
+    fields.get(value.m_version);
+    fields.get(value.m_since);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const version_plan_entry& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(69);
+    put_field(fields, value.m_service);
+    put_field(fields, value.m_number);
+    nlohmann::json assignments = nlohmann::json::array();
+    for (const version_assignment& item : value.m_assignments)
+    {
+        assignments.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(assignments));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] version_plan_entry& value)
+{
+    fields.get(value.m_service);
+    fields.get(value.m_number);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_assignments.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const begun_stream& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_stream);
+    put_field(fields, value.m_version);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] begun_stream& value)
+{
+    fields.get(value.m_stream);
+    fields.get(value.m_version);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const streams_notice& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(70);
+    nlohmann::json streams = nlohmann::json::array();
+    for (const begun_stream& item : value.m_streams)
+    {
+        streams.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(streams));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] streams_notice& value)
+{
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_streams.emplace_back());
+    }
+    fields.expect_end();
+}
+
 template <class Message>
 message read_message(const nlohmann::json& fields)
 {
@@ -1185,6 +1265,10 @@
         return read_message<member_entry>(fields);
     case 66:
         return read_message<duty_entry>(fields);
+    case 69:
+        return read_message<version_plan_entry>(fields);
+    case 70:
+        return read_message<streams_notice>(fields);
     default:
         throw decode_error("unknown message tag");
     }
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -256,14 +256,45 @@
     duty_row m_row; ///< Holder.
 };
 
+/// Software version of a slot of a service's streams.
+struct version_assignment
+{
+    std::uint64_t m_slot{};              ///< Slot.
+    std::string m_version;               ///< Software version.
+    std::chrono::milliseconds m_since{}; ///< Time of the table store's clock.
+};
+
+/// Row of a service's version plan in the fleet's table.
+struct version_plan_entry
+{
+    std::string m_service;                         ///< Service.
+    std::uint64_t m_number{};                      ///< Grows with each change.
+    std::vector<version_assignment> m_assignments; ///< By slot and time.
+};
+
+/// Version at which a caller's stream has begun.
+struct begun_stream
+{
+    std::uint64_t m_stream{}; ///< Hash of the service and the stream's identity.
+    std::string m_version;    ///< Software version.
+};
+
+/// Streams that the sender has begun.
+struct streams_notice
+{
+    std::vector<begun_stream> m_streams; ///< Streams.
+};
+
 /// Any message between entry instances.
-using message = std::variant<
-    hello, link_heartbeat, lookup_request, lookup_answer, anchor_hint, loan_request, loan_reply,
-    loan_settle, share_hint, withdrawal, state_request, state_answer, bundle_request, bundle_answer,
-    ping, ping_ack, ping_request, view_request, view_answer, crash_report, quarantine_notice,
-    exoneration_notice, part_crash_report, part_exoneration_notice, part_trial_notice,
-    part_quarantine_notice, part_quarantine_entry, instance_pulse, region_digest, part_notice,
-    weights_notice, rows_request, rows_answer, rows_news, member_entry, duty_entry>;
+using message =
+    std::variant<hello, link_heartbeat, lookup_request, lookup_answer, anchor_hint, loan_request,
+                 loan_reply, loan_settle, share_hint, withdrawal, state_request, state_answer,
+                 bundle_request, bundle_answer, ping, ping_ack, ping_request, view_request,
+                 view_answer, crash_report, quarantine_notice, exoneration_notice,
+                 part_crash_report, part_exoneration_notice, part_trial_notice,
+                 part_quarantine_notice, part_quarantine_entry, instance_pulse, region_digest,
+                 part_notice, weights_notice, rows_request, rows_answer, rows_news, member_entry,
+                 duty_entry, version_plan_entry, streams_notice>;
 
 /// CBOR bytes of a message.
 std::string encode(const message& value);
--- a/unit_tests/platform/failing_row_test.cpp
+++ b/unit_tests/platform/failing_row_test.cpp
@@ -61,7 +61,7 @@
     void upstream_row_that_fails_costs_no_other()
     {
         const std::string value =
-            R"({"service":"s","address":"10.0.0.1:80","zone":"d1","slots":16,"state":"ready"})";
+            R"({"service":"s","address":"10.0.0.1:80","zone":"d1","version":"v1","slots":16,"state":"ready"})";
         m_applier.on_upstream_rows({{"bad", value, {1, 1}, false}, {"good", value, {1, 2}, false}});
         CPPUNIT_ASSERT(m_state.m_upstreams.find(core::id_of<core::upstream_id>("good")));
     }
--- a/unit_tests/relay/selection_test.cpp
+++ b/unit_tests/relay/selection_test.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(engine_that_loads_weights_gets_no_requests);
     CPPUNIT_TEST(stale_weights_are_used_for_a_limited_time);
     CPPUNIT_TEST(leaving_engine_is_a_fallback_for_a_limited_time);
+    CPPUNIT_TEST(engine_first_seen_leaving_gets_no_requests);
+    CPPUNIT_TEST(request_for_a_version_goes_nowhere_else);
     CPPUNIT_TEST(deleted_record_may_return);
     CPPUNIT_TEST(least_recently_used_parts_are_evicted);
     CPPUNIT_TEST(peer_load_expires);
@@ -236,6 +238,38 @@
         CPPUNIT_ASSERT(!simulation.choose(now + 2s));
     }
 
+    /// An instance that starts while an engine leaves cannot know since when.
+    void engine_first_seen_leaving_gets_no_requests()
+    {
+        selection_simulation fresh(0);
+        upstream_record record = selection_simulation(1).engine(0)->m_record;
+        record.m_leaving = true;
+        fresh.m_table.apply(record, now);
+        CPPUNIT_ASSERT(!fresh.choose().has_value());
+    }
+
+    /// Neither to another version nor to an engine whose process may have ended since its row.
+    void request_for_a_version_goes_nowhere_else()
+    {
+        selection_simulation simulation(4);
+        upstream_record record = simulation.engine(2)->m_record;
+        record.m_software = {"v2"};
+        simulation.m_table.apply(record, now);
+        const software_version wanted{"v2"};
+        selection_request request = simulation.make_selection_request();
+        request.m_software = &wanted;
+        const auto choose = [&] {
+            return simulation.m_selector.choose(simulation.m_table, simulation.m_parts, request,
+                                                now);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), choose()->m_upstream->m_record.m_name);
+        simulation.engine(2)->doubt(now);
+        CPPUNIT_ASSERT(!choose().has_value());
+        record.m_started = core::incarnation{9};
+        simulation.m_table.apply(record, now);
+        CPPUNIT_ASSERT(choose().has_value());
+    }
+
     void deleted_record_may_return()
     {
         selection_simulation simulation(1);
