--- a/tarragontrail/relay/upstream_table.cpp
+++ b/tarragontrail/relay/upstream_table.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace tarragontrail::relay {
+namespace {
+
+/// Longer than any upstream gets requests after it said that it leaves.
+constexpr std::chrono::hours unknown_leaving_time{1};
+
+} // namespace
 
 std::optional<placement::weights_version> upstream::version_of(std::string_view model) const
 {
@@ -37,7 +43,8 @@
         added->m_record = record;
         if (record.m_leaving)
         {
-            added->m_leaving_since = now;
+            // Nobody tells for how long it has been leaving.
+            added->m_leaving_since = now - unknown_leaving_time;
         }
         m_by_id.emplace(record.m_id, added);
         m_by_service[record.m_service].push_back(added);
@@ -56,9 +63,10 @@
         remove_from_service(found->second);
         m_by_service[record.m_service].push_back(found->second);
     }
-    if (known.m_record.m_started != record.m_started)
+    if (known.m_record.identity() != record.identity())
     {
         known.m_health.reset();
+        known.m_doubted_since.reset();
     }
     known.m_record = record;
     if (!record.m_leaving)
@@ -110,6 +118,16 @@
     return found == m_by_id.end() ? nullptr : found->second;
 }
 
+std::set<software_version> upstream_table::software_of(const std::string& service) const
+{
+    std::set<software_version> versions;
+    for (const upstream_pointer& each : of_service(service))
+    {
+        versions.insert(each->m_record.m_software);
+    }
+    return versions;
+}
+
 const std::vector<upstream_table::upstream_pointer>&
 upstream_table::of_service(const std::string& service) const
 {
