--- a/tarragontrail/observe/log.cpp
+++ b/tarragontrail/observe/log.cpp
@@ -17,7 +17,7 @@
 /// Texts from outside may be of any length; a line stays readable.
 constexpr std::size_t longest_value_bytes = 1024;
 
-/// Whether a letter may stand on a line as it is.
+/// Whether a character may stand on a line as it is.
 bool is_printable(char letter)
 {
     return letter >= ' ' && letter <= '~';
