Order software versions without a defaulted comparison

clang-tidy takes the zero in the operator that the compiler makes for a use of a null pointer (modernize-use-nullptr, in one lint of the 86 changed sources); the order is the same.

--- a/tarragontrail/relay/upstream_identity.hpp
+++ b/tarragontrail/relay/upstream_identity.hpp
@@ -13,7 +13,12 @@
 {
     std::string m_name;
 
-    auto operator<=>(const software_version&) const = default;
+    bool operator==(const software_version&) const = default;
+
+    std::strong_ordering operator<=>(const software_version& other) const noexcept
+    {
+        return m_name <=> other.m_name;
+    }
 };
 
 /// One run of an upstream's process. What was learned of one run, such as its software, its cache
