--- a/unit_tests/platform/odd_documents_test.cpp
+++ b/unit_tests/platform/odd_documents_test.cpp
@@ -65,6 +65,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_documents_test);
     CPPUNIT_TEST(deep_nesting_is_refused_wherever_it_is);
+    CPPUNIT_TEST(deep_document_is_refused_as_a_whole);
     CPPUNIT_TEST(impossible_values_are_refused);
     CPPUNIT_TEST(whole_numbers_may_be_written_as_fractions);
     CPPUNIT_TEST(reason_names_the_field_and_stays_short);
@@ -115,6 +116,12 @@
         {
             CPPUNIT_ASSERT_THROW(read(upstream_row("models", models)), relay::document_error);
         }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{16}, read(upstream_row("x", "[[[[]]]]")).m_slots);
+    }
+
+    void deep_document_is_refused_as_a_whole()
+    {
+        const std::string deep = deep_list();
         CPPUNIT_ASSERT_THROW(read(deep), relay::document_error);
         CPPUNIT_ASSERT_THROW(read(deep.substr(0, deep.size() / 2)), relay::document_error);
         for (const char* key : {"config", "version/m"})
@@ -122,7 +129,6 @@
             CPPUNIT_ASSERT_THROW(m_decoder.read_operator_row({key, deep, 1, false}),
                                  relay::document_error);
         }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{16}, read(upstream_row("x", "[[[[]]]]")).m_slots);
     }
 
     void impossible_values_are_refused()
--- a/unit_tests/platform/stray_answer_test.cpp
+++ b/unit_tests/platform/stray_answer_test.cpp
@@ -99,7 +99,7 @@
         });
         add_upstream([](const std::string&) { return reply{answer_to("r2", "elsewhere")}; });
         CPPUNIT_ASSERT_EQUAL(200U, send(request_of("r1")).m_response.result_int());
-        const auto result = send(request_of("r2"));
+        auto result = send(request_of("r2"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first().m_requests.size());
         CPPUNIT_ASSERT_EQUAL(1, first().m_connections);
         return result;
