Settings take fractions for every number that the platform fills in

Seen: no small twin of the large fleet started; every process ended with code 2 (retry_slack 33.16). Cause: retry_slack was an integer and durations were whole milliseconds, while the platform's bounds are whole numbers or fractions. Evidence:, "value has the wrong type" in the log of each process. Change: durations are read as numbers and rounded to whole milliseconds, retry_slack is a number; a wrong value names its setting, itself and the range, as help does.

--- a/schema/generate.py
+++ b/schema/generate.py
@@ -54,6 +54,16 @@
     return str(value)
 
 
+def range_text(field):
+    """What a setting's value must be, for errors and help."""
+    if field["type"] == "boolean":
+        return "true or false"
+    if "minimum" not in field:
+        return f"text that matches {field['pattern']}" if "pattern" in field else "any text"
+    kind = "a whole number" if field["type"] == "integer" else "a number"
+    return f"{kind} between {field['minimum']} and {field['maximum']}"
+
+
 def bundle_schema():
     """Header that embeds the bundle's JSON Schema."""
     text = (ROOT / "schema/bundle.json").read_text()
@@ -67,7 +77,8 @@
     environment = jinja2.Environment(
         loader=jinja2.FileSystemLoader(ROOT / "schema"), trim_blocks=True, lstrip_blocks=True,
         keep_trailing_newline=True, undefined=jinja2.StrictUndefined)
-    environment.filters.update(cpp_type=cpp_type, initialiser=initialiser, cpp_default=cpp_default)
+    environment.filters.update(cpp_type=cpp_type, initialiser=initialiser, cpp_default=cpp_default,
+                               range_text=range_text)
     environment.filters["quoted"] = json.dumps
     environment.filters["shown"] = lambda value: json.dumps(value) if isinstance(value, bool) else str(value)
     messages = json.loads((ROOT / "schema/messages.json").read_text())
--- a/tarragontrail/config/generated_engine_settings.cpp
+++ b/tarragontrail/config/generated_engine_settings.cpp
@@ -17,10 +17,10 @@
 DEFINE_uint64(cache_blocks, 2000, "Blocks of 4096 prompt bytes that the prefix cache holds.");
 DEFINE_uint64(kv_block_bytes, 16777216, "Size of one block's KV cache as reported by export.");
 DEFINE_uint64(batch, 32, "Requests that run at once.");
-DEFINE_uint64(event_delay, 200, "Age at which cache events are sent.");
+DEFINE_double(event_delay, 200, "Age at which cache events are sent.");
 DEFINE_double(event_loss, 0.0, "Fraction of cache events that are lost.");
-DEFINE_uint64(load_lag, 200, "Age of the load report.");
-DEFINE_uint64(network_delay, 0, "Delay added to each response.");
+DEFINE_double(load_lag, 200, "Age of the load report.");
+DEFINE_double(network_delay, 0, "Delay added to each response.");
 DEFINE_bool(checks_fence, true, "Refuses an order whose fence is lower than one seen.");
 DEFINE_string(crash_on, "none",
               "A request whose body has this text crashes the engine; none switches it off.");
@@ -32,32 +32,40 @@
 namespace {
 
 constexpr std::array<setting_description, 20> descriptions{{
-    {"name", "string", "engine-1", "Name in answers and log lines."},
-    {"address", "string", "127.0.0.1", "Numeric address to bind."},
-    {"port", "integer", "9100", "TCP port."},
-    {"region", "string", "region-1", "Region in log lines."},
-    {"platform", "string", "none",
+    {"name", "string", "engine-1", "text that matches ^[a-z0-9-]{1,64}$",
+     "Name in answers and log lines."},
+    {"address", "string", "127.0.0.1", "any text", "Numeric address to bind."},
+    {"port", "integer", "9100", "a whole number between 1 and 65535", "TCP port."},
+    {"region", "string", "region-1", "text that matches ^[a-z0-9-]{1,64}$", "Region in log lines."},
+    {"platform", "string", "none", "text that matches ^(none|[0-9a-fA-F.:\\[\\]]+:[0-9]+)$",
      "Address and port of the weight store; with none, weights load at once."},
-    {"model", "string", "model-1", "Model loaded at the start."},
-    {"weights_version", "integer", "1", "Version of the weights loaded at the start."},
-    {"prefill_tokens_per_s", "number", "20000.0",
+    {"model", "string", "model-1", "text that matches ^[A-Za-z0-9._-]{1,64}$",
+     "Model loaded at the start."},
+    {"weights_version", "integer", "1", "a whole number between 0 and 1000000000000000.0",
+     "Version of the weights loaded at the start."},
+    {"prefill_tokens_per_s", "number", "20000.0", "a number between 1 and 1000000000.0",
      "Uncached prompt tokens computed per second; one prompt at a time."},
-    {"decode_tokens_per_s", "number", "50.0",
+    {"decode_tokens_per_s", "number", "50.0", "a number between 0.1 and 1000000.0",
      "Tokens generated per second in each running request."},
-    {"cache_blocks", "integer", "2000", "Blocks of 4096 prompt bytes that the prefix cache holds."},
-    {"kv_block_bytes", "integer", "16777216",
+    {"cache_blocks", "integer", "2000", "a whole number between 1 and 100000000.0",
+     "Blocks of 4096 prompt bytes that the prefix cache holds."},
+    {"kv_block_bytes", "integer", "16777216", "a whole number between 1 and 1000000000000.0",
      "Size of one block's KV cache as reported by export."},
-    {"batch", "integer", "32", "Requests that run at once."},
-    {"event_delay", "duration_ms", "200", "Age at which cache events are sent."},
-    {"event_loss", "number", "0.0", "Fraction of cache events that are lost."},
-    {"load_lag", "duration_ms", "200", "Age of the load report."},
-    {"network_delay", "duration_ms", "0", "Delay added to each response."},
-    {"checks_fence", "boolean", "true", "Refuses an order whose fence is lower than one seen."},
-    {"crash_on", "string", "none",
+    {"batch", "integer", "32", "a whole number between 1 and 100000", "Requests that run at once."},
+    {"event_delay", "duration_ms", "200", "a number between 0 and 600000",
+     "Age at which cache events are sent."},
+    {"event_loss", "number", "0.0", "a number between 0 and 1",
+     "Fraction of cache events that are lost."},
+    {"load_lag", "duration_ms", "200", "a number between 0 and 600000", "Age of the load report."},
+    {"network_delay", "duration_ms", "0", "a number between 0 and 60000",
+     "Delay added to each response."},
+    {"checks_fence", "boolean", "true", "true or false",
+     "Refuses an order whose fence is lower than one seen."},
+    {"crash_on", "string", "none", "any text",
      "A request whose body has this text crashes the engine; none switches it off."},
-    {"crash_mode", "string", "reset",
+    {"crash_mode", "string", "reset", "text that matches ^(exit|reset)$",
      "Crash by ending the process, or by dropping all connections and state."},
-    {"seed", "integer", "1", "Seed of the random faults."},
+    {"seed", "integer", "1", "a whole number between 0 and 1e+18", "Seed of the random faults."},
 }};
 
 } // namespace
@@ -95,14 +103,14 @@
     settings.m_kv_block_bytes = FLAGS_kv_block_bytes;
     check_range("batch", static_cast<double>(FLAGS_batch), 1, 100000);
     settings.m_batch = FLAGS_batch;
-    check_range("event_delay", static_cast<double>(FLAGS_event_delay), 0, 600000);
-    settings.m_event_delay = std::chrono::milliseconds(FLAGS_event_delay);
+    check_range("event_delay", FLAGS_event_delay, 0, 600000);
+    settings.m_event_delay = rounded_milliseconds(FLAGS_event_delay);
     check_range("event_loss", static_cast<double>(FLAGS_event_loss), 0, 1);
     settings.m_event_loss = FLAGS_event_loss;
-    check_range("load_lag", static_cast<double>(FLAGS_load_lag), 0, 600000);
-    settings.m_load_lag = std::chrono::milliseconds(FLAGS_load_lag);
-    check_range("network_delay", static_cast<double>(FLAGS_network_delay), 0, 60000);
-    settings.m_network_delay = std::chrono::milliseconds(FLAGS_network_delay);
+    check_range("load_lag", FLAGS_load_lag, 0, 600000);
+    settings.m_load_lag = rounded_milliseconds(FLAGS_load_lag);
+    check_range("network_delay", FLAGS_network_delay, 0, 60000);
+    settings.m_network_delay = rounded_milliseconds(FLAGS_network_delay);
     settings.m_checks_fence = FLAGS_checks_fence;
     settings.m_crash_on = FLAGS_crash_on;
     check_pattern("crash_mode", FLAGS_crash_mode, "^(exit|reset)$");
--- a/tarragontrail/config/generated_relay_settings.hpp
+++ b/tarragontrail/config/generated_relay_settings.hpp
@@ -36,8 +36,7 @@
         2500};                   ///< A new configuration is in force everywhere within this time.
     double m_link_mbps = 1000.0; ///< Bandwidth of this machine's link, in Mbit/s.
     double m_retry_ratio = 0.2; ///< Requests sent again, as a part of all requests, over the fleet.
-    std::uint64_t m_retry_slack =
-        58; ///< Requests sent again beyond that in one window, over the fleet.
+    double m_retry_slack = 58.0; ///< Requests sent again beyond that in one window, over the fleet.
     double m_retry_window_seconds = 10.0; ///< Seconds of the retry budget's window.
     std::chrono::milliseconds m_directory_ttl{
         2000}; ///< Time for which callers keep an answer of the directory.
--- a/tarragontrail/config/setting_checks.cpp
+++ b/tarragontrail/config/setting_checks.cpp
@@ -27,20 +27,19 @@
                TARRAGONTRAIL_VERSION, page.m_description, page.m_program, page.m_arguments);
     for (const setting_description& each : descriptions)
     {
-        fmt::print("  --{} ({}, default {}; {})\n      {}\n", each.m_name, each.m_kind,
-                   each.m_default_value, environment_variable_name(each.m_name),
+        fmt::print("  --{} ({}, {}, default {}; {})\n      {}\n", each.m_name, each.m_kind,
+                   each.m_range, each.m_default_value, environment_variable_name(each.m_name),
                    each.m_description);
     }
     fmt::print("  --settings_file=PATH\n      Reads settings from a file of --name=value lines.\n");
     fmt::print("  --help\n      Prints this text.\n  --version\n      Prints the version.\n");
 }
 
-void apply_value(std::string_view setting, const std::string& value)
+void apply_value(const setting_description& setting, const std::string& value)
 {
-    const std::string name(setting);
-    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+    if (gflags::SetCommandLineOption(setting.m_name, value.c_str()).empty())
     {
-        throw setting_error(setting, value, "value has the wrong type");
+        throw setting_error(setting.m_name, value, fmt::format("must be {}", setting.m_range));
     }
 }
 
@@ -53,14 +52,22 @@
         {
             continue;
         }
-        apply_value(each.m_name, value);
+        apply_value(each, value);
     }
 }
 
-bool is_known(std::span<const setting_description> descriptions, std::string_view name)
+/// Throws setting_error when no setting has the name.
+const setting_description& description_of(std::span<const setting_description> descriptions,
+                                          std::string_view name)
 {
-    return std::any_of(descriptions.begin(), descriptions.end(),
-                       [name](const setting_description& each) { return name == each.m_name; });
+    const auto found =
+        std::find_if(descriptions.begin(), descriptions.end(),
+                     [name](const setting_description& each) { return name == each.m_name; });
+    if (found == descriptions.end())
+    {
+        throw setting_error(name, "", "unknown setting");
+    }
+    return *found;
 }
 
 /// Applies each `--name=value` line of a file. A line without a value leaves the setting unchanged.
@@ -82,14 +89,11 @@
         {
             throw setting_error("settings_file", line, "must have the form --name=value");
         }
-        const std::string name = line.substr(2, equals - 2);
-        if (!is_known(descriptions, name))
-        {
-            throw setting_error(name, "", "unknown setting");
-        }
+        const setting_description& setting =
+            description_of(descriptions, std::string_view(line).substr(2, equals - 2));
         if (equals + 1 < line.size())
         {
-            apply_value(name, line.substr(equals + 1));
+            apply_value(setting, line.substr(equals + 1));
         }
     }
 }
@@ -107,20 +111,17 @@
         apply_file(descriptions, std::string(argument.substr(equals + 1)));
         return 1;
     }
-    if (!is_known(descriptions, name))
-    {
-        throw setting_error(name, "", "unknown setting");
-    }
+    const setting_description& setting = description_of(descriptions, name);
     if (equals != std::string_view::npos)
     {
-        apply_value(name, std::string(argument.substr(equals + 1)));
+        apply_value(setting, std::string(argument.substr(equals + 1)));
         return 1;
     }
     if (position + 1 == argc)
     {
         throw setting_error(name, "", "value is missing");
     }
-    apply_value(name, argv[position + 1]);
+    apply_value(setting, argv[position + 1]);
     return 2;
 }
 
@@ -172,6 +173,12 @@
                         fmt::format("must be between {} and {}", minimum, maximum));
 }
 
+std::chrono::milliseconds rounded_milliseconds(double milliseconds)
+{
+    return std::chrono::round<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 void check_pattern(std::string_view setting, const std::string& value, const char* pattern)
 {
     if (std::regex_match(value, std::regex(pattern)))
--- a/tarragontrail/config/setting_checks.hpp
+++ b/tarragontrail/config/setting_checks.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/core/error.hpp"
 
+#include <chrono>
 #include <span>
 #include <string>
 #include <string_view>
@@ -28,6 +29,7 @@
     const char* m_name;          ///< Flag's name without dashes.
     const char* m_kind;          ///< Type of the value.
     const char* m_default_value; ///< Default value as text.
+    const char* m_range;         ///< What the value must be.
     const char* m_description;
 };
 
@@ -49,6 +51,9 @@
 /// Throws setting_error unless minimum <= value <= maximum.
 void check_range(std::string_view setting, double value, double minimum, double maximum);
 
+/// Duration of a number of milliseconds, rounded to whole ones.
+std::chrono::milliseconds rounded_milliseconds(double milliseconds);
+
 /// Throws setting_error unless the value matches the ECMAScript regular expression.
 void check_pattern(std::string_view setting, const std::string& value, const char* pattern);
 
