An instance that leaves finishes its part of a roll-out and gives the duty back

Cause: begin_leaving ended the roll-out for good and kept the lease, so the next holder waited until the row stood unchanged for twice the lease; between the holders no order went for 5.9 and 7.2 s where engines do not check fences. Ruled out: giving back at once only, as an engine that was just ordered may have no order of the next holder within the lease. Change: a leaving holder goes on for 2.5 s (5 s while every instance is leaving), then writes duty_release with its orders of the last lease; the row is passed on at once, the next holder takes it without a wait and spares those engines for the rest of the lease. A start counts as alive only by its own heartbeats. Digests name leaving instances, so that other regions hear of them.

--- a/tarragontrail/placement/duty_lease.cpp
+++ b/tarragontrail/placement/duty_lease.cpp
@@ -21,7 +21,8 @@
     m_version = version;
     m_row_first_seen = now;
     m_is_row_known = true;
-    if (!row || !is_own(*row))
+    m_released = false;
+    if (!row || !is_own(*row) || m_gives_back)
     {
         m_fence = 0;
         return;
@@ -37,6 +38,32 @@
     }
 }
 
+void duty_lease::on_release(const duty_release& release, const core::store_version& version,
+                            core::time_point now)
+{
+    if (version < m_version || (version == m_version && m_is_row_known))
+    {
+        return;
+    }
+    on_row(release.m_row, version, now);
+    m_released = true;
+    m_fence = 0;
+    if (is_own(release.m_row))
+    {
+        return;
+    }
+    for (const sent_order& order : release.m_orders)
+    {
+        const core::time_point sent = now - order.m_age;
+        last_order& last =
+            m_orders.try_emplace(order.m_engine, last_order{sent, false}).first->second;
+        if (sent >= last.m_sent)
+        {
+            last = {sent, false};
+        }
+    }
+}
+
 void duty_lease::begin_era(std::uint64_t era, core::time_point now)
 {
     if (era <= m_version.m_era)
@@ -65,6 +92,11 @@
     {
         return std::nullopt;
     }
+    if (m_fence == 0 && m_leaving_since &&
+        now - *m_leaving_since >= m_settings.m_last_leaving_limit)
+    {
+        return std::nullopt;
+    }
     const bool renewal_due = m_fence != 0 && !m_settings.m_upstreams_check_fences &&
                              now - m_held_since >= m_settings.m_duration / 2;
     if (m_fence != 0 && !renewal_due)
@@ -76,11 +108,69 @@
         return std::nullopt;
     }
     m_writing = true;
+    m_gives_back = false;
     m_requested_at = now;
     m_requested_era = m_version.m_era;
     return duty_write{duty_row{m_self, m_started, ++m_sequence}, m_version};
 }
 
+void duty_lease::begin_leaving(core::time_point now)
+{
+    if (!m_leaving_since)
+    {
+        m_leaving_since = now;
+    }
+}
+
+std::optional<duty_release_write> duty_lease::give_back(bool has_orders, bool has_successor,
+                                                        core::time_point now)
+{
+    if (m_writing || !m_is_row_known || now < m_retry_at || !has_own_row())
+    {
+        return std::nullopt;
+    }
+    const auto limit = has_successor ? m_settings.m_leaving_limit : m_settings.m_last_leaving_limit;
+    const bool finishes = is_held(now) && has_orders && now - *m_leaving_since < limit;
+    if (finishes && !m_gives_back)
+    {
+        return std::nullopt;
+    }
+    m_gives_back = true;
+    m_fence = 0;
+    m_writing = true;
+    forget_old_orders(now);
+    duty_release release{duty_row{m_self, m_started, ++m_sequence}, {}};
+    for (const auto& [engine, order] : m_orders)
+    {
+        release.m_orders.push_back(
+            {engine, std::chrono::floor<std::chrono::milliseconds>(now - order.m_sent)});
+    }
+    return duty_release_write{std::move(release), m_version};
+}
+
+void duty_lease::on_given_back()
+{
+    m_writing = false;
+    m_released = true;
+}
+
+void duty_lease::on_order_sent(core::upstream_id engine, core::time_point now)
+{
+    forget_old_orders(now);
+    m_orders[engine] = {now, true};
+}
+
+bool duty_lease::may_order(core::upstream_id engine, core::time_point now) const
+{
+    if (!is_held(now))
+    {
+        return false;
+    }
+    const auto last = m_orders.find(engine);
+    return last == m_orders.end() || last->second.m_own ||
+           now - last->second.m_sent >= m_settings.m_duration;
+}
+
 void duty_lease::on_written(const core::store_version& version, core::time_point now)
 {
     m_writing = false;
@@ -127,7 +217,7 @@
     {
         return false;
     }
-    if (!m_row || m_row->m_holder == m_self)
+    if (!m_row || m_row->m_holder == m_self || m_released)
     {
         return true;
     }
@@ -139,4 +229,11 @@
     return !holder.m_alive || (holder.m_stalled && unchanged >= m_settings.m_duration);
 }
 
+void duty_lease::forget_old_orders(core::time_point now)
+{
+    std::erase_if(m_orders, [this, now](const auto& entry) {
+        return now - entry.second.m_sent >= m_settings.m_duration;
+    });
+}
+
 } // namespace tarragontrail::placement
--- a/tarragontrail/placement/duty_lease.hpp
+++ b/tarragontrail/placement/duty_lease.hpp
@@ -6,7 +6,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace tarragontrail::placement {
 
@@ -19,6 +21,11 @@
     std::chrono::milliseconds m_safety_margin{500};
     /// Delay after a write that failed or was not answered.
     std::chrono::milliseconds m_retry_delay{400};
+    /// A holder that is leaving finishes what it has begun for this long, then gives the lease
+    /// back.
+    std::chrono::milliseconds m_leaving_limit{2'500};
+    /// Same while every instance is leaving.
+    std::chrono::milliseconds m_last_leaving_limit{5'000};
     bool m_upstreams_check_fences = true; ///< Whether upstreams refuse older fencing numbers.
 };
 
@@ -32,6 +39,31 @@
     bool operator==(const duty_row&) const = default;
 };
 
+/// Order that a holder sent to an engine.
+struct sent_order
+{
+    core::upstream_id m_engine{};      ///< Engine.
+    std::chrono::milliseconds m_age{}; ///< Time since it was sent.
+
+    bool operator==(const sent_order&) const = default;
+};
+
+/// Row of a lease that its holder has given back: the next one need not wait.
+struct duty_release
+{
+    duty_row m_row;                   ///< Last holder.
+    std::vector<sent_order> m_orders; ///< Orders to engines within the duration of a lease.
+
+    bool operator==(const duty_release&) const = default;
+};
+
+/// Conditional write that gives a lease back; it applies only to the expected version.
+struct duty_release_write
+{
+    duty_release m_release;
+    core::store_version m_expected_version;
+};
+
 /// Conditional write that a lease requests; it applies only to the expected version.
 struct duty_write
 {
@@ -43,7 +75,7 @@
 /// What an instance knows of the current holder beside the row.
 struct holder_status
 {
-    bool m_alive = false;   ///< Messages of the holder arrive, and it is not stopping.
+    bool m_alive = false;   ///< Messages of the holder's start arrive; it may be leaving.
     bool m_stalled = false; ///< The work of the holder makes no progress.
 };
 
@@ -54,6 +86,11 @@
 /// write was requested, and a successor waits for twice that time over an unchanged row. Times must
 /// come from a clock that also advances while the machine is suspended.
 ///
+/// Load pattern: instances are stopped in turn while weights are named. A holder that leaves goes
+/// on with its orders for m_leaving_limit at most and then gives the lease back; the next holder
+/// takes it at once, but sends no order to an engine within m_duration of another holder's last
+/// one.
+///
 /// A return of the table store from an older copy ends the lease. The last holder may take it again
 /// at once; others wait for m_duration first, as its row may be lost while it still gives orders.
 class duty_lease
@@ -65,6 +102,10 @@
     void on_row(const std::optional<duty_row>& row, const core::store_version& version,
                 core::time_point now);
 
+    /// Sets the row as read from the table: the holder has given the lease back.
+    void on_release(const duty_release& release, const core::store_version& version,
+                    core::time_point now);
+
     /// The table store has come back from an older copy: the row is not known until it is read.
     void begin_era(std::uint64_t era, core::time_point now);
 
@@ -72,6 +113,25 @@
     /// acquired or must be renewed.
     std::optional<duty_write> acquire_or_renew(const holder_status& holder, core::time_point now);
 
+    /// The instance is leaving.
+    void begin_leaving(core::time_point now);
+
+    /// Called while the instance is leaving. Returns the write that gives the lease back once there
+    /// are no orders left to give, or the time to finish them is over. `has_successor` tells
+    /// whether another instance can take it.
+    std::optional<duty_release_write> give_back(bool has_orders, bool has_successor,
+                                                core::time_point now);
+
+    /// The lease is given back, or the row is another's.
+    void on_given_back();
+
+    /// An order is sent to an engine.
+    void on_order_sent(core::upstream_id engine, core::time_point now);
+
+    /// Whether an order may be sent to an engine now: the lease is held, and no other holder has
+    /// sent it one within the duration of a lease.
+    bool may_order(core::upstream_id engine, core::time_point now) const;
+
     /// The write took effect.
     void on_written(const core::store_version& version, core::time_point now);
 
@@ -90,15 +150,25 @@
     /// Fencing number of the lease; zero when it is not held.
     std::uint64_t fence() const noexcept { return m_fence; }
 
-    /// Holder according to the last row; zero when there is none.
-    core::instance_id holder() const noexcept
-    {
-        return m_row ? m_row->m_holder : core::instance_id{};
-    }
+    /// Holder according to the last row, also after it has given the lease back; nothing when there
+    /// is none.
+    const std::optional<duty_row>& row() const noexcept { return m_row; }
+
+    /// The last holder has given the lease back.
+    bool is_released() const noexcept { return m_released; }
 
 private:
+    /// Last order to an engine that is known.
+    struct last_order
+    {
+        core::time_point m_sent{};
+        bool m_own = false; ///< Sent by this instance.
+    };
+
     bool is_own(const duty_row& row) const noexcept;
+    bool has_own_row() const noexcept { return m_row && is_own(*m_row) && !m_released; }
     bool may_acquire(const holder_status& holder, core::time_point now) const;
+    void forget_old_orders(core::time_point now);
 
     duty_lease_settings m_settings;
     core::instance_id m_self;
@@ -106,6 +176,7 @@
     std::optional<duty_row> m_row; ///< Last row read.
     core::store_version m_version; ///< Version of m_row.
     bool m_is_row_known = true;    ///< The row was read in the present era.
+    bool m_released = false;       ///< The holder in m_row has given the lease back.
     bool m_was_holder = false;     ///< The lease was held when the last era ended.
     /// Others than the last holder wait until then.
     core::time_point m_era_settled = core::time_point::min();
@@ -119,6 +190,9 @@
     bool m_writing = false;          ///< Whether a write is outstanding.
     /// No write is requested before this time.
     core::time_point m_retry_at = core::time_point::min();
+    std::optional<core::time_point> m_leaving_since; ///< Set once the instance is leaving.
+    bool m_gives_back = false; ///< No order is sent any more, and the row is being given back.
+    std::map<core::upstream_id, last_order> m_orders; ///< Within the duration of a lease.
 };
 
 } // namespace tarragontrail::placement
--- a/tarragontrail/placement/weights_rollout.cpp
+++ b/tarragontrail/placement/weights_rollout.cpp
@@ -6,7 +6,8 @@
 namespace tarragontrail::placement {
 
 std::vector<rollout_action> weights_rollout::advance(const std::vector<outdated_engine>& outdated,
-                                                     std::size_t fleet, core::time_point now)
+                                                     std::size_t fleet, core::time_point now,
+                                                     std::size_t loading_elsewhere)
 {
     std::vector<rollout_action> actions;
     abandon_timed_out(actions, now);
@@ -49,7 +50,7 @@
                      });
     for (const outdated_engine* next : waiting)
     {
-        if (m_updates.size() >= capacity(fleet))
+        if (m_updates.size() + loading_elsewhere >= capacity(fleet))
         {
             break;
         }
--- a/tarragontrail/placement/weights_rollout.hpp
+++ b/tarragontrail/placement/weights_rollout.hpp
@@ -101,9 +101,11 @@
 public:
     explicit weights_rollout(weights_rollout_settings settings = {}) : m_settings(settings) {}
 
-    /// Returns the actions that are due; `fleet` is the number of engines that could serve.
+    /// Returns the actions that are due. `fleet` is the number of engines that could serve,
+    /// `loading_elsewhere` that of engines that may still carry out another instance's orders.
     std::vector<rollout_action> advance(const std::vector<outdated_engine>& outdated,
-                                        std::size_t fleet, core::time_point now);
+                                        std::size_t fleet, core::time_point now,
+                                        std::size_t loading_elsewhere = 0);
 
     /// An engine's report arrived.
     std::vector<rollout_action> on_report(core::upstream_id engine, const engine_report& report,
--- a/tarragontrail/relay/fleet_exchange_messages.cpp
+++ b/tarragontrail/relay/fleet_exchange_messages.cpp
@@ -87,7 +87,8 @@
     return heartbeat;
 }
 
-/// Sums over the instances of this region that are alive.
+/// Sums over the instances of this region that send heartbeats; those that leave are named so that
+/// other regions pass over them at once.
 wire::region_digest fleet_exchange::make_digest(core::time_point now)
 {
     const wire::instance_pulse own = make_base_heartbeat(now);
@@ -106,7 +107,7 @@
     }
     for (const auto& [instance, heartbeat] : m_last_heartbeats)
     {
-        if (!m_registry.is_alive(instance, now))
+        if (!m_registry.is_present(instance, now))
         {
             continue;
         }
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -44,15 +44,11 @@
     : m_settings(settings), m_self(std::move(self)), m_state(state), m_store(store),
       m_document_applier(state, reader), m_registry(m_self),
       m_exchange(context, {}, m_self, peer_endpoint, state, m_registry, *this),
-      m_rollout(context, {}, lease, state, m_registry, store, engines, *this, m_self),
+      m_rollout(context, {}, lease, state, m_registry, store, engines, *this, m_self,
+                [this](const table_row& row) { publish_own_row(row); }),
       m_cache_events(context, {}, state, m_registry, engines, m_self.m_instance),
       m_copy_budget(settings.m_link_mbps), m_quarantine_rows(context, store),
-      m_version_plans(state, store,
-                      [this](const table_row& row) {
-                          follower(followed_table::fleet).apply_changes({row}, {});
-                          m_exchange.send_to_fleet(wire::rows_news{
-                              static_cast<std::uint64_t>(followed_table::fleet), {row}, {}});
-                      }),
+      m_version_plans(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_identity_checks(state, engines, {}), m_check_timer(context), m_register_timer(context)
 {
     for (const followed_table table :
@@ -122,11 +118,19 @@
 void fleet_service::begin_leaving()
 {
     m_leaving = true;
-    m_rollout.stop();
+    m_rollout.begin_leaving();
     run_periodic_checks();
     m_exchange.broadcast_heartbeat();
 }
 
+/// Passes on a row of the fleet's table that this instance has just written.
+void fleet_service::publish_own_row(const table_row& row)
+{
+    follower(followed_table::fleet).apply_changes({row}, {});
+    m_exchange.send_to_fleet(
+        wire::rows_news{static_cast<std::uint64_t>(followed_table::fleet), {row}, {}});
+}
+
 bool fleet_service::is_ready() const
 {
     return !m_leaving && m_state.m_routes && m_state.m_quarantines_known &&
@@ -192,8 +196,8 @@
         m_logged_readiness = is_ready();
         observe::log("readiness", {{"ready", m_logged_readiness}, {"leaving", m_leaving}});
     }
-    m_registry.set_own_status(
-        {m_self.m_started, is_ready(), m_leaving, is_table_store_reachable()});
+    m_registry.set_own_status({m_self.m_started, is_ready(), m_leaving, is_table_store_reachable()},
+                              now);
     check_registration();
     m_document_applier.on_timer(now);
     m_state.m_upstreams.remove_departed(m_settings.m_departed_retention, now);
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -53,8 +53,8 @@
     /// Starts following the table store and exchanging state.
     void start();
 
-    /// Reports to the other instances that this one is leaving, and stops its part in the weights
-    /// rollout.
+    /// Reports to the other instances that this one is leaving, and begins to hand over its part in
+    /// the weights rollout.
     void begin_leaving();
 
     /// True when a configuration and the upstreams are known and the instance is not leaving.
@@ -91,6 +91,7 @@
     void on_rows_request(core::instance_id from, const wire::rows_request& request);
     void on_rows_answer(const wire::rows_answer& answer);
     void on_rows_news(const wire::rows_news& update);
+    void publish_own_row(const table_row& row);
     void pass_on(followed_table table, const std::vector<table_row>& rows, const change_span& span);
     const packed_copy& packed_copy_of(followed_table table);
     void note_configuration_age(const wire::table_versions& versions);
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -347,6 +347,12 @@
         m_rollout.on_row(duty->m_row, row.m_version);
         return false;
     }
+    if (const auto* release = std::get_if<placement::duty_release>(&message);
+        release && row.m_key == weights_rollout_coordinator::row_key)
+    {
+        m_rollout.on_release(*release, row.m_version);
+        return false;
+    }
     if (const auto* plan = std::get_if<wire::version_plan_entry>(&message);
         plan && row.m_key.starts_with(version_plan_rows::key_prefix))
     {
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -41,19 +41,48 @@
     const auto known = m_statuses.find(instance);
     const bool restarted =
         known != m_statuses.end() && known->second.m_status.m_started != status.m_started;
-    m_statuses[instance] = received_status{status, now};
+    const core::time_point leaving_since = known != m_statuses.end() && !restarted
+                                               ? known->second.m_leaving_since
+                                               : core::time_point::max();
+    m_statuses[instance] = received_status{
+        status, now, status.m_leaving ? std::min(leaving_since, now) : core::time_point::max()};
     return restarted;
 }
 
+void instance_registry::set_own_status(const instance_status& status, core::time_point now)
+{
+    m_own_status = status;
+    m_own_leaving_since =
+        status.m_leaving ? std::min(m_own_leaving_since, now) : core::time_point::max();
+}
+
 bool instance_registry::is_alive(core::instance_id instance, core::time_point now) const
 {
     if (instance == m_self.m_instance)
     {
         return !m_own_status.m_leaving;
     }
+    return is_present(instance, now) && !m_statuses.at(instance).m_status.m_leaving;
+}
+
+bool instance_registry::is_present(core::instance_id instance, core::time_point now) const
+{
+    if (instance == m_self.m_instance)
+    {
+        return true;
+    }
     const auto known = m_statuses.find(instance);
-    return known != m_statuses.end() && !known->second.m_status.m_leaving &&
-           now - known->second.m_received <= m_settings.m_peer_timeout;
+    return known != m_statuses.end() && now - known->second.m_received <= m_settings.m_peer_timeout;
+}
+
+bool instance_registry::is_present(core::instance_id instance, core::incarnation started,
+                                   core::time_point now) const
+{
+    if (instance == m_self.m_instance)
+    {
+        return started == m_self.m_started;
+    }
+    return is_present(instance, now) && m_statuses.at(instance).m_status.m_started == started;
 }
 
 bool instance_registry::is_ready(core::instance_id instance, core::time_point now) const
@@ -104,6 +133,29 @@
     return std::nullopt;
 }
 
+std::optional<core::instance_id> instance_registry::first_for_duties(core::time_point now) const
+{
+    if (const auto ready = first_ready(now))
+    {
+        return ready;
+    }
+    for (const auto& [instance, member] : m_members)
+    {
+        if (!is_present(instance, now))
+        {
+            continue;
+        }
+        const core::time_point leaving_since = instance == m_self.m_instance
+                                                   ? m_own_leaving_since
+                                                   : m_statuses.at(instance).m_leaving_since;
+        if (leaving_since <= now && now - leaving_since < m_settings.m_last_duties)
+        {
+            return instance;
+        }
+    }
+    return std::nullopt;
+}
+
 bool instance_registry::is_store_reader(core::time_point now) const
 {
     std::size_t readers_before = 0;
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -40,6 +40,8 @@
     std::size_t m_max_addresses = 64;
     /// Instances per region that read the table store.
     std::size_t m_store_readers = 2;
+    /// An instance that has been leaving for longer takes up no duty.
+    std::chrono::milliseconds m_last_duties{4'000};
     /// An instance that was not heard for this long takes no part in shared limits.
     std::chrono::seconds m_turn_retention{30};
 };
@@ -62,7 +64,7 @@
     bool on_status(core::instance_id instance, const instance_status& status, core::time_point now);
 
     /// Sets the status of this instance.
-    void set_own_status(const instance_status& status) { m_own_status = status; }
+    void set_own_status(const instance_status& status, core::time_point now);
 
     /// All members, this one included.
     const std::map<core::instance_id, fleet_member>& members() const noexcept { return m_members; }
@@ -70,6 +72,13 @@
     /// True when the instance sends heartbeats and is not leaving.
     bool is_alive(core::instance_id instance, core::time_point now) const;
 
+    /// True when the instance sends heartbeats, also while it is leaving.
+    bool is_present(core::instance_id instance, core::time_point now) const;
+
+    /// True when this start of the instance sends heartbeats, also while it is leaving.
+    bool is_present(core::instance_id instance, core::incarnation started,
+                    core::time_point now) const;
+
     /// True when the instance is alive and serves callers.
     bool is_ready(core::instance_id instance, core::time_point now) const;
 
@@ -79,6 +88,10 @@
     /// Ready instance with the lowest identifier.
     std::optional<core::instance_id> first_ready(core::time_point now) const;
 
+    /// Instance that takes up duties of the fleet: the first ready one, or while none is, the first
+    /// of those that have begun to leave a moment ago.
+    std::optional<core::instance_id> first_for_duties(core::time_point now) const;
+
     /// Alive instance of a region with the lowest identifier; it exchanges state with other
     /// regions.
     std::optional<core::instance_id> gateway_of(const std::string& region,
@@ -111,11 +124,13 @@
     {
         instance_status m_status;
         core::time_point m_received{};
+        core::time_point m_leaving_since = core::time_point::max();
     };
 
     fleet_member m_self;
     instance_registry_settings m_settings;
     instance_status m_own_status;
+    core::time_point m_own_leaving_since = core::time_point::max();
     std::map<core::instance_id, fleet_member> m_members;     ///< This instance included.
     std::map<core::instance_id, received_status> m_statuses; ///< Other instances.
     /// When members that were never heard became known.
--- a/tarragontrail/relay/weights_rollout_coordinator.cpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.cpp
@@ -11,28 +11,26 @@
     boost::asio::io_context& context, weights_rollout_coordinator_settings settings,
     const placement::duty_lease_settings& lease, relay_state& state, instance_registry& registry,
     table_store& store, engine_control& engines, weights_announcer& announcer,
-    const fleet_member& self)
+    const fleet_member& self, row_publisher publish)
     : m_settings(settings), m_state(state), m_registry(registry), m_store(store),
       m_engines(engines), m_announcer(announcer), m_self(self.m_instance),
-      m_lease(lease, self.m_instance, self.m_started), m_timer(context)
+      m_lease(lease, self.m_instance, self.m_started), m_timer(context),
+      m_publish(std::move(publish))
 {}
 
 void weights_rollout_coordinator::start()
 {
     m_timer.run_after(m_settings.m_check_interval, [this] {
-        if (!m_stopped)
-        {
-            check_work();
-            start();
-        }
+        check_work();
+        start();
     });
 }
 
-void weights_rollout_coordinator::stop()
+void weights_rollout_coordinator::begin_leaving()
 {
-    m_stopped = true;
-    m_timer.cancel();
-    m_rollout.stop();
+    m_leaving = true;
+    m_lease.begin_leaving(core::suspension_counting_now());
+    check_work();
 }
 
 void weights_rollout_coordinator::begin_era(std::uint64_t era)
@@ -50,6 +48,17 @@
                               {"own", m_lease.fence() != 0}});
 }
 
+void weights_rollout_coordinator::on_release(const placement::duty_release& release,
+                                             const core::store_version& version)
+{
+    m_lease.on_release(release, version, core::suspension_counting_now());
+    observe::log("duty_row", {{"holder", core::value_of(release.m_row.m_holder)},
+                              {"era", version.m_era},
+                              {"version", version.m_number},
+                              {"released", true},
+                              {"orders", release.m_orders.size()}});
+}
+
 void weights_rollout_coordinator::on_progress(core::time_point when)
 {
     m_last_progress = std::max(m_last_progress, when);
@@ -67,22 +76,37 @@
 void weights_rollout_coordinator::check_work()
 {
     const core::time_point now = core::runtime_clock::now();
-    const std::vector<placement::outdated_engine> work = outdated_engines();
-    if (work.empty() && m_rollout.active() == 0)
+    std::vector<placement::outdated_engine> work = outdated_engines();
+    const bool has_orders = !work.empty() || m_rollout.active() > 0;
+    if (m_leaving)
+    {
+        give_lease_back(has_orders, m_registry.first_ready(now).has_value());
+    }
+    if (!has_orders)
     {
         m_work_since = core::time_point::max();
         return;
     }
     m_work_since = std::min(m_work_since, now);
     acquire_lease(now);
-    if (m_lease.is_held(core::suspension_counting_now()))
-    {
-        execute_actions(m_rollout.advance(work, engine_count(), now));
-    }
-    else
+    advance_rollout(std::move(work), now);
+}
+
+/// Engines that another holder has ordered a moment ago get no order yet; they may still load.
+void weights_rollout_coordinator::advance_rollout(std::vector<placement::outdated_engine> work,
+                                                  core::time_point now)
+{
+    const core::time_point counted_now = core::suspension_counting_now();
+    if (!m_lease.is_held(counted_now))
     {
         m_rollout.stop();
+        return;
     }
+    const std::size_t ordered_elsewhere =
+        std::erase_if(work, [this, counted_now](const placement::outdated_engine& engine) {
+            return !m_lease.may_order(engine.m_engine, counted_now);
+        });
+    execute_actions(m_rollout.advance(work, engine_count(), now, ordered_elsewhere));
 }
 
 /// Running engines whose weights are older than the target version.
@@ -119,10 +143,11 @@
 void weights_rollout_coordinator::acquire_lease(core::time_point now)
 {
     placement::holder_status holder;
-    const core::instance_id held_by = m_lease.holder();
-    holder.m_alive = held_by != m_self && m_registry.is_alive(held_by, now);
+    const auto& row = m_lease.row();
+    holder.m_alive =
+        row && row->m_holder != m_self && m_registry.is_present(row->m_holder, row->m_started, now);
     holder.m_stalled = now - std::max(m_last_progress, m_work_since) > m_settings.m_stall_timeout;
-    const bool is_first = m_registry.first_ready(now) == m_self;
+    const bool is_first = m_registry.first_for_duties(now) == m_self;
     if (m_lease.fence() == 0 && !is_first && !holder.m_stalled)
     {
         return;
@@ -132,23 +157,73 @@
     {
         return;
     }
-    observe::log("duty_wanted", {{"holder", core::value_of(held_by)},
+    observe::log("duty_wanted", {{"holder", row ? core::value_of(row->m_holder) : 0},
                                  {"holder_alive", holder.m_alive},
                                  {"stalled", holder.m_stalled},
+                                 {"released", m_lease.is_released()},
                                  {"version", request->m_expected_version.m_number}});
-    m_store.write(row_key, wire::encode(wire::duty_entry{request->m_row}),
-                  request->m_expected_version, [this](const row_write_result& written) {
+    write_lease(*request);
+}
+
+void weights_rollout_coordinator::write_lease(const placement::duty_write& request)
+{
+    const bool is_renewal = m_lease.fence() != 0;
+    const std::string value = wire::encode(wire::duty_entry{request.m_row});
+    m_store.write(row_key, value, request.m_expected_version,
+                  [this, is_renewal, value](const row_write_result& written) {
+                      const core::time_point now = core::suspension_counting_now();
                       switch (written.m_outcome)
                       {
                       case row_write_result::outcome::applied:
-                          m_lease.on_written(written.m_version, core::suspension_counting_now());
+                          m_lease.on_written(written.m_version, now);
                           observe::log("duty_taken", {{"fence", m_lease.fence()}});
+                          if (!is_renewal)
+                          {
+                              m_publish({row_key, value, written.m_version, false});
+                          }
                           return;
                       case row_write_result::outcome::conflict:
                       case row_write_result::outcome::refused:
-                          m_lease.on_write_refused(core::suspension_counting_now());
+                          m_lease.on_write_refused(now);
                           return;
                       case row_write_result::outcome::unknown:
+                          m_lease.on_write_lost(now);
+                          return;
+                      }
+                  });
+}
+
+/// The next holder takes the lease at once instead of waiting until it has expired.
+void weights_rollout_coordinator::give_lease_back(bool has_orders, bool has_successor)
+{
+    const auto request =
+        m_lease.give_back(has_orders, has_successor, core::suspension_counting_now());
+    if (!request)
+    {
+        return;
+    }
+    m_rollout.stop();
+    const std::string value = wire::encode(request->m_release);
+    m_store.write(row_key, value, request->m_expected_version,
+                  [this, has_orders, orders = request->m_release.m_orders.size(),
+                   value](const row_write_result& written) {
+                      using outcome = row_write_result::outcome;
+                      observe::log("duty_released",
+                                   {{"applied", written.m_outcome == outcome::applied},
+                                    {"unfinished", has_orders},
+                                    {"orders", orders}});
+                      switch (written.m_outcome)
+                      {
+                      case outcome::applied:
+                          m_lease.on_given_back();
+                          m_publish({row_key, value, written.m_version, false});
+                          return;
+                      case outcome::conflict:
+                          // Another instance has it, or an earlier try of this write took effect.
+                          m_lease.on_given_back();
+                          return;
+                      case outcome::refused:
+                      case outcome::unknown:
                           m_lease.on_write_lost(core::suspension_counting_now());
                           return;
                       }
@@ -204,11 +279,13 @@
 void weights_rollout_coordinator::send_order(const placement::order_weights& order)
 {
     const auto engine = m_state.m_upstreams.find(order.m_engine);
-    if (!engine || !m_lease.is_held(core::suspension_counting_now()))
+    const core::time_point counted_now = core::suspension_counting_now();
+    if (!engine || !m_lease.may_order(order.m_engine, counted_now))
     {
         on_order_answer(order, placement::order_answer::refused);
         return;
     }
+    m_lease.on_order_sent(order.m_engine, counted_now);
     m_last_own_order = core::runtime_clock::now();
     on_progress(*m_last_own_order);
     m_engines.order(
--- a/tarragontrail/relay/weights_rollout_coordinator.hpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.hpp
@@ -7,6 +7,8 @@
 #include "tarragontrail/relay/platform_interface.hpp"
 #include "tarragontrail/relay/relay_state.hpp"
 
+#include <functional>
+
 namespace tarragontrail::relay {
 
 /// Settings of weights_rollout_coordinator.
@@ -28,6 +30,9 @@
     virtual void announce_weights_update(const placement::announce_engine& update) = 0;
 };
 
+/// Passes a row that this instance has written on to the other instances.
+using row_publisher = std::function<void(const table_row&)>;
+
 /// Updates engines to the target weights while this instance holds the rollout lease.
 ///
 /// Any instance can take over at any time: the lease row determines who sends orders, and the
@@ -40,13 +45,17 @@
                                 const placement::duty_lease_settings& lease, relay_state& state,
                                 instance_registry& registry, table_store& store,
                                 engine_control& engines, weights_announcer& announcer,
-                                const fleet_member& self);
+                                const fleet_member& self, row_publisher publish);
 
     /// Starts the periodic checks.
     void start();
 
-    /// Stops sending orders; the instance does not acquire the lease again.
-    void stop();
+    /// Looks for outdated engines and does what is due; the periodic checks call it.
+    void check_work();
+
+    /// Finishes the updates that are due, for a while at most, then gives the lease back. The
+    /// instance acquires it only while every instance is leaving.
+    void begin_leaving();
 
     /// The table store has come back from an older copy of itself.
     void begin_era(std::uint64_t era);
@@ -54,6 +63,9 @@
     /// The lease's row was read from the table store.
     void on_row(const std::optional<placement::duty_row>& row, const core::store_version& version);
 
+    /// The lease's row was read from the table store: its holder has given it back.
+    void on_release(const placement::duty_release& release, const core::store_version& version);
+
     /// Some instance sent an order, or an order took effect.
     void on_progress(core::time_point when);
 
@@ -64,9 +76,11 @@
     static constexpr const char* row_key = "duty/weights";
 
 private:
-    void check_work();
     std::vector<placement::outdated_engine> outdated_engines() const;
     void acquire_lease(core::time_point now);
+    void write_lease(const placement::duty_write& request);
+    void give_lease_back(bool has_orders, bool has_successor);
+    void advance_rollout(std::vector<placement::outdated_engine> work, core::time_point now);
     void execute_actions(const std::vector<placement::rollout_action>& actions);
     void request_report(const placement::read_report& request);
     void send_order(const placement::order_weights& order);
@@ -91,7 +105,8 @@
     core::time_point m_last_progress{};
     /// Last order of this instance or effect of one.
     std::optional<core::time_point> m_last_own_order;
-    bool m_stopped = false;
+    row_publisher m_publish;
+    bool m_leaving = false;
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -1236,6 +1236,45 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const sent_order& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    put_field(fields, value.m_engine);
+    put_field(fields, value.m_age);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] sent_order& value)
+{
+    fields.get(value.m_engine);
+    fields.get(value.m_age);
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const duty_release& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(74);
+    fields.push_back(to_fields(value.m_row));
+    nlohmann::json orders = nlohmann::json::array();
+    for (const sent_order& item : value.m_orders)
+    {
+        orders.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(orders));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] duty_release& value)
+{
+    from_fields(field_reader(fields.next(), 0), value.m_row);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_orders.emplace_back());
+    }
+    fields.expect_end();
+}
+
 [[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const version_assignment& value)
 {
     nlohmann::json fields = nlohmann::json::array();
@@ -1418,6 +1457,8 @@
         return read_message<member_entry>(fields);
     case 66:
         return read_message<duty_entry>(fields);
+    case 74:
+        return read_message<duty_release>(fields);
     case 69:
         return read_message<version_plan_entry>(fields);
     case 70:
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -130,6 +130,12 @@
 /// Holder of a duty.
 using duty_row = placement::duty_row;
 
+/// Order that the holder of a duty sent to an engine.
+using sent_order = placement::sent_order;
+
+/// Row of a duty that its holder has given back.
+using duty_release = placement::duty_release;
+
 /// First message on a link: names the sender.
 struct hello
 {
@@ -343,7 +349,7 @@
                  part_quarantine_notice, part_quarantine_entry, request_quarantine_entry,
                  request_suspension_entry, instance_pulse, region_digest, part_notice,
                  weights_notice, rows_request, packed_rows, rows_answer, rows_news, member_entry,
-                 duty_entry, version_plan_entry, streams_notice>;
+                 duty_entry, duty_release, version_plan_entry, streams_notice>;
 
 /// CBOR bytes of a message.
 std::string encode(const message& value);
--- a/unit_tests/relay/relay_components_test.cpp
+++ b/unit_tests/relay/relay_components_test.cpp
@@ -207,7 +207,7 @@
     {
         const core::time_point now{1h};
         instance_registry registry(member(1, "d1", "r1"));
-        registry.set_own_status({core::incarnation{1}, true, false});
+        registry.set_own_status({core::incarnation{1}, true, false}, now);
         for (std::uint64_t number = 2; number <= 5; ++number)
         {
             registry.apply(member(number, number < 4 ? "d1" : "d2", "r1"));
@@ -222,7 +222,7 @@
     {
         const core::time_point now{1h};
         instance_registry registry(member(1, "d1", "r1"));
-        registry.set_own_status({core::incarnation{1}, true, false});
+        registry.set_own_status({core::incarnation{1}, true, false}, now);
         registry.apply(member(2, "d1", "r1"));
         registry.apply(member(3, "d1", "r1"));
         registry.on_status(core::instance_id{2}, {core::incarnation{1}, true, true}, now);
