--- a/tarragontrail/limits/demand_share.cpp
+++ b/tarragontrail/limits/demand_share.cpp
@@ -36,23 +36,26 @@
 }
 
 void demand_share::set_peers(const std::vector<core::instance_id>& peers,
-                             const std::vector<core::instance_id>& regions, core::time_point now)
+                             const std::vector<core::instance_id>& groups, std::size_t fleet_size,
+                             core::time_point now)
 {
+    m_fleet_size = fleet_size;
+    m_group_count = groups.size() + 1;
     std::map<core::instance_id, peer> named;
-    const auto keep = [&](core::instance_id id, bool is_region) {
+    const auto keep = [&](core::instance_id id, bool is_group) {
         if (id == m_self)
         {
             return;
         }
         const auto known = m_peers.find(id);
         named[id] =
-            known != m_peers.end() ? std::move(known->second) : peer{now, false, is_region, {}};
+            known != m_peers.end() ? std::move(known->second) : peer{now, false, is_group, {}};
     };
     for (const core::instance_id id : peers)
     {
         keep(id, false);
     }
-    for (const core::instance_id id : regions)
+    for (const core::instance_id id : groups)
     {
         keep(id, true);
     }
@@ -80,11 +83,31 @@
     const bool is_first_report = !known->second.m_has_reported;
     known->second.m_last_received = now;
     known->second.m_has_reported = true;
+    apply_reports(known->second, demands, is_first_report);
+}
+
+void demand_share::on_peer_demand_changes(core::instance_id id,
+                                          const std::vector<workspace_demand>& demands,
+                                          core::time_point now)
+{
+    const auto known = m_peers.find(id);
+    if (known == m_peers.end() || !known->second.m_has_reported)
+    {
+        return;
+    }
+    known->second.m_last_received = now;
+    apply_reports(known->second, demands, false);
+}
+
+/// What a peer had taken before its first report is not taken from the pool again.
+void demand_share::apply_reports(peer& from, const std::vector<workspace_demand>& demands,
+                                 bool is_first)
+{
     for (const workspace_demand& reported : demands)
     {
-        peer_report& report = known->second.m_reports[reported.m_workspace];
+        peer_report& report = from.m_reports[reported.m_workspace];
         const auto state = m_accounts.find(reported.m_workspace);
-        if (state != m_accounts.end() && !is_first_report && reported.m_taken > report.m_taken)
+        if (state != m_accounts.end() && !is_first && reported.m_taken > report.m_taken)
         {
             state->second.m_pool -= reported.m_taken - report.m_taken;
         }
@@ -167,42 +190,66 @@
     return reported;
 }
 
-bool demand_share::is_demand_report_due() const
+std::vector<workspace_demand> demand_share::due_demands(core::time_point now)
 {
-    const auto instances = static_cast<double>(m_peers.size() + 1);
-    return std::any_of(m_accounts.begin(), m_accounts.end(), [&](const auto& entry) {
-        const account& state = entry.second;
-        return state.m_limit.m_rate > 0 &&
-               state.m_taken - state.m_taken_reported >
-                   state.m_limit.m_burst * m_settings.m_report_threshold / instances;
-    });
+    std::vector<workspace_demand> due;
+    for (auto& [workspace, state] : m_accounts)
+    {
+        const double threshold = state.m_limit.m_burst * m_settings.m_report_threshold /
+                                 static_cast<double>(m_fleet_size);
+        if (state.m_limit.m_rate <= 0 || state.m_taken - state.m_taken_reported <= threshold)
+        {
+            continue;
+        }
+        refill(workspace, state, now);
+        state.m_taken_reported = state.m_taken;
+        const limit_fractions fractions = compute_fractions(workspace, state, now);
+        due.push_back(
+            {workspace, state.m_demand, state.m_taken, fractions.m_own, fractions.m_reserved});
+    }
+    return due;
 }
 
-bool demand_share::is_region_demand_report_due() const
+std::vector<core::workspace_id> demand_share::due_in_group() const
 {
-    return std::any_of(m_accounts.begin(), m_accounts.end(), [&](const auto& entry) {
-        const account& state = entry.second;
-        return state.m_limit.m_rate > 0 &&
-               taken_in_region(entry.first, state) - state.m_region_taken_reported >
-                   state.m_limit.m_burst * m_settings.m_region_report_threshold;
-    });
+    std::vector<core::workspace_id> due;
+    for (const auto& [workspace, state] : m_accounts)
+    {
+        const double threshold = state.m_limit.m_burst * m_settings.m_group_report_threshold /
+                                 static_cast<double>(m_group_count);
+        if (state.m_limit.m_rate > 0 &&
+            taken_in_group(workspace, state) - state.m_group_taken_reported > threshold)
+        {
+            due.push_back(workspace);
+        }
+    }
+    return due;
 }
 
-void demand_share::mark_region_demands_reported()
+void demand_share::mark_group_reported()
 {
     for (auto& [workspace, state] : m_accounts)
     {
-        state.m_region_taken_reported = taken_in_region(workspace, state);
+        state.m_group_taken_reported = taken_in_group(workspace, state);
+    }
+}
+
+void demand_share::mark_group_reported(core::workspace_id workspace)
+{
+    const auto found = m_accounts.find(workspace);
+    if (found != m_accounts.end())
+    {
+        found->second.m_group_taken_reported = taken_in_group(workspace, found->second);
     }
 }
 
-double demand_share::taken_in_region(core::workspace_id workspace, const account& state) const
+double demand_share::taken_in_group(core::workspace_id workspace, const account& state) const
 {
     double taken = state.m_taken;
     for (const auto& [id, other] : m_peers)
     {
         const auto report = other.m_reports.find(workspace);
-        taken += !other.m_is_region && report != other.m_reports.end() ? report->second.m_taken : 0;
+        taken += !other.m_is_group && report != other.m_reports.end() ? report->second.m_taken : 0;
     }
     return taken;
 }
@@ -220,7 +267,7 @@
     // Silent peers keep their last reported fraction; the others split the rest by demand.
     const double even = 1.0 / static_cast<double>(m_peers.size() + 1);
     double reserved = 0;
-    double reserved_in_region = 0;
+    double reserved_in_group = 0;
     double active_demand = 0;
     double active_count = 1;
     for (const auto& [id, other] : m_peers)
@@ -230,7 +277,7 @@
         if (other.m_has_reported && now - other.m_last_received <= m_settings.m_peer_timeout)
         {
             active_demand += has_report ? report->second.m_demand : 0;
-            reserved += other.m_is_region && has_report ? report->second.m_reserved : 0;
+            reserved += other.m_is_group && has_report ? report->second.m_reserved : 0;
             active_count += 1;
             continue;
         }
@@ -238,7 +285,7 @@
         {
             const double reserved_fraction = has_report ? report->second.m_share : even;
             reserved += reserved_fraction;
-            reserved_in_region += other.m_is_region ? 0 : reserved_fraction;
+            reserved_in_group += other.m_is_group ? 0 : reserved_fraction;
         }
     }
     const double free = std::max(0.0, 1.0 - reserved);
@@ -246,7 +293,7 @@
     const double share = free * (state.m_demand + floor) /
                          (state.m_demand + active_demand + floor * active_count + 1e-9);
     TARRAGONTRAIL_INVARIANT(share >= 0 && share <= 1.0 + 1e-6, "share_is_part_of_whole");
-    return {free, share, reserved_in_region};
+    return {free, share, reserved_in_group};
 }
 
 void demand_share::refill(core::workspace_id workspace, account& state, core::time_point now)
--- a/tarragontrail/limits/demand_share.hpp
+++ b/tarragontrail/limits/demand_share.hpp
@@ -29,8 +29,9 @@
                                        ///< instances keep to their own fractions.
     double m_report_threshold = 0.5; ///< Units taken since the last report that make a report due,
                                      ///< as a fraction of an even split of the burst.
-    /// Like m_report_threshold for a whole region, as a fraction of the whole burst.
-    double m_region_report_threshold = 0.125;
+    /// Like m_report_threshold for a whole group, as a fraction of an even split of the burst over
+    /// the groups.
+    double m_group_report_threshold = 0.25;
 };
 
 /// Fleet-wide rate and burst of one workspace, in units.
@@ -49,7 +50,7 @@
     double m_demand = 0; ///< Units requested per second, including refused ones.
     double m_taken = 0;  ///< Units taken since the instance started.
     double m_share = 0;  ///< Fraction of the fleet's limit that the instance uses, from 0 to 1.
-    /// Fraction that stays reserved for silent instances of its region, from 0 to 1.
+    /// Fraction that stays reserved for silent instances of its group, from 0 to 1.
     double m_reserved = 0;
 };
 
@@ -72,9 +73,11 @@
     /// Sets the peers that the limits are split among; the fraction of a peer that is no longer
     /// listed is freed.
     ///
-    /// `regions` identify other regions; each reports the sums over its instances.
+    /// `groups` identify other groups of instances; each reports the sums over its own.
+    /// `fleet_size` is the number of all instances.
     void set_peers(const std::vector<core::instance_id>& peers,
-                   const std::vector<core::instance_id>& regions, core::time_point now);
+                   const std::vector<core::instance_id>& groups, std::size_t fleet_size,
+                   core::time_point now);
 
     /// Discards the state of a peer that has restarted.
     void on_peer_restarted(core::instance_id peer, core::time_point now);
@@ -83,6 +86,10 @@
     void on_peer_demands(core::instance_id peer, const std::vector<workspace_demand>& demands,
                          core::time_point now);
 
+    /// Applies reports about some workspaces only, of a peer that has reported on all before.
+    void on_peer_demand_changes(core::instance_id peer,
+                                const std::vector<workspace_demand>& demands, core::time_point now);
+
     /// Takes units for a request. Returns nothing on success, else the time to wait before a retry.
     std::optional<core::duration> try_consume(core::workspace_id workspace, double units,
                                               core::time_point now);
@@ -93,16 +100,19 @@
     /// Demand report for the peers; marks the taken units as reported.
     std::vector<workspace_demand> demands(core::time_point now);
 
-    /// Whether the units taken since the last report exceed the report threshold, so that peers
-    /// need a report immediately.
-    bool is_demand_report_due() const;
+    /// Reports about the workspaces whose units taken since the last report exceed the report
+    /// threshold, so that peers need them at once; marks these units as reported.
+    std::vector<workspace_demand> due_demands(core::time_point now);
+
+    /// Workspaces of which this group's instances have taken so much since the last report to other
+    /// groups that these need one at once.
+    std::vector<core::workspace_id> due_in_group() const;
 
-    /// Like is_demand_report_due() for the units that this region's instances have taken since
-    /// mark_region_demands_reported().
-    bool is_region_demand_report_due() const;
+    /// Marks what this group's instances have taken as reported to other groups.
+    void mark_group_reported();
 
-    /// Marks what this region's instances have taken as reported to other regions.
-    void mark_region_demands_reported();
+    /// Same for one workspace.
+    void mark_group_reported(core::workspace_id workspace);
 
     /// Fraction of the fleet's limit that this instance uses, from 0 to 1; 1 for an unknown
     /// workspace.
@@ -118,13 +128,13 @@
         double m_reserved = 0; ///< Fraction that the peer reserves for silent instances.
     };
 
-    /// Another instance of the region, or another region.
+    /// Another instance of the group, or another group.
     struct peer
     {
         /// Time of its last report, or of its listing before the first one.
         core::time_point m_last_received{};
         bool m_has_reported = false; ///< At least one report was received.
-        bool m_is_region = false;    ///< Reports the sums over a region.
+        bool m_is_group = false;     ///< Reports the sums over a group.
         std::unordered_map<core::workspace_id, peer_report> m_reports; ///< By workspace.
     };
 
@@ -136,8 +146,8 @@
         double m_balance = 0; ///< Balance of this instance's fraction, in units; may be negative.
         double m_taken = 0;   ///< Units taken since process start.
         double m_taken_reported = 0; ///< Value of m_taken in the last report to peers.
-        /// taken_in_region() at the last report to other regions.
-        double m_region_taken_reported = 0;
+        /// taken_in_group() at the last report to other groups.
+        double m_group_taken_reported = 0;
         double m_demand = 0; ///< Units requested per second, decayed up to m_refilled_at.
         core::time_point m_refilled_at{};
         bool m_is_initialized = false; ///< The initial fill was added.
@@ -148,20 +158,23 @@
     {
         double m_reachable = 1; ///< Fraction of this instance and the peers that are not silent.
         double m_own = 1;       ///< Fraction of this instance.
-        double m_reserved = 0;  ///< Fraction reserved for this region's silent instances.
+        double m_reserved = 0;  ///< Fraction reserved for this group's silent instances.
     };
 
     limit_fractions compute_fractions(core::workspace_id workspace, const account& state,
                                       core::time_point now) const;
     void refill(core::workspace_id workspace, account& state, core::time_point now);
 
-    double taken_in_region(core::workspace_id workspace, const account& state) const;
+    double taken_in_group(core::workspace_id workspace, const account& state) const;
+    void apply_reports(peer& from, const std::vector<workspace_demand>& demands, bool is_first);
 
     core::instance_id m_self;
     demand_share_settings m_settings;
     core::seeded_random m_random; ///< Decides whether a partial balance admits a larger request.
-    std::map<core::instance_id, peer> m_peers;                  ///< Other instances and regions.
+    std::map<core::instance_id, peer> m_peers;                  ///< Other instances and groups.
     std::unordered_map<core::workspace_id, account> m_accounts; ///< By workspace.
+    std::size_t m_fleet_size = 1;                               ///< This instance included.
+    std::size_t m_group_count = 1;                              ///< This group included.
 };
 
 } // namespace tarragontrail::limits
--- a/tarragontrail/net/peer_link.cpp
+++ b/tarragontrail/net/peer_link.cpp
@@ -39,7 +39,7 @@
     read();
 }
 
-bool peer_link::send(const wire::message& message)
+bool peer_link::send(const encoded_message& message)
 {
     if (m_listener == nullptr || m_queue.size() >= m_settings.m_queue_limit ||
         m_backlog.size() >= m_settings.m_backlog_limit_bytes)
@@ -47,7 +47,10 @@
         return false;
     }
     m_last_used = core::runtime_clock::now();
-    m_queue.push_back(wire::encode(message));
+    m_queue.push_back(message.m_bytes);
+    message_traffic& counted = m_traffic->m_sent_by_type[message.m_type];
+    ++counted.m_messages;
+    counted.m_bytes += message.m_bytes->size();
     flush();
     return true;
 }
@@ -137,9 +140,9 @@
             m_codec.send(wire::encode(m_own_name));
             ++m_traffic->m_messages_sent;
         }
-        for (const std::string& bytes : m_queue)
+        for (const auto& bytes : m_queue)
         {
-            m_codec.send(bytes);
+            m_codec.send(*bytes);
             ++m_traffic->m_messages_sent;
         }
         m_queue.clear();
--- a/tarragontrail/net/peer_link.hpp
+++ b/tarragontrail/net/peer_link.hpp
@@ -44,6 +44,30 @@
     virtual void on_link_closed(peer_link& link) = 0;
 };
 
+/// Message that is encoded once for all links that carry it.
+struct encoded_message
+{
+    explicit encoded_message(const wire::message& message)
+        : m_type(message.index()),
+          m_bytes(std::make_shared<const std::string>(wire::encode(message)))
+    {}
+
+    /// A message of a type that is encoded already.
+    encoded_message(std::size_t type, std::string bytes)
+        : m_type(type), m_bytes(std::make_shared<const std::string>(std::move(bytes)))
+    {}
+
+    std::size_t m_type; ///< Index of the message's type.
+    std::shared_ptr<const std::string> m_bytes;
+};
+
+/// What links have carried of one type of message.
+struct message_traffic
+{
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0; ///< Without frames.
+};
+
 /// Bytes and messages that one or more links have carried.
 struct peer_traffic
 {
@@ -51,6 +75,8 @@
     std::uint64_t m_messages_received = 0; ///< Messages read.
     std::uint64_t m_bytes_sent = 0;        ///< Bytes written, frames included.
     std::uint64_t m_bytes_received = 0;    ///< Bytes read, frames included.
+    /// Messages queued, by the index of their type.
+    std::array<message_traffic, wire::message_type_count> m_sent_by_type{};
 };
 
 /// One websocket connection to another entry instance.
@@ -69,7 +95,7 @@
     void serve();
 
     /// Queues a message; returns false when the link is closed or a bound is reached.
-    bool send(const wire::message& message);
+    bool send(const encoded_message& message);
 
     /// Closes without further events.
     void abandon();
@@ -86,23 +112,23 @@
     void check();
     void close();
 
-    tcp::socket m_socket;             ///< Connection.
-    wire::websocket_codec m_codec;    ///< Frames on the connection.
-    wire::hello m_own_name;           ///< First message sent.
-    peer_link_settings m_settings;    ///< Bounds and deadlines.
-    peer_link_listener* m_listener;   ///< Told of events; null once closed.
-    peer_traffic* m_traffic;          ///< Counts of all links.
-    timer m_timer;                    ///< Next check.
-    std::deque<std::string> m_queue;  ///< Messages waiting for the handshake.
-    std::string m_in_flight;          ///< Bytes being written.
-    std::string m_backlog;            ///< Bytes to write next.
-    std::array<char, 8192> m_input{}; ///< Room for one read.
-    core::instance_id m_peer{};       ///< Zero until the peer has named itself.
-    core::time_point m_opened;        ///< Start of the link.
-    core::time_point m_last_heard;    ///< Last bytes read.
-    core::time_point m_last_used;     ///< Last message other than the link's own.
-    bool m_introduced = false;        ///< Own name is sent.
-    bool m_writing = false;           ///< A write is pending.
+    tcp::socket m_socket;                                   ///< Connection.
+    wire::websocket_codec m_codec;                          ///< Frames on the connection.
+    wire::hello m_own_name;                                 ///< First message sent.
+    peer_link_settings m_settings;                          ///< Bounds and deadlines.
+    peer_link_listener* m_listener;                         ///< Told of events; null once closed.
+    peer_traffic* m_traffic;                                ///< Counts of all links.
+    timer m_timer;                                          ///< Next check.
+    std::deque<std::shared_ptr<const std::string>> m_queue; ///< Messages waiting for the handshake.
+    std::string m_in_flight;                                ///< Bytes being written.
+    std::string m_backlog;                                  ///< Bytes to write next.
+    std::array<char, 8192> m_input{};                       ///< Room for one read.
+    core::instance_id m_peer{};    ///< Zero until the peer has named itself.
+    core::time_point m_opened;     ///< Start of the link.
+    core::time_point m_last_heard; ///< Last bytes read.
+    core::time_point m_last_used;  ///< Last message other than the link's own.
+    bool m_introduced = false;     ///< Own name is sent.
+    bool m_writing = false;        ///< A write is pending.
 };
 
 } // namespace tarragontrail::net
--- a/tarragontrail/net/peer_network.cpp
+++ b/tarragontrail/net/peer_network.cpp
@@ -48,7 +48,7 @@
     m_peers = std::move(known);
 }
 
-bool peer_network::send(core::instance_id peer, const wire::message& message)
+bool peer_network::send(core::instance_id peer, const encoded_message& message)
 {
     const auto route = m_routes.find(peer);
     if (route != m_routes.end())
--- a/tarragontrail/net/peer_network.hpp
+++ b/tarragontrail/net/peer_network.hpp
@@ -41,7 +41,11 @@
     void set_peers(const std::vector<peer_address>& peers);
 
     /// Queues a message; returns false when the peer is unknown or its link is full.
-    bool send(core::instance_id peer, const wire::message& message);
+    bool send(core::instance_id peer, const encoded_message& message);
+    bool send(core::instance_id peer, const wire::message& message)
+    {
+        return send(peer, encoded_message(message));
+    }
 
     /// Counts over all links since the start.
     const peer_traffic& traffic() const noexcept { return m_traffic; }
--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -3,6 +3,7 @@
 #include "tarragontrail/observe/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragontrail::relay {
 namespace {
@@ -28,7 +29,8 @@
       m_listener(listener),
       m_network(context, endpoint, wire::hello{self.m_instance, self.m_started}, link_settings(),
                 *this),
-      m_heartbeat_timer(context), m_urgent_timer(context), m_digest_timer(context)
+      m_heartbeat_timer(context), m_urgent_timer(context), m_digest_timer(context),
+      m_cells(self.m_instance)
 {}
 
 void fleet_exchange::start()
@@ -40,15 +42,13 @@
 
 void fleet_exchange::broadcast_heartbeat()
 {
-    send_to_region(make_heartbeat(core::runtime_clock::now()));
+    const core::time_point now = core::runtime_clock::now();
+    send_to_cell(net::encoded_message(make_heartbeat(now)));
 }
 
 void fleet_exchange::update_members()
 {
     std::vector<net::peer_address> addresses;
-    std::vector<core::instance_id> region_peers;
-    std::vector<core::instance_id> region_ids;
-    m_regions.clear();
     for (const auto& [instance, member] : m_registry.members())
     {
         if (instance == m_self.m_instance)
@@ -62,76 +62,140 @@
         catch (const net::address_error& failure)
         {
             observe::log("member_refused", {{"reason", failure.what()}});
-            continue;
-        }
-        if (member.m_region == m_self.m_region)
-        {
-            region_peers.push_back(instance);
-        }
-        else if (m_regions.insert(member.m_region).second)
-        {
-            region_ids.push_back(region_peer_id(member.m_region));
         }
     }
     m_network.set_peers(addresses);
-    m_state.m_limits.set_peers(region_peers, region_ids, core::runtime_clock::now());
-    m_region_size = region_peers.size() + 1;
-    std::erase_if(m_last_heartbeats, [this](const auto& entry) {
-        return !m_registry.members().contains(entry.first);
-    });
-    observe::log("members", {{"count", addresses.size() + 1}, {"region", m_region_size}});
+    m_cells.set_members(m_registry.members());
+    std::vector<core::instance_id> cell_ids;
+    for (const auto& [name, cell] : m_cells.others())
+    {
+        cell_ids.push_back(cell_peer_id(name));
+    }
+    m_state.m_limits.set_peers(m_cells.own().m_members, cell_ids, m_registry.members().size(),
+                               core::runtime_clock::now());
+    std::erase_if(m_last_heartbeats,
+                  [this](const auto& entry) { return !m_cells.is_in_own(entry.first); });
+    observe::log("members", {{"count", addresses.size() + 1},
+                             {"cell", m_cells.own().m_name},
+                             {"cell_size", m_cells.own().m_members.size()},
+                             {"cells", m_cells.others().size() + 1}});
 }
 
-void fleet_exchange::send_to_region(const wire::message& message)
+void fleet_exchange::send_to_cell(const net::encoded_message& message)
 {
-    for (const auto& [instance, member] : m_registry.members())
+    for (const core::instance_id instance : m_cells.own().m_members)
     {
-        if (instance != m_self.m_instance && member.m_region == m_self.m_region)
+        if (instance != m_self.m_instance)
         {
             send(instance, message);
         }
     }
 }
 
-void fleet_exchange::send_to_fleet(const wire::message& message)
+void fleet_exchange::send_to_other_cells(const net::encoded_message& message,
+                                         const std::string* region)
 {
-    send_to_region(message);
+    if (m_cells.others().empty())
+    {
+        return;
+    }
     const core::time_point now = core::runtime_clock::now();
-    for (const std::string& region : m_regions)
+    const net::encoded_message relayed(wire::cell_relay{*message.m_bytes});
+    for (const auto& [name, cell] : m_cells.others())
     {
-        if (const auto receiver = receiving_instance_of(region, now))
+        if (region != nullptr && cell.m_region != *region)
         {
-            send(*receiver, message);
+            continue;
         }
+        send(receiver_in(cell, now), relayed);
     }
 }
 
+void fleet_exchange::send_to_region(const wire::message& message)
+{
+    const net::encoded_message encoded(message);
+    send_to_cell(encoded);
+    send_to_other_cells(encoded, &m_self.m_region);
+}
+
+void fleet_exchange::send_to_fleet(const wire::message& message)
+{
+    const net::encoded_message encoded(message);
+    send_to_cell(encoded);
+    send_to_other_cells(encoded, nullptr);
+}
+
 void fleet_exchange::send_to(core::instance_id peer, const wire::message& message)
 {
-    send(peer, message);
+    send(peer, net::encoded_message(message));
+}
+
+bool fleet_exchange::collects_notices() const
+{
+    return m_cells.others().size() > m_settings.m_max_direct_cells;
+}
+
+void fleet_exchange::announce_part(const wire::part_notice& notice)
+{
+    const net::encoded_message encoded(wire::part_notices{{}, {notice}});
+    send_to_cell(encoded);
+    if (!collects_notices())
+    {
+        send_to_other_cells(encoded, nullptr);
+        return;
+    }
+    if (is_speaker(core::runtime_clock::now()))
+    {
+        m_collected_notices.push_back(notice);
+    }
 }
 
 void fleet_exchange::on_peer_message(core::instance_id from, const wire::message& message)
 {
-    if (const auto* heartbeat = std::get_if<wire::instance_pulse>(&message))
+    if (const auto* relay = std::get_if<wire::cell_relay>(&message))
     {
-        on_heartbeat(from, *heartbeat);
+        on_relay(from, *relay);
+        return;
+    }
+    handle(from, message);
+}
+
+/// The message has come to this cell once and is passed on to the others of the cell from here.
+void fleet_exchange::on_relay(core::instance_id from, const wire::cell_relay& relay)
+{
+    const wire::message message = wire::decode(relay.m_message);
+    if (std::holds_alternative<wire::cell_relay>(message))
+    {
+        observe::log("relay_refused",
+                     {{"peer", core::value_of(from)}, {"reason", "the message is wrapped twice"}});
         return;
     }
-    const bool is_reply = std::holds_alternative<wire::rows_request>(message) ||
-                          std::holds_alternative<wire::rows_answer>(message);
-    if (is_other_region(from) && !is_reply)
+    send_to_cell(net::encoded_message(message.index(), relay.m_message));
+    handle(from, message);
+}
+
+void fleet_exchange::handle(core::instance_id from, const wire::message& message)
+{
+    if (const auto* heartbeat = std::get_if<wire::instance_pulse>(&message))
     {
-        // It crossed the link between the regions once; it is forwarded within this region from
-        // here.
-        send_to_region(message);
+        on_heartbeat(from, *heartbeat);
     }
-    if (const auto* digest = std::get_if<wire::region_digest>(&message))
+    else if (const auto* digest = std::get_if<wire::cell_digest>(&message))
     {
         on_digest(from, *digest);
-        return;
     }
-    m_listener.on_message(from, message);
+    else if (const auto* changes = std::get_if<wire::cell_demands>(&message))
+    {
+        on_demands(from, *changes);
+    }
+    else if (const auto* notices = std::get_if<wire::part_notices>(&message))
+    {
+        on_part_notices(from, *notices);
+    }
+    else
+    {
+        m_listener.on_message(from, message);
+    }
 }
 
 void fleet_exchange::on_heartbeat(core::instance_id from, const wire::instance_pulse& heartbeat)
@@ -142,23 +206,21 @@
     apply_state(state, now);
     m_state.m_limits.on_peer_demands(from, heartbeat.m_demands, now);
     apply_loads(from, heartbeat.m_loads, now);
-    for (const wire::upstream_pulse& report : heartbeat.m_loads)
+    apply_outcomes(heartbeat.m_loads, now);
+    apply_limits(heartbeat.m_limits);
+    if (m_cells.is_in_own(from))
     {
-        if (const auto target = m_state.m_upstreams.find(report.m_upstream))
-        {
-            target->m_health.on_peer_outcomes(report.m_served, report.m_failed, now);
-        }
+        count_outcomes(heartbeat.m_loads);
+        m_last_heartbeats[from] = heartbeat;
     }
-    apply_limits(heartbeat.m_limits);
-    m_last_heartbeats[from] = heartbeat;
     m_listener.on_order_age(heartbeat.m_since_order, now);
     m_listener.on_versions(from, heartbeat.m_versions, now);
 }
 
-void fleet_exchange::on_digest(core::instance_id from, const wire::region_digest& digest)
+void fleet_exchange::on_digest(core::instance_id from, const wire::cell_digest& digest)
 {
     const core::time_point now = core::runtime_clock::now();
-    if (digest.m_region == m_self.m_region)
+    if (digest.m_cell == m_cells.own().m_name)
     {
         return;
     }
@@ -166,14 +228,64 @@
     {
         apply_state(state, now);
     }
-    const core::instance_id region = region_peer_id(digest.m_region);
-    m_state.m_limits.on_peer_demands(region, digest.m_demands, now);
-    apply_loads(region, digest.m_loads, now);
+    const core::instance_id cell = cell_peer_id(digest.m_cell);
+    m_state.m_limits.on_peer_demands(cell, digest.m_demands, now);
+    apply_loads(cell, digest.m_loads, now);
+    const auto known = m_cells.others().find(digest.m_cell);
+    if (known != m_cells.others().end() && known->second.m_region == m_self.m_region)
+    {
+        apply_outcomes(digest.m_loads, now);
+    }
     apply_limits(digest.m_limits);
     m_listener.on_order_age(digest.m_since_order, now);
     m_listener.on_versions(from, digest.m_versions, now);
 }
 
+void fleet_exchange::on_demands(core::instance_id from, const wire::cell_demands& changes)
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (!changes.m_cell.empty())
+    {
+        m_state.m_limits.on_peer_demand_changes(cell_peer_id(changes.m_cell), changes.m_demands,
+                                                now);
+        return;
+    }
+    m_state.m_limits.on_peer_demand_changes(from, changes.m_demands, now);
+    const auto known = m_last_heartbeats.find(from);
+    if (known == m_last_heartbeats.end())
+    {
+        return;
+    }
+    for (const wire::workspace_demand& change : changes.m_demands)
+    {
+        for (wire::workspace_demand& last : known->second.m_demands)
+        {
+            if (last.m_workspace == change.m_workspace)
+            {
+                last = change;
+            }
+        }
+    }
+}
+
+void fleet_exchange::on_part_notices(core::instance_id from, const wire::part_notices& notices)
+{
+    const core::instance_id sender = notices.m_cell.empty() ? from : cell_peer_id(notices.m_cell);
+    for (const wire::part_notice& notice : notices.m_notices)
+    {
+        m_listener.on_part_notice(sender, notice);
+    }
+    if (!notices.m_cell.empty() || !collects_notices() || !m_cells.is_in_own(from) ||
+        !is_speaker(core::runtime_clock::now()))
+    {
+        return;
+    }
+    const std::size_t room = m_settings.m_max_collected_notices - m_collected_notices.size();
+    const std::size_t taken = std::min(room, notices.m_notices.size());
+    m_collected_notices.insert(m_collected_notices.end(), notices.m_notices.begin(),
+                               notices.m_notices.begin() + static_cast<std::ptrdiff_t>(taken));
+}
+
 void fleet_exchange::apply_state(const wire::member_state& state, core::time_point now)
 {
     const instance_status status{state.m_started, state.m_ready, state.m_leaving,
@@ -199,6 +311,18 @@
     }
 }
 
+void fleet_exchange::apply_outcomes(const std::vector<wire::upstream_pulse>& loads,
+                                    core::time_point now)
+{
+    for (const wire::upstream_pulse& report : loads)
+    {
+        if (const auto target = m_state.m_upstreams.find(report.m_upstream))
+        {
+            target->m_health.on_peer_outcomes(report.m_served, report.m_failed, now);
+        }
+    }
+}
+
 /// Upstreams tell a limit to whoever they answer; the newest one holds for all instances.
 void fleet_exchange::apply_limits(const std::vector<wire::upstream_limit>& limits)
 {
@@ -216,7 +340,7 @@
     }
 }
 
-void fleet_exchange::send(core::instance_id peer, const wire::message& message)
+void fleet_exchange::send(core::instance_id peer, const net::encoded_message& message)
 {
     if (!m_network.send(peer, message))
     {
@@ -243,99 +367,155 @@
     m_unsent_by_peer.clear();
 }
 
-void fleet_exchange::send_digests()
+/// Logs and counts what the links have carried since the start, by type of message.
+void fleet_exchange::report_traffic(core::time_point now)
 {
-    const core::time_point now = core::runtime_clock::now();
-    if (m_regions.empty() || m_registry.gateway_of(m_self.m_region, now) != m_self.m_instance)
+    if (now < m_last_traffic_report + m_settings.m_traffic_report_interval)
     {
         return;
     }
-    m_state.m_limits.mark_region_demands_reported();
-    const wire::region_digest digest = make_digest(now);
-    for (const std::string& region : m_regions)
+    m_last_traffic_report = now;
+    const net::peer_traffic& traffic = m_network.traffic();
+    for (std::size_t type = 0; type < traffic.m_sent_by_type.size(); ++type)
     {
-        if (const auto receiver = receiving_instance_of(region, now))
+        const net::message_traffic& sent = traffic.m_sent_by_type[type];
+        if (sent.m_messages == 0)
         {
-            send(*receiver, digest);
+            continue;
         }
+        const std::string name = wire::message_type_name(type);
+        observe::log("peer_traffic",
+                     {{"type", name}, {"messages", sent.m_messages}, {"bytes", sent.m_bytes}});
+        m_state.m_metrics.set_control("peer_messages_sent_" + name,
+                                      static_cast<double>(sent.m_messages));
+        m_state.m_metrics.set_control("peer_bytes_sent_" + name, static_cast<double>(sent.m_bytes));
     }
 }
 
+bool fleet_exchange::is_speaker(core::time_point now) const
+{
+    return m_cells.speaker([this, now](core::instance_id instance) {
+        return m_registry.is_alive(instance, now);
+    }) == m_self.m_instance;
+}
+
+void fleet_exchange::send_digests()
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (m_cells.others().empty() || !is_speaker(now))
+    {
+        m_cell_outcomes.clear();
+        return;
+    }
+    m_state.m_limits.mark_group_reported();
+    send_to_other_cells(net::encoded_message(make_digest(now)), nullptr);
+}
+
+/// A burst can use up a workspace's limit faster than regular heartbeats report it.
+void fleet_exchange::send_urgent_demands(core::time_point now)
+{
+    const auto due = m_state.m_limits.due_demands(now);
+    if (!due.empty())
+    {
+        send_to_cell(net::encoded_message(wire::cell_demands{{}, due}));
+    }
+}
+
+/// Same for the sums over this cell.
+void fleet_exchange::send_cell_demands(core::time_point now)
+{
+    const auto interval = scaled_by_cells(m_settings.m_cell_demands_interval_per_cell);
+    if (m_cells.others().empty() || now - m_last_cell_demands_check < interval || !is_speaker(now))
+    {
+        return;
+    }
+    m_last_cell_demands_check = now;
+    const std::vector<core::workspace_id> due = m_state.m_limits.due_in_group();
+    if (due.empty())
+    {
+        return;
+    }
+    for (const core::workspace_id workspace : due)
+    {
+        m_state.m_limits.mark_group_reported(workspace);
+    }
+    send_to_other_cells(net::encoded_message(make_cell_demands(due, now)), nullptr);
+}
+
+void fleet_exchange::send_collected_notices(core::time_point now)
+{
+    const auto interval = scaled_by_cells(m_settings.m_notice_interval_per_cell);
+    if (m_collected_notices.empty() || now - m_last_notices < interval)
+    {
+        return;
+    }
+    m_last_notices = now;
+    const wire::part_notices notices{m_cells.own().m_name, std::exchange(m_collected_notices, {})};
+    send_to_other_cells(net::encoded_message(notices), nullptr);
+}
+
+std::chrono::milliseconds fleet_exchange::scaled_by_cells(std::chrono::milliseconds per_cell) const
+{
+    return per_cell * static_cast<std::int64_t>(m_cells.others().size() + 1);
+}
+
+std::chrono::milliseconds fleet_exchange::digest_interval() const
+{
+    return std::clamp(scaled_by_cells(m_settings.m_digest_interval_per_cell),
+                      m_settings.m_min_digest_interval, m_settings.m_max_digest_interval);
+}
+
 void fleet_exchange::schedule_heartbeat()
 {
+    const std::size_t size = std::max<std::size_t>(m_cells.own().m_members.size(), 1);
     const auto interval = std::clamp<std::chrono::milliseconds>(
-        m_settings.m_heartbeat_interval_per_instance * static_cast<std::int64_t>(m_region_size),
+        m_settings.m_heartbeat_interval_per_instance * static_cast<std::int64_t>(size),
         m_settings.m_min_heartbeat_interval, m_settings.m_max_heartbeat_interval);
     const auto timeout = std::max<std::chrono::milliseconds>(
         m_settings.m_min_peer_timeout,
         interval * static_cast<std::int64_t>(m_settings.m_missed_heartbeats));
     m_registry.set_peer_timeout(
-        std::max(timeout, m_regions.empty() ? timeout : m_settings.m_digest_interval * 3));
+        std::max(timeout, m_cells.others().empty() ? timeout : digest_interval() * 3));
     m_heartbeat_timer.run_after(interval, [this] {
+        const core::time_point now = core::runtime_clock::now();
         broadcast_heartbeat();
-        report_unsent(core::runtime_clock::now());
+        report_unsent(now);
+        report_traffic(now);
         schedule_heartbeat();
     });
 }
 
-/// Sends reports early: a burst can use up a workspace's limit faster than regular heartbeats
-/// report it.
 void fleet_exchange::schedule_urgent()
 {
     m_urgent_timer.run_after(m_settings.m_urgent_check_interval, [this] {
-        if (m_state.m_limits.is_demand_report_due())
-        {
-            broadcast_heartbeat();
-        }
-        if (m_state.m_limits.is_region_demand_report_due())
-        {
-            send_digests();
-        }
+        const core::time_point now = core::runtime_clock::now();
+        send_urgent_demands(now);
+        send_cell_demands(now);
+        send_collected_notices(now);
         schedule_urgent();
     });
 }
 
 void fleet_exchange::schedule_digest()
 {
-    m_digest_timer.run_after(m_settings.m_digest_interval, [this] {
+    m_digest_timer.run_after(digest_interval(), [this] {
         send_digests();
         schedule_digest();
     });
 }
 
-bool fleet_exchange::is_other_region(core::instance_id instance) const
+/// A random instance of the cell while none is known to be alive.
+core::instance_id fleet_exchange::receiver_in(const exchange_cell& cell, core::time_point now)
 {
-    const auto member = m_registry.members().find(instance);
-    return member != m_registry.members().end() && member->second.m_region != m_self.m_region;
-}
-
-/// Instance of another region that receives messages for it: its gateway, or a random member while
-/// none is known to be alive.
-std::optional<core::instance_id> fleet_exchange::receiving_instance_of(const std::string& region,
-                                                                       core::time_point now)
-{
-    if (const auto gateway = m_registry.gateway_of(region, now))
-    {
-        return gateway;
-    }
-    std::vector<core::instance_id> members;
-    for (const auto& [instance, member] : m_registry.members())
-    {
-        if (member.m_region == region)
-        {
-            members.push_back(instance);
-        }
-    }
-    if (members.empty())
-    {
-        return std::nullopt;
-    }
-    return members[m_state.m_random.below(members.size())];
+    const auto receiver = m_cells.receiver_in(cell, [this, now](core::instance_id instance) {
+        return m_registry.is_alive(instance, now);
+    });
+    return receiver ? *receiver : cell.m_members[m_state.m_random.below(cell.m_members.size())];
 }
 
-core::instance_id fleet_exchange::region_peer_id(const std::string& region)
+core::instance_id fleet_exchange::cell_peer_id(const std::string& cell)
 {
-    return core::id_of<core::instance_id>("region/" + region);
+    return core::id_of<core::instance_id>("cell/" + cell);
 }
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/fleet_exchange_messages.cpp
+++ b/tarragontrail/relay/fleet_exchange_messages.cpp
@@ -2,10 +2,12 @@
 #include "tarragontrail/core/saturating_sum.hpp"
 #include "tarragontrail/relay/fleet_exchange.hpp"
 
+#include <utility>
+
 namespace tarragontrail::relay {
 namespace {
 
-/// Adds the loads of one instance to the sums of its region.
+/// Adds the loads of one instance to the sums of its cell.
 void add_loads(std::map<core::upstream_id, wire::upstream_pulse>& sums,
                const std::vector<wire::upstream_pulse>& loads)
 {
@@ -19,7 +21,7 @@
     }
 }
 
-/// Adds the demands of one instance to the sums of its region.
+/// Adds the demands of one instance to the sums of its cell.
 void add_demands(std::map<core::workspace_id, wire::workspace_demand>& sums,
                  const std::vector<wire::workspace_demand>& demands)
 {
@@ -84,16 +86,62 @@
         known->m_unreported_successes = 0;
         known->m_unreported_failures = 0;
     }
+    count_outcomes(heartbeat.m_loads);
     return heartbeat;
 }
 
-/// Sums over the instances of this region that send heartbeats; those that leave are named so that
-/// other regions pass over them at once.
-wire::region_digest fleet_exchange::make_digest(core::time_point now)
+/// Digests of the speaker tell other cells of a region what requests of this cell met.
+void fleet_exchange::count_outcomes(const std::vector<wire::upstream_pulse>& loads)
+{
+    if (m_cells.others().empty())
+    {
+        return;
+    }
+    for (const wire::upstream_pulse& report : loads)
+    {
+        outcome_counts& counts = m_cell_outcomes[report.m_upstream];
+        counts.m_served += report.m_served;
+        counts.m_failed += report.m_failed;
+    }
+}
+
+/// Sums over this cell for some workspaces.
+wire::cell_demands
+fleet_exchange::make_cell_demands(const std::vector<core::workspace_id>& workspaces,
+                                  core::time_point now)
+{
+    std::map<core::workspace_id, wire::workspace_demand> sums;
+    const std::vector<wire::workspace_demand> own = m_state.m_limits.demands(now);
+    add_demands(sums, own);
+    for (const wire::workspace_demand& demand : own)
+    {
+        sums[demand.m_workspace].m_reserved = demand.m_reserved;
+    }
+    for (const auto& [instance, heartbeat] : m_last_heartbeats)
+    {
+        if (m_registry.is_present(instance, now))
+        {
+            add_demands(sums, heartbeat.m_demands);
+        }
+    }
+    wire::cell_demands changes{m_cells.own().m_name, {}};
+    for (const core::workspace_id workspace : workspaces)
+    {
+        if (const auto sum = sums.find(workspace); sum != sums.end())
+        {
+            changes.m_demands.push_back(sum->second);
+        }
+    }
+    return changes;
+}
+
+/// Sums over the instances of this cell that send heartbeats; those that leave are named so that
+/// other cells pass over them at once.
+wire::cell_digest fleet_exchange::make_digest(core::time_point now)
 {
     const wire::instance_pulse own = make_base_heartbeat(now);
-    wire::region_digest digest;
-    digest.m_region = m_self.m_region;
+    wire::cell_digest digest;
+    digest.m_cell = m_cells.own().m_name;
     digest.m_versions = own.m_versions;
     digest.m_since_order = own.m_since_order;
     digest.m_limits = own.m_limits;
@@ -128,6 +176,13 @@
                   std::chrono::duration_cast<std::chrono::milliseconds>(load.m_backlog), 0, 0}});
         }
     }
+    for (const auto& [id, counts] : std::exchange(m_cell_outcomes, {}))
+    {
+        wire::upstream_pulse& sum = loads[id];
+        sum.m_upstream = id;
+        sum.m_served = counts.m_served;
+        sum.m_failed = counts.m_failed;
+    }
     digest.m_loads = values_of(loads);
     digest.m_demands = values_of(demands);
     return digest;
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -417,9 +417,8 @@
 
 void fleet_service::announce_part_use(const part_use& use)
 {
-    m_exchange.send_to_fleet(
-        wire::part_notice{use.m_part, use.m_holder, use.m_tokens,
-                          std::chrono::duration_cast<std::chrono::milliseconds>(use.m_work)});
+    m_exchange.announce_part({use.m_part, use.m_holder, use.m_tokens,
+                              std::chrono::duration_cast<std::chrono::milliseconds>(use.m_work)});
 }
 
 void fleet_service::announce_streams(const std::vector<begun_stream>& streams)
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -85,9 +85,9 @@
     void on_versions(core::instance_id peer, const wire::table_versions& versions,
                      core::time_point now) override;
     void on_order_age(core::duration age, core::time_point now) override;
+    void on_part_notice(core::instance_id from, const wire::part_notice& notice) override;
     void on_message(core::instance_id from, const wire::message& message) override;
     void on_weights_notice(const wire::weights_notice& notice);
-    void on_part_notice(core::instance_id from, const wire::part_notice& notice);
     void on_rows_request(core::instance_id from, const wire::rows_request& request);
     void on_rows_answer(const wire::rows_answer& answer);
     void on_rows_news(const wire::rows_news& update);
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -26,11 +26,7 @@
 void fleet_service::on_message(core::instance_id from, const wire::message& message)
 {
     const core::time_point now = core::runtime_clock::now();
-    if (const auto* part = std::get_if<wire::part_notice>(&message))
-    {
-        on_part_notice(from, *part);
-    }
-    else if (const auto* notice = std::get_if<wire::weights_notice>(&message))
+    if (const auto* notice = std::get_if<wire::weights_notice>(&message))
     {
         on_weights_notice(*notice);
         m_rollout.on_progress(now);
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -120,19 +120,6 @@
     return std::nullopt;
 }
 
-std::optional<core::instance_id> instance_registry::gateway_of(const std::string& region,
-                                                               core::time_point now) const
-{
-    for (const auto& [instance, member] : m_members)
-    {
-        if (member.m_region == region && is_alive(instance, now))
-        {
-            return instance;
-        }
-    }
-    return std::nullopt;
-}
-
 std::optional<core::instance_id> instance_registry::first_for_duties(core::time_point now) const
 {
     if (const auto ready = first_ready(now))
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -92,11 +92,6 @@
     /// of those that have begun to leave a moment ago.
     std::optional<core::instance_id> first_for_duties(core::time_point now) const;
 
-    /// Alive instance of a region with the lowest identifier; it exchanges state with other
-    /// regions.
-    std::optional<core::instance_id> gateway_of(const std::string& region,
-                                                core::time_point now) const;
-
     /// True when this instance should read the table store: the first instances of the region by
     /// identifier do, among those that the store answers.
     bool is_store_reader(core::time_point now) const;
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragontrail/wire/cbor_fields.hpp"
 
+#include <array>
+
 namespace tarragontrail::wire {
 namespace {
 
@@ -967,11 +969,11 @@
     fields.expect_end();
 }
 
-[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const region_digest& value)
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const cell_digest& value)
 {
     nlohmann::json fields = nlohmann::json::array();
     fields.push_back(67);
-    put_field(fields, value.m_region);
+    put_field(fields, value.m_cell);
     nlohmann::json members = nlohmann::json::array();
     for (const member_state& item : value.m_members)
     {
@@ -1001,9 +1003,9 @@
     return fields;
 }
 
-[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] region_digest& value)
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] cell_digest& value)
 {
-    fields.get(value.m_region);
+    fields.get(value.m_cell);
     for (const nlohmann::json& item : fields.next_array())
     {
         from_fields(field_reader(item, 0), value.m_members.emplace_back());
@@ -1025,10 +1027,47 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const cell_demands& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(75);
+    put_field(fields, value.m_cell);
+    nlohmann::json demands = nlohmann::json::array();
+    for (const workspace_demand& item : value.m_demands)
+    {
+        demands.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(demands));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] cell_demands& value)
+{
+    fields.get(value.m_cell);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_demands.emplace_back());
+    }
+    fields.expect_end();
+}
+
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const cell_relay& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(76);
+    put_field(fields, value.m_message);
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] cell_relay& value)
+{
+    fields.get(value.m_message);
+    fields.expect_end();
+}
+
 [[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_notice& value)
 {
     nlohmann::json fields = nlohmann::json::array();
-    fields.push_back(61);
     put_field(fields, value.m_part);
     put_field(fields, value.m_engine);
     put_field(fields, value.m_tokens);
@@ -1045,6 +1084,30 @@
     fields.expect_end();
 }
 
+[[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const part_notices& value)
+{
+    nlohmann::json fields = nlohmann::json::array();
+    fields.push_back(61);
+    put_field(fields, value.m_cell);
+    nlohmann::json notices = nlohmann::json::array();
+    for (const part_notice& item : value.m_notices)
+    {
+        notices.push_back(to_fields(item));
+    }
+    fields.push_back(std::move(notices));
+    return fields;
+}
+
+[[maybe_unused]] void from_fields(field_reader fields, [[maybe_unused]] part_notices& value)
+{
+    fields.get(value.m_cell);
+    for (const nlohmann::json& item : fields.next_array())
+    {
+        from_fields(field_reader(item, 0), value.m_notices.emplace_back());
+    }
+    fields.expect_end();
+}
+
 [[maybe_unused]] nlohmann::json to_fields([[maybe_unused]] const weights_notice& value)
 {
     nlohmann::json fields = nlohmann::json::array();
@@ -1365,6 +1428,55 @@
 
 } // namespace
 
+const char* message_type_name(std::size_t type) noexcept
+{
+    static constexpr std::array<const char*, message_type_count> names{"hello",
+                                                                       "link_heartbeat",
+                                                                       "lookup_request",
+                                                                       "lookup_answer",
+                                                                       "anchor_hint",
+                                                                       "loan_request",
+                                                                       "loan_reply",
+                                                                       "loan_settle",
+                                                                       "share_hint",
+                                                                       "withdrawal",
+                                                                       "state_request",
+                                                                       "state_answer",
+                                                                       "bundle_request",
+                                                                       "bundle_answer",
+                                                                       "ping",
+                                                                       "ping_ack",
+                                                                       "ping_request",
+                                                                       "view_request",
+                                                                       "view_answer",
+                                                                       "crash_report",
+                                                                       "quarantine_notice",
+                                                                       "exoneration_notice",
+                                                                       "part_crash_report",
+                                                                       "part_exoneration_notice",
+                                                                       "part_trial_notice",
+                                                                       "part_quarantine_notice",
+                                                                       "part_quarantine_entry",
+                                                                       "request_quarantine_entry",
+                                                                       "request_suspension_entry",
+                                                                       "instance_pulse",
+                                                                       "cell_digest",
+                                                                       "cell_demands",
+                                                                       "cell_relay",
+                                                                       "part_notices",
+                                                                       "weights_notice",
+                                                                       "rows_request",
+                                                                       "packed_rows",
+                                                                       "rows_answer",
+                                                                       "rows_news",
+                                                                       "member_entry",
+                                                                       "duty_entry",
+                                                                       "duty_release",
+                                                                       "version_plan_entry",
+                                                                       "streams_notice"};
+    return type < names.size() ? names[type] : "unknown";
+}
+
 std::string encode(const message& value)
 {
     const nlohmann::json fields =
@@ -1440,9 +1552,13 @@
     case 60:
         return read_message<instance_pulse>(fields);
     case 67:
-        return read_message<region_digest>(fields);
+        return read_message<cell_digest>(fields);
+    case 75:
+        return read_message<cell_demands>(fields);
+    case 76:
+        return read_message<cell_relay>(fields);
     case 61:
-        return read_message<part_notice>(fields);
+        return read_message<part_notices>(fields);
     case 62:
         return read_message<weights_notice>(fields);
     case 63:
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -229,7 +229,7 @@
     std::chrono::milliseconds m_said_at{}; ///< Time of the store's clock at which it said so.
 };
 
-/// Regular word of an instance to the others of its region.
+/// Regular heartbeat of an instance to the others of its cell.
 struct instance_pulse
 {
     member_state m_state;                      ///< Sender.
@@ -242,10 +242,10 @@
         m_limits; ///< Upstreams that name a limit, or named one a moment ago.
 };
 
-/// Regular word of a region to another one, passed on there to every instance.
-struct region_digest
+/// Regular sums over a cell of instances for the other cells.
+struct cell_digest
 {
-    std::string m_region;                ///< Region.
+    std::string m_cell;                  ///< Cell.
     std::vector<member_state> m_members; ///< Instances that are heard there.
     table_versions m_versions;           ///< Tables.
     std::chrono::milliseconds
@@ -256,6 +256,19 @@
         m_limits; ///< Upstreams that name a limit, or named one a moment ago.
 };
 
+/// Demands that must not wait for the next heartbeat or digest.
+struct cell_demands
+{
+    std::string m_cell; ///< Cell whose sums these are; empty for the sender's own.
+    std::vector<workspace_demand> m_demands; ///< Some workspaces with a limit.
+};
+
+/// Carries a message to a cell; the receiver passes it on to the others there.
+struct cell_relay
+{
+    std::string m_message; ///< Encoded message.
+};
+
 /// An engine is being sent a prompt part that it will keep.
 struct part_notice
 {
@@ -266,6 +279,13 @@
                                         ///< zero when another notice tells it.
 };
 
+/// Parts that engines are being sent.
+struct part_notices
+{
+    std::string m_cell;                 ///< Cell that sends them; empty for the sender itself.
+    std::vector<part_notice> m_notices; ///< Notices, oldest first.
+};
+
 /// An engine is about to take new weights, or has taken them.
 struct weights_notice
 {
@@ -347,9 +367,15 @@
                  view_answer, crash_report, quarantine_notice, exoneration_notice,
                  part_crash_report, part_exoneration_notice, part_trial_notice,
                  part_quarantine_notice, part_quarantine_entry, request_quarantine_entry,
-                 request_suspension_entry, instance_pulse, region_digest, part_notice,
-                 weights_notice, rows_request, packed_rows, rows_answer, rows_news, member_entry,
-                 duty_entry, duty_release, version_plan_entry, streams_notice>;
+                 request_suspension_entry, instance_pulse, cell_digest, cell_demands, cell_relay,
+                 part_notices, weights_notice, rows_request, packed_rows, rows_answer, rows_news,
+                 member_entry, duty_entry, duty_release, version_plan_entry, streams_notice>;
+
+/// Number of message types.
+inline constexpr std::size_t message_type_count = std::variant_size_v<message>;
+
+/// Name of a message's type by message::index(), for logs and metrics.
+const char* message_type_name(std::size_t type) noexcept;
 
 /// CBOR bytes of a message.
 std::string encode(const message& value);
--- a/unit_tests/limits/demand_share_test.cpp
+++ b/unit_tests/limits/demand_share_test.cpp
@@ -38,7 +38,7 @@
         for (const core::instance_id id : all)
         {
             m_instances.emplace_back(id);
-            m_instances.back().set_peers(all, {}, m_now);
+            m_instances.back().set_peers(all, {}, count, m_now);
             m_instances.back().set_limit(workspace, limit, m_now);
         }
         m_partitions.assign(count, 0);
@@ -67,17 +67,15 @@
                 }
             }
             m_now += every;
-            bool is_urgent = false;
-            for (const demand_share& one : m_instances)
-            {
-                is_urgent = is_urgent || one.is_demand_report_due();
-            }
-            const bool is_check_time = m_now.time_since_epoch() % check_interval < every;
-            if (m_now >= next_report || (is_urgent && is_check_time))
+            if (m_now >= next_report)
             {
                 next_report += report_interval;
                 exchange_demands();
             }
+            else if (m_now.time_since_epoch() % check_interval < every)
+            {
+                exchange_due_demands();
+            }
         }
         return admitted;
     }
@@ -88,18 +86,42 @@
     static constexpr core::duration report_interval = 200ms;
     static constexpr core::duration check_interval = 60ms;
 
+    /// Calls a function for each instance that reports of another one reach.
+    template <class Function>
+    void for_each_reached(std::size_t from, Function function)
+    {
+        for (std::size_t to = 0; to < m_instances.size(); ++to)
+        {
+            if (from != to && m_partitions[from] == m_partitions[to])
+            {
+                function(m_instances[to]);
+            }
+        }
+    }
+
     void exchange_demands()
     {
         for (std::size_t from = 0; from < m_instances.size(); ++from)
         {
             const auto demands = m_instances[from].demands(m_now);
-            for (std::size_t to = 0; to < m_instances.size(); ++to)
+            for_each_reached(from, [&](demand_share& to) {
+                to.on_peer_demands(core::instance_id{from + 1}, demands, m_now);
+            });
+        }
+    }
+
+    void exchange_due_demands()
+    {
+        for (std::size_t from = 0; from < m_instances.size(); ++from)
+        {
+            const auto demands = m_instances[from].due_demands(m_now);
+            if (demands.empty())
             {
-                if (from != to && m_partitions[from] == m_partitions[to])
-                {
-                    m_instances[to].on_peer_demands(core::instance_id{from + 1}, demands, m_now);
-                }
+                continue;
             }
+            for_each_reached(from, [&](demand_share& to) {
+                to.on_peer_demand_changes(core::instance_id{from + 1}, demands, m_now);
+            });
         }
     }
 
