Fewer calls to the store at a start, and for changed rows where upstreams have more time to leave

Cause: each instance follows all three tables from its first read until it has heard the others; each whole read of a start was passed on to the whole region; rows of upstreams were asked for 0.6 s after each change whatever the drain limit. Change: the first call for changes waits 400 ms, a first read is passed on to nobody, and the delay after changes is 0.24 of the drain limit (600 ms at 2.5 s, 960 ms at 4 s).

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -16,21 +16,27 @@
 /// answer confirms what is known.
 constexpr double confirmation_fraction = 0.6;
 
-table_follower_settings
-operators_follower_settings(const configuration_freshness_settings& freshness)
+table_follower_settings operators_follower_settings(const fleet_service_settings& fleet)
 {
     table_follower_settings settings;
     settings.m_max_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-        freshness.m_apply_limit * confirmation_fraction);
+        fleet.m_freshness.m_apply_limit * confirmation_fraction);
+    settings.m_first_follow_delay = fleet.m_first_follow_delay;
     return settings;
 }
 
-/// Upstream and instance rows change often and in groups; a delay of a second does no harm here.
-table_follower_settings slow_follower_settings()
+/// Part of the time in which a leaving upstream must get no more requests for which changes of its
+/// row may wait.
+constexpr double row_delay_fraction = 0.24;
+
+/// Upstream and instance rows change often and in groups.
+table_follower_settings slow_follower_settings(const fleet_service_settings& fleet)
 {
     table_follower_settings settings;
     settings.m_max_wait = std::chrono::milliseconds(12'000);
-    settings.m_delay_after_changes = std::chrono::milliseconds(600);
+    settings.m_delay_after_changes = std::chrono::duration_cast<std::chrono::milliseconds>(
+        fleet.m_drain_limit * row_delay_fraction);
+    settings.m_first_follow_delay = fleet.m_first_follow_delay;
     return settings;
 }
 
@@ -57,8 +63,8 @@
         const bool is_urgent = table == followed_table::operators;
         m_followers[static_cast<std::size_t>(table)] = std::make_unique<table_follower>(
             context, store, table,
-            is_urgent ? operators_follower_settings(m_settings.m_freshness)
-                      : slow_follower_settings(),
+            is_urgent ? operators_follower_settings(m_settings)
+                      : slow_follower_settings(m_settings),
             [this, table](const std::vector<table_row>& rows, row_source source) {
                 on_rows(table, rows, source);
             });
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -29,6 +29,11 @@
     std::chrono::milliseconds m_departed_retention{30'000};
     /// An instance whose checks come this late has stood still and may have missed news.
     std::chrono::milliseconds m_standstill{600};
+    /// Delay from the first read of a table to the first call for its changes: heartbeats of the
+    /// others arrive by then, and most instances need no such call.
+    std::chrono::milliseconds m_first_follow_delay{400};
+    /// No request goes to a leaving upstream later than this.
+    std::chrono::milliseconds m_drain_limit{2'500};
     /// Configurations and what is known of their age.
     configuration_freshness_settings m_freshness;
     /// Bandwidth of this instance's link, in Mbit/s.
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -119,9 +119,10 @@
     }
     if (!changes.empty())
     {
-        if (source == row_source::store)
+        if (source == row_source::store && !is_first)
         {
-            // Rows that the table no longer has are not among them.
+            // Rows that the table no longer has are not among them. What an instance reads at its
+            // start is no news for others.
             pass_on(changes, {});
         }
         report_changes(changes, source);
@@ -202,6 +203,7 @@
             return;
         }
         on_success();
+        const bool is_first = !m_mirror.is_complete();
         const auto& whole = std::get<table_rows>(answer);
         note_store_time(whole);
         const bool is_taken = run_guarded("whole_table", [this, &whole] {
@@ -218,6 +220,11 @@
             return;
         }
         m_last_version = whole.m_version;
+        if (is_first && m_settings.m_first_follow_delay.count() > 0)
+        {
+            schedule(m_settings.m_first_follow_delay, &table_follower::follow);
+            return;
+        }
         follow();
     });
 }
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -19,6 +19,9 @@
     std::chrono::milliseconds m_max_wait_after_failure{300};
     /// Delay after changes arrived, which limits the rate of calls.
     std::chrono::milliseconds m_delay_after_changes{150};
+    /// Delay from the first whole read to the first call for changes: an instance that has heard
+    /// the others by then may not need to follow the store.
+    std::chrono::milliseconds m_first_follow_delay{0};
     /// Delay after a failure; grows linearly with each further one.
     std::chrono::milliseconds m_initial_backoff{300};
     /// Upper bound of the delay after failures.
--- a/unit_tests/relay/test_instance.hpp
+++ b/unit_tests/relay/test_instance.hpp
@@ -128,10 +128,18 @@
         : m_state(context, m_codec, {}, locality{"zone-a", "r"}, core::instance_id{id}, id),
           m_member{core::instance_id{id}, core::incarnation{1}, "zone-a", "r",
                    "127.0.0.1:1",         address(id)},
-          m_service(context, {}, m_member, net::parse_endpoint(address(id)), m_state, m_store,
-                    m_engines, m_decoder, {})
+          m_service(context, service_settings(), m_member, net::parse_endpoint(address(id)),
+                    m_state, m_store, m_engines, m_decoder, {})
     {}
 
+    /// Tests answer calls for changes at once.
+    static fleet_service_settings service_settings()
+    {
+        fleet_service_settings settings;
+        settings.m_first_follow_delay = std::chrono::milliseconds(0);
+        return settings;
+    }
+
     /// Port that no other test listens on.
     static std::string address(std::uint64_t id)
     {
