--- a/unit_tests/config/platform_settings_test.cpp
+++ b/unit_tests/config/platform_settings_test.cpp
@@ -52,6 +52,7 @@
     std::vector<std::string> words{"tarragontrail-relay"};
     words.insert(words.end(), flags.begin(), flags.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size());
     for (std::string& word : words)
     {
         pointers.push_back(word.data());
