A holder of the weights duty that the store turns away tells the others that it has stopped

Cause: where engines do not check fences others wait until the row stood unchanged for twice the lease and the work has stalled, though the holder knows that it gives no more orders. Change: when a renewal fails and the lease has run out, or a release cannot be written, the holder sends duty_release to the fleet by the links; whoever knows the same row counts the lease as given back, and spares the engines it names. The next instance is chosen without the one that gave up.

--- a/tarragontrail/placement/duty_lease.cpp
+++ b/tarragontrail/placement/duty_lease.cpp
@@ -22,6 +22,7 @@
     m_row_first_seen = now;
     m_is_row_known = true;
     m_released = false;
+    m_renewal_failed = false;
     if (!row || !is_own(*row) || m_gives_back)
     {
         m_fence = 0;
@@ -48,10 +49,14 @@
     on_row(release.m_row, version, now);
     m_released = true;
     m_fence = 0;
-    if (is_own(release.m_row))
+    if (!is_own(release.m_row))
     {
-        return;
+        note_orders(release, now);
     }
+}
+
+void duty_lease::note_orders(const duty_release& release, core::time_point now)
+{
     for (const sent_order& order : release.m_orders)
     {
         const core::time_point sent = now - order.m_age;
@@ -138,14 +143,42 @@
     m_gives_back = true;
     m_fence = 0;
     m_writing = true;
+    return duty_release_write{make_release({m_self, m_started, ++m_sequence}, now), m_version};
+}
+
+duty_release duty_lease::make_release(const duty_row& row, core::time_point now)
+{
     forget_old_orders(now);
-    duty_release release{duty_row{m_self, m_started, ++m_sequence}, {}};
+    duty_release release{row, {}};
     for (const auto& [engine, order] : m_orders)
     {
         release.m_orders.push_back(
             {engine, std::chrono::floor<std::chrono::milliseconds>(now - order.m_sent)});
     }
-    return duty_release_write{std::move(release), m_version};
+    return release;
+}
+
+std::optional<duty_release> duty_lease::yield(core::time_point now)
+{
+    const bool has_stopped = m_gives_back || m_renewal_failed;
+    if (!has_own_row() || is_held(now) || !has_stopped || m_yielded == m_version)
+    {
+        return std::nullopt;
+    }
+    m_gives_back = true;
+    m_fence = 0;
+    m_yielded = m_version;
+    return make_release(*m_row, now);
+}
+
+void duty_lease::on_yield(const duty_release& release, core::time_point now)
+{
+    if (m_row != release.m_row || is_own(release.m_row))
+    {
+        return;
+    }
+    m_released = true;
+    note_orders(release, now);
 }
 
 void duty_lease::on_given_back()
@@ -180,12 +213,14 @@
 void duty_lease::on_write_refused(core::time_point now)
 {
     m_writing = false;
+    m_renewal_failed = m_fence != 0;
     m_retry_at = now + m_settings.m_retry_delay;
 }
 
 void duty_lease::on_write_lost(core::time_point now)
 {
     m_writing = false;
+    m_renewal_failed = m_fence != 0;
     m_retry_at = now + m_settings.m_retry_delay;
 }
 
--- a/tarragontrail/placement/duty_lease.hpp
+++ b/tarragontrail/placement/duty_lease.hpp
@@ -89,7 +89,7 @@
 /// Load pattern: instances are stopped in turn while weights are named. A holder that leaves goes
 /// on with its orders for m_leaving_limit at most and then gives the lease back; the next holder
 /// takes it at once, but sends no order to an engine within m_duration of another holder's last
-/// one.
+/// one. A holder that the table store turns away tells the others itself that it has stopped.
 ///
 /// A return of the table store from an older copy ends the lease. The last holder may take it again
 /// at once; others wait for m_duration first, as its row may be lost while it still gives orders.
@@ -125,6 +125,14 @@
     /// The lease is given back, or the row is another's.
     void on_given_back();
 
+    /// Called while there are orders to give, or the instance is leaving. Returns what the other
+    /// instances should be told when the table store does not take the renewal of a lease that has
+    /// run out, or its release: this instance gives no more orders under it.
+    std::optional<duty_release> yield(core::time_point now);
+
+    /// The holder tells that it gives no more orders under its row.
+    void on_yield(const duty_release& release, core::time_point now);
+
     /// An order is sent to an engine.
     void on_order_sent(core::upstream_id engine, core::time_point now);
 
@@ -166,6 +174,8 @@
     };
 
     bool is_own(const duty_row& row) const noexcept;
+    void note_orders(const duty_release& release, core::time_point now);
+    duty_release make_release(const duty_row& row, core::time_point now);
     bool has_own_row() const noexcept { return m_row && is_own(*m_row) && !m_released; }
     bool may_acquire(const holder_status& holder, core::time_point now) const;
     void forget_old_orders(core::time_point now);
@@ -191,6 +201,8 @@
     /// No write is requested before this time.
     core::time_point m_retry_at = core::time_point::min();
     std::optional<core::time_point> m_leaving_since; ///< Set once the instance is leaving.
+    bool m_renewal_failed = false;                   ///< The last renewal of the row was not taken.
+    core::store_version m_yielded;                   ///< Version of the row that was yielded last.
     bool m_gives_back = false; ///< No order is sent any more, and the row is being given back.
     std::map<core::upstream_id, last_order> m_orders; ///< Within the duration of a lease.
 };
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -461,6 +461,11 @@
     m_exchange.send_to_fleet(notice);
 }
 
+void fleet_service::announce_yield(const placement::duty_release& release)
+{
+    m_exchange.send_to_fleet(release);
+}
+
 table_follower& fleet_service::follower(followed_table table)
 {
     return *m_followers[static_cast<std::size_t>(table)];
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -75,6 +75,7 @@
                           placement::weights_version version) override;
     void announce_streams(const std::vector<begun_stream>& streams) override;
     void announce_weights_update(const placement::announce_engine& update) override;
+    void announce_yield(const placement::duty_release& release) override;
     void send_part_evidence(const recovery::part_attribution_action& evidence) override;
 
 private:
--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -31,6 +31,10 @@
         on_weights_notice(*notice);
         m_rollout.on_progress(now);
     }
+    else if (const auto* release = std::get_if<placement::duty_release>(&message))
+    {
+        m_rollout.on_yield(*release);
+    }
     else if (const auto* update = std::get_if<wire::rows_news>(&message))
     {
         on_rows_news(*update);
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -120,15 +120,20 @@
     return std::nullopt;
 }
 
-std::optional<core::instance_id> instance_registry::first_for_duties(core::time_point now) const
+std::optional<core::instance_id>
+instance_registry::first_for_duties(core::time_point now,
+                                    const std::optional<core::instance_id>& except) const
 {
-    if (const auto ready = first_ready(now))
+    for (const auto& [instance, member] : m_members)
     {
-        return ready;
+        if (instance != except && is_ready(instance, now))
+        {
+            return instance;
+        }
     }
     for (const auto& [instance, member] : m_members)
     {
-        if (!is_present(instance, now))
+        if (instance == except || !is_present(instance, now))
         {
             continue;
         }
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -89,8 +89,10 @@
     std::optional<core::instance_id> first_ready(core::time_point now) const;
 
     /// Instance that takes up duties of the fleet: the first ready one, or while none is, the first
-    /// of those that have begun to leave a moment ago.
-    std::optional<core::instance_id> first_for_duties(core::time_point now) const;
+    /// of those that have begun to leave a moment ago. `except` has given the duty up.
+    std::optional<core::instance_id>
+    first_for_duties(core::time_point now,
+                     const std::optional<core::instance_id>& except = std::nullopt) const;
 
     /// True when this instance should read the table store: the first instances of the region by
     /// identifier do, among those that the store answers.
--- a/tarragontrail/relay/weights_rollout_coordinator.cpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.cpp
@@ -82,6 +82,7 @@
     {
         give_lease_back(has_orders, m_registry.first_ready(now).has_value());
     }
+    yield_lease();
     if (!has_orders)
     {
         m_work_since = core::time_point::max();
@@ -147,7 +148,8 @@
     holder.m_alive =
         row && row->m_holder != m_self && m_registry.is_present(row->m_holder, row->m_started, now);
     holder.m_stalled = now - std::max(m_last_progress, m_work_since) > m_settings.m_stall_timeout;
-    const bool is_first = m_registry.first_for_duties(now) == m_self;
+    const auto gave_up = m_lease.is_released() ? std::optional(row->m_holder) : std::nullopt;
+    const bool is_first = m_registry.first_for_duties(now, gave_up) == m_self;
     if (m_lease.fence() == 0 && !is_first && !holder.m_stalled)
     {
         return;
@@ -193,6 +195,28 @@
                   });
 }
 
+/// The table store takes no write of this holder: the others are told without it.
+void weights_rollout_coordinator::yield_lease()
+{
+    const auto release = m_lease.yield(core::suspension_counting_now());
+    if (!release)
+    {
+        return;
+    }
+    m_rollout.stop();
+    observe::log("duty_yielded", {{"orders", release->m_orders.size()}});
+    m_announcer.announce_yield(*release);
+}
+
+void weights_rollout_coordinator::on_yield(const placement::duty_release& release)
+{
+    m_lease.on_yield(release, core::suspension_counting_now());
+    observe::log("duty_row", {{"holder", core::value_of(release.m_row.m_holder)},
+                              {"yielded", true},
+                              {"released", m_lease.is_released()},
+                              {"orders", release.m_orders.size()}});
+}
+
 /// The next holder takes the lease at once instead of waiting until it has expired.
 void weights_rollout_coordinator::give_lease_back(bool has_orders, bool has_successor)
 {
--- a/tarragontrail/relay/weights_rollout_coordinator.hpp
+++ b/tarragontrail/relay/weights_rollout_coordinator.hpp
@@ -28,6 +28,9 @@
 
     /// An engine is about to load weights, or has loaded them; version zero is unknown.
     virtual void announce_weights_update(const placement::announce_engine& update) = 0;
+
+    /// This instance gives no more orders under a row of the rollout lease that it cannot write.
+    virtual void announce_yield(const placement::duty_release& release) = 0;
 };
 
 /// Passes a row that this instance has written on to the other instances.
@@ -66,6 +69,9 @@
     /// The lease's row was read from the table store: its holder has given it back.
     void on_release(const placement::duty_release& release, const core::store_version& version);
 
+    /// The holder tells that it gives no more orders under its row.
+    void on_yield(const placement::duty_release& release);
+
     /// Some instance sent an order, or an order took effect.
     void on_progress(core::time_point when);
 
@@ -79,6 +85,7 @@
     std::vector<placement::outdated_engine> outdated_engines() const;
     void acquire_lease(core::time_point now);
     void write_lease(const placement::duty_write& request);
+    void yield_lease();
     void give_lease_back(bool has_orders, bool has_successor);
     void advance_rollout(std::vector<placement::outdated_engine> work, core::time_point now);
     void execute_actions(const std::vector<placement::rollout_action>& actions);
--- a/unit_tests/relay/rolling_stops_fleet.cpp
+++ b/unit_tests/relay/rolling_stops_fleet.cpp
@@ -58,7 +58,7 @@
                const std::optional<core::store_version>& expected,
                std::function<void(row_write_result)> handler) override
     {
-        m_fleet.write_row(value, expected.value_or(core::store_version{}),
+        m_fleet.write_row(m_index, value, expected.value_or(core::store_version{}),
                           while_alive(std::move(handler)));
     }
 
@@ -102,6 +102,8 @@
                                  });
     }
 
+    void announce_yield(const placement::duty_release& release) override;
+
 private:
     rolling_stops_fleet& m_fleet;
     std::size_t m_index;
@@ -142,6 +144,20 @@
     weights_rollout_coordinator m_coordinator;
 };
 
+void rolling_stops_fleet::platform_view::announce_yield(const placement::duty_release& release)
+{
+    m_fleet.m_events.emplace(core::runtime_clock::now() + message_delay,
+                             [&fleet = m_fleet, release] {
+                                 for (const auto& each : fleet.m_instances)
+                                 {
+                                     if (each)
+                                     {
+                                         each->m_coordinator.on_yield(release);
+                                     }
+                                 }
+                             });
+}
+
 rolling_stops_fleet::rolling_stops_fleet(std::size_t instances, std::size_t engines,
                                          bool check_fences, std::chrono::milliseconds store_delay)
     : m_check_fences(check_fences), m_store_delay(store_delay), m_instances(instances),
@@ -256,6 +272,14 @@
     }
 }
 
+void rolling_stops_fleet::refuse_holder()
+{
+    if (!m_senders.empty())
+    {
+        m_refused = m_senders.back();
+    }
+}
+
 void rolling_stops_fleet::exchange_heartbeats()
 {
     const core::time_point now = core::runtime_clock::now();
@@ -303,9 +327,17 @@
     }
 }
 
-void rolling_stops_fleet::write_row(const std::string& value, const core::store_version& expected,
+void rolling_stops_fleet::write_row(std::size_t index, const std::string& value,
+                                    const core::store_version& expected,
                                     const std::function<void(row_write_result)>& handler)
 {
+    if (m_refused == index)
+    {
+        m_events.emplace(core::runtime_clock::now() + message_delay, [handler] {
+            handler({row_write_result::outcome::refused, {}});
+        });
+        return;
+    }
     m_events.emplace(
         core::runtime_clock::now() + m_store_delay / 2, [this, value, expected, handler] {
             row_write_result result;
--- a/unit_tests/relay/rolling_stops_fleet.hpp
+++ b/unit_tests/relay/rolling_stops_fleet.hpp
@@ -48,6 +48,9 @@
     /// Kills whichever instance has sent the last order.
     void kill_holder();
 
+    /// From now on the table store turns away the instance that has sent the last order.
+    void refuse_holder();
+
     void run_until(std::chrono::milliseconds time);
 
     /// Time from the naming of a version until all engines had it or a newer one; max before that.
@@ -77,7 +80,7 @@
     void deliver_row(std::size_t index, const table_row& row);
     void tell_version(std::size_t index, std::size_t engine);
     upstream_record record_of(std::size_t engine) const;
-    void write_row(const std::string& value, const core::store_version& expected,
+    void write_row(std::size_t index, const std::string& value, const core::store_version& expected,
                    const std::function<void(row_write_result)>& handler);
     placement::order_answer take_order(std::size_t index, std::size_t engine,
                                        const placement::order_weights& order, std::uint64_t fence);
@@ -96,6 +99,7 @@
     std::vector<std::vector<received_order>> m_orders;
     std::vector<std::size_t> m_senders; ///< Instance of each order, oldest first.
     std::optional<table_row> m_row;
+    std::optional<std::size_t> m_refused; ///< Instance that the store turns away.
     std::uint64_t m_store_version = 10;
     std::map<std::uint64_t, core::time_point> m_named;
     std::map<std::uint64_t, core::time_point> m_reached;
--- a/unit_tests/relay/rolling_stops_test.cpp
+++ b/unit_tests/relay/rolling_stops_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(killed_holder_is_replaced_within_the_limit_without_fences);
     CPPUNIT_TEST(holder_without_work_gives_the_duty_back_at_once);
     CPPUNIT_TEST(restarted_holder_does_not_count_as_alive);
+    CPPUNIT_TEST(holder_that_the_store_turns_away_is_replaced_within_a_second);
     CPPUNIT_TEST_SUITE_END();
 
     /// Time until all engines have the second and the third version.
@@ -166,6 +167,21 @@
         // Silence would be noticed after a second; the roll-out itself takes less than four.
         CPPUNIT_ASSERT(fleet.time_to_all(2) < 5s);
     }
+
+    /// Its lease has run out, and it tells others by its heartbeats that the store refuses it.
+    void holder_that_the_store_turns_away_is_replaced_within_a_second()
+    {
+        rolling_stops_fleet fleet(instance_count, engine_count, false, 10ms);
+        fleet.at(2s, [&fleet] { fleet.name_weights(2); });
+        fleet.at(2'200ms, [&fleet] { fleet.refuse_holder(); });
+        // No engine has an order of the first holder within the lease any more.
+        fleet.at(7'500ms, [&fleet] { fleet.name_weights(3); });
+        fleet.run_until(30s);
+        check_order_rules(fleet, "refused holder");
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} ms, then {} ms", fleet.time_to_all(2).count(),
+                                           fleet.time_to_all(3).count()),
+                               fleet.time_to_all(3) <= fleet.time_to_all(2) + cost_of_change);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(rolling_stops_test, "relay");
