--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "stand_ins"))
+sys.path.insert(0, str(HERE))
 from machines import BOUNDS, Engine, Machine, Record, Store, request  # noqa: E402
 
 ZONES = {"muscat-a": "muscat", "muscat-b": "muscat"}
--- a/review/stand_ins/machines.py
+++ b/review/2/machines.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the platform for scripts of this review: the store, engines and one machine's process.
+"""Stand-ins of the platform for this case: the store, engines and one machine's process.
 
 They follow PROTOCOL.md and DEPLOY.md and share no code with the project.
 """
