Failing tests: an unframed answer of an upstream that left passes for whole

Callers get the first events of a stream, or half of a body, and an ordinary close. relay_session::confirm_upstream_is_there does not ask an upstream that leaves.

--- /dev/null
+++ b/unit_tests/platform/unproven_end_test.cpp
@@ -0,0 +1,90 @@
+#include "unit_tests/platform/raw_caller.hpp"
+#include "unit_tests/platform/relay_fixture.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace tarragontrail;
+using namespace tarragontrail::test;
+
+namespace {
+
+/// Stream without length or chunks that holds these events.
+std::string unframed_events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+    {
+        text += fmt::format("id: {}\ndata: t{}\n\n", id, id);
+    }
+    return "HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n"
+           "Content-Type: text/event-stream\r\n\r\n" +
+           text;
+}
+
+} // namespace
+
+/// Answers that end by the ordinary close of a process that may have ended with them.
+class unproven_end_test : public relay_fixture
+{
+    CPPUNIT_TEST_SUITE(unproven_end_test);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_left_goes_on_elsewhere);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_left_is_broken_off);
+    CPPUNIT_TEST(unframed_answer_of_an_upstream_that_left_is_not_whole);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void unframed_stream_of_an_engine_that_left_goes_on_elsewhere()
+    {
+        configure(relay::request_kind::stream, true);
+        add_leaving(unframed_events(1, 2));
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        const auto caller = ask();
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 4), caller->body());
+        CPPUNIT_ASSERT(caller->claim() >= end_claim::closed);
+    }
+
+    void unframed_stream_of_an_engine_that_left_is_broken_off()
+    {
+        configure(relay::request_kind::stream);
+        add_leaving(unframed_events(1, 2));
+        CPPUNIT_ASSERT(ask()->claim() == end_claim::broken);
+    }
+
+    void unframed_answer_of_an_upstream_that_left_is_not_whole()
+    {
+        configure(relay::request_kind::non_idempotent);
+        add_leaving("HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n\r\nte");
+        CPPUNIT_ASSERT_EQUAL(502U, ask()->status());
+    }
+
+private:
+    static std::string event_text(int first, int last)
+    {
+        const std::string head = unframed_events(first, last);
+        return head.substr(head.find("\r\n\r\n") + 4);
+    }
+
+    /// Adds an upstream that says that it leaves, and whose process ends within its answer.
+    void add_leaving(const std::string& answer)
+    {
+        add_upstream([this, answer](const std::string&) {
+            m_state->m_upstreams.find(core::id_of<core::upstream_id>("u1"))->m_leaving_since =
+                core::runtime_clock::now();
+            m_upstreams.front()->stop();
+            return reply{answer, true};
+        });
+    }
+
+    std::unique_ptr<raw_caller> ask()
+    {
+        auto caller = std::make_unique<raw_caller>(
+            m_loop.m_context, m_port,
+            "POST /a/b HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r1\r\n"
+            "X-Request-Deadline-Ms: 3000\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n");
+        m_loop.run_until([&caller] { return caller->is_over(); });
+        return caller;
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(unproven_end_test, "platform");
