The close of an unframed answer proves its end only while its process is there

The kernel ends the connections of a killed process with FIN. Cause: relay_session::confirm_upstream_is_there did not ask an upstream that leaves, nor one whose row is gone; took any listener for the process that answered, also a dying one that closes its connections first and one that has started again; and took no answer for a sign of life. Change: the upstream itself is asked, by id and start. The same start: the end is passed on. Another one, or none that answers: the stream goes on elsewhere where it may, and is broken off otherwise; an answer that was not passed on yet is 502. What has reached the caller in part is never joined with another run, where it is no stream that may be resumed.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -106,6 +106,7 @@
     });
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
+    m_state.m_engines = &engines;
     m_state.m_part_crashes.set_sender(this);
     m_state.m_quarantines_known = false;
 }
--- a/tarragontrail/relay/platform_interface.hpp
+++ b/tarragontrail/relay/platform_interface.hpp
@@ -116,6 +116,14 @@
     std::vector<cache_event> m_events; ///< In order; a few may be missing.
 };
 
+/// What answers at the address of an upstream.
+enum class process_presence
+{
+    same,    ///< The start that was asked for; or its name, where upstreams tell no start.
+    another, ///< Another start, or another upstream.
+    silent,  ///< Nothing, within the time that an answer takes.
+};
+
 /// Reports and orders of engines. Calls are made on the home thread, and handlers run there too.
 class engine_control
 {
@@ -132,6 +140,10 @@
     read_report(const upstream_record& engine, const std::string& model,
                 std::function<void(std::optional<placement::engine_report>)> handler) = 0;
 
+    /// Asks an upstream of any service whether the start of its record is still there.
+    virtual void check_presence(const upstream_record& asked,
+                                std::function<void(process_presence)> handler) = 0;
+
     /// Waits up to `wait` for events of a cache; the handler gets nothing when it does not respond.
     virtual void follow_cache(const net::tcp::endpoint& cache, std::uint64_t since,
                               std::chrono::milliseconds wait,
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -89,8 +89,11 @@
     void on_not_executed();
     void on_connection_lost(const char* cause);
     void on_end_unproven();
+    void retry_unless_begun(const char* cause);
     void confirm_upstream_is_there();
-    void on_end_probed(net::probe_result result);
+    void on_end_checked(process_presence presence);
+    void probe_end(bool listening_suffices);
+    void on_end_probed(net::probe_result result, bool listening_suffices);
     void finish_response();
     void on_overdue();
     void on_deadline();
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -219,38 +219,77 @@
     confirm_upstream_is_there();
 }
 
-/// The connections of a process that crashes are closed in the ordinary way too, so an answer that
-/// only the close has ended counts as broken off when nothing listens at its upstream any more.
+/// The connections of a process that ends are closed in the ordinary way too, so the close proves
+/// the end of an answer only while the process that gave it is there.
 void relay_session::confirm_upstream_is_there()
 {
-    const upstream& current = *m_selection.m_upstream;
-    if (current.m_leaving_since)
+    upstream_record asked = m_selection.m_upstream->m_record;
+    asked.m_started = m_asked_start;
+    if (m_state.m_engines == nullptr)
     {
-        // One that leaves may stop listening before its last answers end.
+        probe_end(true);
+        return;
+    }
+    m_state.m_engines->check_presence(
+        asked, [weak = weak_from_this(), attempt = m_attempt](process_presence presence) {
+            const auto self = weak.lock();
+            if (self && !self->m_ended && attempt == self->m_attempt)
+            {
+                self->run_guarded("presence", [&] { self->on_end_checked(presence); });
+            }
+        });
+}
+
+void relay_session::on_end_checked(process_presence presence)
+{
+    switch (presence)
+    {
+    case process_presence::same:
         finish_response();
         return;
+    case process_presence::another:
+        m_selection.m_upstream->doubt(core::runtime_clock::now());
+        on_connection_lost("upstream_restarted");
+        return;
+    case process_presence::silent:
+        probe_end(false);
+        return;
     }
-    net::probe_connection(m_state.m_context, current.m_record.m_endpoint,
+}
+
+/// Finds out whether anything listens at the upstream; `listening_suffices` tells that this proves
+/// it to be there.
+void relay_session::probe_end(bool listening_suffices)
+{
+    net::probe_connection(m_state.m_context, m_selection.m_upstream->m_record.m_endpoint,
                           m_state.m_session_settings.m_end_probe_limit,
-                          [weak = weak_from_this(), attempt = m_attempt](net::probe_result result) {
+                          [weak = weak_from_this(), attempt = m_attempt,
+                           listening_suffices](net::probe_result result) {
                               const auto self = weak.lock();
                               if (!self || self->m_ended || attempt != self->m_attempt)
                               {
                                   return;
                               }
-                              self->run_guarded("probe",
-                                                [&self, result] { self->on_end_probed(result); });
+                              self->run_guarded("probe", [&self, result, listening_suffices] {
+                                  self->on_end_probed(result, listening_suffices);
+                              });
                           });
 }
 
-void relay_session::on_end_probed(net::probe_result result)
+void relay_session::on_end_probed(net::probe_result result, bool listening_suffices)
 {
-    if (result != net::probe_result::refused)
+    if (result == net::probe_result::connected && listening_suffices)
     {
         finish_response();
         return;
     }
-    const upstream_record ended = m_selection.m_upstream->m_record;
+    const upstream& current = *m_selection.m_upstream;
+    if (result != net::probe_result::refused || current.m_leaving_since)
+    {
+        on_end_unproven();
+        return;
+    }
+    const upstream_record ended = current.m_record;
     on_connection_lost("upstream_crashed");
     m_state.m_crash_attribution.on_connection_refused(ended.m_id, ended.m_started,
                                                       core::runtime_clock::now());
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -126,16 +126,10 @@
                           {"cause", cause},
                           {"framing", framing_name()},
                           {"answering", m_response_started}});
-    if (m_response_started && !(m_mode == response_mode::events && is_resumable_stream()))
-    {
-        abort_stream(cause);
-        return;
-    }
-    retry_or_end(core::execution::unknown, refusal_reason::outcome_unknown);
+    retry_unless_begun(cause);
 }
 
-/// The upstream closed the connection of a resumed run between two events. That does not prove the
-/// response whole, and the caller has been promised a frame that says whether it is.
+/// The upstream closed the connection, and nothing proves that the response was whole then.
 void relay_session::on_end_unproven()
 {
     record_response_end("unproven");
@@ -143,7 +137,20 @@
     release_upstream(attempt_outcome::abandoned);
     observe::log("end_unproven", {{"request", m_request.m_id},
                                   {"upstream", m_selection.m_upstream->m_record.m_name},
+                                  {"framing", framing_name()},
                                   {"events", m_events_sent}});
+    retry_unless_begun("end_unproven");
+}
+
+/// Retries a request whose response is lost; one that has reached the caller in part goes on only
+/// as a stream that may be resumed.
+void relay_session::retry_unless_begun(const char* cause)
+{
+    if (m_response_started && !(m_mode == response_mode::events && is_resumable_stream()))
+    {
+        abort_stream(cause);
+        return;
+    }
     retry_or_end(core::execution::unknown, refusal_reason::outcome_unknown);
 }
 
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -176,6 +176,7 @@
     core::seeded_random m_random;                                   ///< Splits routes by weight.
     observe::metrics m_metrics;
     relay_announcer* m_announcer = nullptr; ///< Null without a fleet.
+    engine_control* m_engines = nullptr;    ///< Same.
 };
 
 } // namespace tarragontrail::relay
--- a/unit_tests/platform/unproven_end_test.cpp
+++ b/unit_tests/platform/unproven_end_test.cpp
@@ -1,5 +1,6 @@
 #include "unit_tests/platform/raw_caller.hpp"
 #include "unit_tests/platform/relay_fixture.hpp"
+#include "unit_tests/relay/test_instance.hpp"
 
 #include <cppunit/TestAssert.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -22,6 +23,24 @@
            text;
 }
 
+/// What is found at the address of each upstream is the same.
+class present_engines : public silent_engines
+{
+public:
+    explicit present_engines(boost::asio::io_context& context) : m_context(context) {}
+
+    void check_presence(const upstream_record& /*asked*/,
+                        std::function<void(process_presence)> handler) override
+    {
+        boost::asio::post(m_context, [this, handler = std::move(handler)] { handler(m_presence); });
+    }
+
+    process_presence m_presence = process_presence::same;
+
+private:
+    boost::asio::io_context& m_context;
+};
+
 } // namespace
 
 /// Answers that end by the ordinary close of a process that may have ended with them.
@@ -31,6 +50,10 @@
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_left_goes_on_elsewhere);
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_left_is_broken_off);
     CPPUNIT_TEST(unframed_answer_of_an_upstream_that_left_is_not_whole);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_is_there_is_whole);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_started_again_goes_on_elsewhere);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_does_not_respond_goes_on_elsewhere);
+    CPPUNIT_TEST(long_unframed_answer_of_an_upstream_that_left_is_not_joined);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,7 +81,62 @@
         CPPUNIT_ASSERT_EQUAL(502U, ask()->status());
     }
 
+    void unframed_stream_of_an_engine_that_is_there_is_whole()
+    {
+        configure_engines(process_presence::same);
+        add_upstream([](const std::string&) { return reply{unframed_events(1, 2), true}; });
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        const auto caller = ask();
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), caller->body());
+        CPPUNIT_ASSERT(caller->claim() == end_claim::closed);
+        CPPUNIT_ASSERT(m_upstreams[1]->m_requests.empty());
+    }
+
+    /// It listens again at its address before anybody looks.
+    void unframed_stream_of_an_engine_that_started_again_goes_on_elsewhere()
+    {
+        check_goes_on_elsewhere(process_presence::another);
+    }
+
+    void unframed_stream_of_an_engine_that_does_not_respond_goes_on_elsewhere()
+    {
+        check_goes_on_elsewhere(process_presence::silent);
+    }
+
+    /// Part of it has been passed on, and another run's answer may differ.
+    void long_unframed_answer_of_an_upstream_that_left_is_not_joined()
+    {
+        m_state->m_session_settings.m_buffer_limit_bytes = 100;
+        configure(relay::request_kind::idempotent);
+        add_leaving("HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n\r\n" +
+                    std::string(200, 'x'));
+        add_upstream([](const std::string&) { return reply{whole("other")}; });
+        const auto caller = ask();
+        CPPUNIT_ASSERT(caller->claim() == end_claim::broken);
+        CPPUNIT_ASSERT(m_upstreams[1]->m_requests.empty());
+    }
+
 private:
+    present_engines m_engines{m_loop.m_context};
+
+    /// Resumable streams, at engines of which this is found at the end of an answer.
+    void configure_engines(process_presence presence)
+    {
+        configure(relay::request_kind::stream, true);
+        m_engines.m_presence = presence;
+        m_state->m_engines = &m_engines;
+    }
+
+    void check_goes_on_elsewhere(process_presence presence)
+    {
+        configure_engines(presence);
+        add_upstream([](const std::string&) { return reply{unframed_events(1, 2), true}; });
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        const auto caller = ask();
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 4), caller->body());
+        CPPUNIT_ASSERT(caller->claim() >= end_claim::closed);
+    }
+
     static std::string event_text(int first, int last)
     {
         const std::string head = unframed_events(first, last);
--- a/unit_tests/relay/rolling_stops_fleet.cpp
+++ b/unit_tests/relay/rolling_stops_fleet.cpp
@@ -60,6 +60,9 @@
     void on_notice(
         std::function<void(const upstream_identity&, const upstream_notice&)> /*handler*/) override
     {}
+    void check_presence(const upstream_record& /*asked*/,
+                        std::function<void(process_presence)> /*handler*/) override
+    {}
     void follow_cache(const net::tcp::endpoint& /*cache*/, std::uint64_t /*since*/,
                       std::chrono::milliseconds /*wait*/,
                       std::function<void(std::optional<cache_events>)> /*handler*/) override
--- a/unit_tests/relay/test_instance.hpp
+++ b/unit_tests/relay/test_instance.hpp
@@ -89,6 +89,10 @@
                 std::function<void(std::optional<placement::engine_report>)> /*handler*/) override
     {}
 
+    void check_presence(const upstream_record& /*asked*/,
+                        std::function<void(process_presence)> /*handler*/) override
+    {}
+
     void follow_cache(const net::tcp::endpoint& /*cache*/, std::uint64_t /*since*/,
                       std::chrono::milliseconds /*wait*/,
                       std::function<void(std::optional<cache_events>)> /*handler*/) override
