The age of a stream that is taken up does not follow from what its caller still waits

A stream was joined from two software versions: its caller named the whole of its time with each try. Cause: relay_session::max_stream_age took the longest time that callers wait less the time named, so that a fresh deadline made any stream new, and the present plan was taken for the one that began it. Change: the age is the longest time for which callers of the route go on, whatever this one names, and at least the default deadline, also at an instance that has just started. Streams near a move are made known to the others for as long. Result: software_versions_test::take_up_with_a_fresh_deadline_is_old answered 200 before, 503 now.

--- a/tarragontrail/relay/relay_session_software.cpp
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -74,23 +74,21 @@
 }
 
 /// Longest time since the first event of the stream that the caller takes up: its caller has waited
-/// no longer than callers of the route wait, less what it still waited when it sent the request.
+/// no longer than callers of the route wait. How long it still waits tells nothing of the time
+/// before, as it may name a fresh time with each try.
 core::duration relay_session::max_stream_age(core::time_point now) const
 {
-    const std::chrono::milliseconds left =
-        m_request.m_deadline.value_or(std::chrono::milliseconds(0));
     const auto seen = m_state.m_longest_deadlines.find(m_route->m_name);
-    std::chrono::milliseconds longest = m_route->m_timeout.count() > 0
-                                            ? m_route->m_timeout
-                                            : m_state.m_session_settings.m_default_deadline;
+    std::chrono::milliseconds longest =
+        std::max({m_route->m_timeout, m_state.m_session_settings.m_default_deadline,
+                  m_request.m_deadline.value_or(std::chrono::milliseconds(0))});
     if (seen != m_state.m_longest_deadlines.end())
     {
         longest = std::max(longest, seen->second);
     }
     // A caller may name any time.
     constexpr std::chrono::milliseconds longest_counted{60'000};
-    longest = std::min(std::max(longest, left), longest_counted);
-    return longest - std::min(left, longest) + m_unread_time + (now - m_arrival);
+    return std::min(longest, longest_counted) + m_unread_time + (now - m_arrival);
 }
 
 /// The stream has begun: its version is remembered, and told to other instances where they may not
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -18,8 +18,9 @@
 {
     /// Longest time until every instance that is in contact with others uses a changed plan.
     std::chrono::milliseconds m_plan_lag{1'500};
-    /// Streams that began within this time of a move of their slot are made known to others.
-    std::chrono::milliseconds m_announced_time{6'000};
+    /// Streams that began within this time of a move of their slot are made known to others: the
+    /// plan lag and the longest time for which callers go on with a stream.
+    std::chrono::milliseconds m_announced_time{11'500};
     /// Without news of the fleet for this long an instance cannot know whether its plans hold.
     std::chrono::milliseconds m_contact_limit{1'200};
     /// Streams that began longer ago are forgotten.
--- a/unit_tests/platform/software_versions_test.cpp
+++ b/unit_tests/platform/software_versions_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(take_up_of_a_departed_version_is_refused_at_once);
     CPPUNIT_TEST(take_up_is_told_by_the_plan);
     CPPUNIT_TEST(take_up_that_waited_for_a_stopped_instance_is_old);
+    CPPUNIT_TEST(take_up_with_a_fresh_deadline_is_old);
     CPPUNIT_TEST(plain_stream_may_begin_at_any_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,12 @@
         CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up_after(20s));
     }
 
+    /// Its caller names the whole of its time with each try.
+    void take_up_with_a_fresh_deadline_is_old()
+    {
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up_after(0s, 5s));
+    }
+
     void plain_stream_may_begin_at_any_version()
     {
         configure(relay::request_kind::stream);
@@ -107,8 +114,9 @@
 
 private:
     /// Status of the answer to a take-up that an instance reads after it has stood still. All slots
-    /// moved to the only version that is left, longer ago than callers wait.
-    unsigned status_of_take_up_after(core::duration standstill)
+    /// have moved to the only version that is left, by default longer ago than callers wait.
+    unsigned status_of_take_up_after(core::duration standstill,
+                                     std::chrono::seconds since_move = 15s)
     {
         configure(relay::request_kind::stream, true);
         add("v2", reply{whole_stream("r2")});
@@ -120,7 +128,7 @@
         for (std::uint64_t slot = 0; slot < relay::version_plan::slot_count; ++slot)
         {
             assignments.push_back({slot, {"v1"}, relay::store_time::zero()});
-            assignments.push_back({slot, {"v2"}, store_now - 15s});
+            assignments.push_back({slot, {"v2"}, store_now - since_move});
         }
         versions.set_plan("s", relay::version_plan(2, assignments), now);
         versions.on_contact(now);
