A version plan that is learned late counts from when it is seen

Cause: a plan that was written long before it was read (its writer ended, or the store was away) was used with the time that it names until it had been written again: streams that began meanwhile by the older plan were told by the new one, and would be joined with another version. Found by reading; not seen in a run. The test shows the fault: late_plan_tells_nothing_of_streams_that_began_before_it_was_seen failed before. Change: the instance itself takes such a plan as changed now.

--- a/tarragontrail/relay/version_plan.cpp
+++ b/tarragontrail/relay/version_plan.cpp
@@ -222,7 +222,7 @@
     return next;
 }
 
-version_plan version_plan::dated(store_time time) const
+version_plan version_plan::moved_to(store_time time) const
 {
     version_plan next = *this;
     for (std::vector<period>& slot : next.m_slots)
@@ -232,11 +232,17 @@
             slot.back().m_since = time;
         }
     }
-    next.m_number = m_number + 1;
     next.m_changed = time;
     return next;
 }
 
+version_plan version_plan::dated(store_time time) const
+{
+    version_plan next = moved_to(time);
+    next.m_number = m_number + 1;
+    return next;
+}
+
 void version_plan::forget_before(store_time oldest)
 {
     for (std::vector<period>& slot : m_slots)
--- a/tarragontrail/relay/version_plan.hpp
+++ b/tarragontrail/relay/version_plan.hpp
@@ -74,6 +74,9 @@
     store_time last_change() const noexcept { return m_changed; }
 
     /// The same plan with the last assignments made at this time instead.
+    version_plan moved_to(store_time time) const;
+
+    /// Same, as a change of this plan.
     version_plan dated(store_time time) const;
 
     /// Number of slots of each version.
--- a/tarragontrail/relay/version_plan_rows.cpp
+++ b/tarragontrail/relay/version_plan_rows.cpp
@@ -59,7 +59,9 @@
     // A write whose answer was lost may be done seconds later: until then streams began as before.
     const bool is_late = known != nullptr && plan.number() > known->number() && store_now &&
                          plan.last_change() + m_settings.m_late_write < *store_now;
-    if (!m_state.m_stream_versions.set_plan(entry.m_service, plan, now))
+    // Those streams are in doubt from now on, not only once the plan is written with a new time.
+    const version_plan counted = is_late ? plan.moved_to(*store_now) : plan;
+    if (!m_state.m_stream_versions.set_plan(entry.m_service, counted, now))
     {
         return;
     }
--- a/unit_tests/relay/version_plan_rows_test.cpp
+++ b/unit_tests/relay/version_plan_rows_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(planner_writes_the_first_plan);
     CPPUNIT_TEST(other_instance_waits_for_the_planner);
     CPPUNIT_TEST(plan_that_was_written_late_is_dated_anew);
+    CPPUNIT_TEST(late_plan_tells_nothing_of_streams_that_began_before_it_was_seen);
     CPPUNIT_TEST(plan_that_the_store_has_lost_is_written_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +122,19 @@
         CPPUNIT_ASSERT(newest == store_begin + 16s);
     }
 
+    /// Also before it has been dated anew.
+    void late_plan_tells_nothing_of_streams_that_began_before_it_was_seen()
+    {
+        m_rows->check(true, m_fleet, m_now);
+        acknowledge(8);
+        const version_plan known = *m_state->m_stream_versions.plan_of("s");
+        take(*known.adapted({{{"v2"}, 16}}, store_begin + 10s, {}), 9, m_now + 16s);
+        m_state->m_stream_versions.on_contact(m_now + 16s);
+        const stream_origin origin = m_state->m_stream_versions.origin(
+            "s", stream_id{11}, {{"v1"}, {"v2"}}, 2s, m_now + 16s);
+        CPPUNIT_ASSERT(!origin.m_version);
+    }
+
     void plan_that_the_store_has_lost_is_written_again()
     {
         m_rows->check(true, m_fleet, m_now);
