Soak: engines that really end, slow writers, and callers that renew their deadline

The stand-ins lacked what real machines do: processes that end within answers with an ordinary close, before they stop to listen, or whose address another one takes at once; answers written a byte at a time; callers that name their whole deadline with each try, or take a stream up beside its first try.

Change: kind `real-ends`, which stands for `exits`, `late-listeners`, `address-reuse`, `drips`, `fresh-deadlines` and `early-take-ups`, each of which may be named alone. The end of an engine's process never excuses an end under these kinds, as a pause of the instance does without them, and the last run alone tells what ended an answer. An engine that ends while it breaks an answer off counts as ended.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -16,6 +16,10 @@
 TAKE_UPS = 3
 LEAST_LEFT_S = 0.2
 CONNECT_S = 5.0
+# Pauses after which some callers give a stream up and take it up elsewhere, in seconds.
+SHORT_PATIENCE_S = (0.08, 0.4)
+# Longest time between the tries of callers that name their whole deadline with each, in seconds.
+FRESH_BACKOFF_S = 1.5
 # Callers whose request ends each engine that runs it.
 DEADLY = 2
 
@@ -63,7 +67,9 @@
                 goes_on = await self.exchange(request, data, reader, writer)
             finally:
                 self.finish(request)
-            if request.route == "res" and request.outcome == "cut":
+            if request.route == "res" and request.outcome in ("cut", "gave_up"):
+                if request.outcome == "gave_up" and self.rng.random() < 0.5:
+                    writer.close()  # Else the first try goes on beside the others.
                 await self.take_up(request)
             if not goes_on:
                 return
@@ -83,7 +89,10 @@
 
     async def take_up(self, first):
         """Goes on with a stream that broke off behind an event, at any instance."""
+        is_fresh = "fresh-deadlines" in self.run.kinds and self.rng.random() < 0.5
         for _ in range(TAKE_UPS):
+            if is_fresh:
+                first.deadline_at = time.monotonic() + int(first.headers["X-Request-Deadline-Ms"]) / 1000
             left = first.deadline_at - time.monotonic()
             if left < LEAST_LEFT_S or not 0 < first.stream.last() < int(first.plan[1]) or self.run.closing:
                 return
@@ -104,7 +113,7 @@
                 writer.close()
             if request.status not in (None, 200, 502, 504, *checks.PROMISES):
                 return
-            await asyncio.sleep(self.rng.uniform(0, 0.1))
+            await asyncio.sleep(self.rng.uniform(0, FRESH_BACKOFF_S if is_fresh else 0.1))
 
     def make_again(self, first, home, link):
         """The request that takes a stream up: another id, and where the stream began and is."""
@@ -151,6 +160,8 @@
         else:
             plan = f"{delay},{self.rng.choice((20, 400, 9000))}"
         request.plan = plan.split(",")
+        if route == "res" and "early-take-ups" in self.run.kinds and self.rng.random() < 0.3:
+            request.patience = self.rng.uniform(*SHORT_PATIENCE_S)
         request.idle_limit = self.run.idle_limit_since(request.sent_at - idle)
         request.key = key = self.run.keys.draw(self.rng)
         # Any key is good enough for the public route.
@@ -186,7 +197,7 @@
             answer = self.read_answer(request, reader)
             return await asyncio.wait_for(answer, request.timeout + PATIENCE_S + self.run.lag)
         except asyncio.TimeoutError:
-            request.end("hung")
+            request.end("gave_up" if request.patience and request.status == 200 else "hung")
         except asyncio.IncompleteReadError as failure:
             request.end("cut" if failure.partial or request.status is not None else "closed")
         except (OSError, asyncio.LimitOverrunError, ValueError) as failure:
@@ -233,7 +244,8 @@
             numbers = range(request.first, int(request.plan[1]) + 1)
             expected = engines.masked(b"".join(engines.event(request.id, number) for number in numbers))
         request.seen = seen = b""
-        async for piece in wire.read_pieces(reader, headers):
+        pieces = wire.read_pieces(reader, headers)
+        while (piece := await asyncio.wait_for(anext(pieces, None), request.patience)) is not None:
             request.seen += piece
             seen = request.seen if len(request.plan) == 2 else engines.masked(request.seen)
             if not expected.startswith(seen):
@@ -241,7 +253,7 @@
         if wire.ends_with_close(headers):
             request.is_short = len(seen) < len(expected) and expected.startswith(seen)
         if seen != expected and not request.is_short:
-            self.run.checks.finding("MIXED", f"{request}: {seen[-120:]!r} of {len(expected)} bytes", request.id)
+            self.run.checks.order_finding("MIXED", f"{request}: {seen[-120:]!r} of {len(expected)} bytes", request)
 
 
 class DeadlyCaller(Caller):
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -41,6 +41,8 @@
 LIMIT_FROM_S, LIMIT_TOLD_S = 3.0, 0.5
 # A request that has ended so many engines reaches at most so many more, from some time after the last of these.
 DEADLY_ENDS, DEADLY_MORE = 3, 3
+# With these kinds the end of an engine's process never passes for the end of an answer, whatever else is wrong.
+ENDS_OF_PROCESSES = {"exits", "late-listeners", "address-reuse"}
 LOG_FAULTS = ("event=event_failed", "event=task_failed", "event=invariant_violated")
 TRACES_PER_KIND = 10
 
@@ -90,15 +92,15 @@
     """What a caller has of one stream, over all of its tries."""
 
     def __init__(self):
-        # Id of the attempt that brought its first event.
-        self.first_id = None
+        # Id of the attempt that brought its first event, and when that was sent.
+        self.first_id, self.begun_at = None, None
         self.events = []
-        self.is_judged = False
+        self.is_judged = self.is_order_judged = False
 
     def add(self, request):
         request.events = engines.events_in(request.seen)
         if request.events and self.first_id is None:
-            self.first_id = request.id
+            self.first_id, self.begun_at = request.id, request.sent_at
         self.events += request.events
 
     def last(self):
@@ -125,6 +127,8 @@
         # Of a stream: what came in this attempt, its first event and the attempt that began what it takes up.
         self.stream, self.seen, self.events, self.first, self.resumes = Stream(), b"", [], 1, None
         self.had_choice = False
+        # Pause of the answer's body after which the caller gives up, in seconds.
+        self.patience = None
         # The route among those that configurations add and drop.
         self.path, self.added = "", None
         # An ordinary close ended the answer before its last byte; only an engine's close allows that.
@@ -147,7 +151,7 @@
         self.run = run
         self.faults = FaultLog()
         self.arrivals = collections.defaultdict(list)
-        self.counts = collections.Counter()
+        self.counts = collections.Counter(order=0)
         self.findings = collections.Counter()
         self.watched = set()
         self.unread = {}
@@ -176,6 +180,11 @@
             out.write("\n".join(lines) + "\n")
         print("\n".join(lines), flush=True)
 
+    def order_finding(self, kind, text, request):
+        """A finding about an answer's events or end; those of streams count together as `order`."""
+        self.counts["order"] += len(request.plan) == 3
+        self.finding(kind, text, request.id)
+
     def trace(self, request_id):
         logs = [str(path) for path in self.run.folder.glob("*.log")]
         found = subprocess.run(["grep", "-h", request_id, *logs], capture_output=True, text=True, check=False)
@@ -329,6 +338,7 @@
     def ended(self, request):
         """Judges a request once everything about it is known."""
         self.counts["requests"] += 1
+        self.judge_order(request)
         self.judge_versions(request)
         # An instance has a choice where two engines of the version that began the stream serve.
         first = request.stream.events[0][1] if request.stream.events else None
@@ -363,6 +373,13 @@
         self.arrivals.pop(request.id, None)
         self.under_way.pop(request.id, None)
 
+    def judge_order(self, request):
+        """Over all tries of a stream each event comes once, in order, and none is missing."""
+        stream, numbers = request.stream, [number for number, _ in request.stream.events]
+        if numbers != list(range(1, len(numbers) + 1)) and not stream.is_order_judged:
+            stream.is_order_judged = True
+            self.order_finding("ORDER", f"{request}: events {numbers}, began as {stream.first_id}", request)
+
     def judge_versions(self, request):
         """A stream goes on only at the software version that began it."""
         versions = request.stream.versions()
@@ -375,8 +392,9 @@
             if self.counts["versions_same_id"] <= SAME_ID_STREAMS:
                 return
         where = "over its tries" if request.resumes else "in one answer"
-        self.finding("VERSIONS", f"{request}: events of {versions} {where}, began as {request.stream.first_id}; "
-                                 f"{request.stream.events}", request.id)
+        self.order_finding("VERSIONS", f"{request}: events of {versions} {where}, began as "
+                                       f"{request.stream.first_id}, sent at {request.stream.begun_at:.3f}; "
+                                       f"{request.stream.events}", request)
 
     def serving(self, version, request):
         """Engines of a software version that have been sound since some time before the request."""
@@ -463,15 +481,17 @@
     def settle_short(self, request, executed):
         """An ordinary close passes on that of an engine; not a reset, nor the end of a crashed process."""
         self.counts["short"] += 1
-        if any(one.proves_ordinary_close() for one in executed):
+        # The last run is the one whose end ended the answer.
+        if executed and executed[-1].proves_ordinary_close():
             return
         crashed = any(one.state == "crashed" for one in executed)
         targets = [request.instance.name, *(f"link:{one.engine}" for one in executed)]
-        if crashed and self.faults.during(targets, request.sent_at - SOUND_S, request.ended_at):
+        may_excuse = crashed and not self.run.kinds & ENDS_OF_PROCESSES
+        if may_excuse and self.faults.during(targets, request.sent_at - SOUND_S, request.ended_at):
             # A stopped instance, or one behind a broken link, finds the engine's successor at its address.
             self.counts["short_excused"] += 1
             return
-        self.finding("MIXED", f"{request}: a close that no engine made ended it early", request.id)
+        self.order_finding("MIXED", f"{request}: a close that no engine made ended it early", request)
 
     def settle_cut(self, request, executed):
         causes, engine_faults = self.break_causes(request, executed)
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -27,7 +27,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.run_under_test = types.SimpleNamespace(seed=1, folder=pathlib.Path(folder.name), lag=0.0,
-                                                    service_history={}, more={}, dropped={})
+                                                    service_history={}, more={}, dropped={}, kinds=set())
         self.checks = self.run_under_test.checks = checks.Checks(self.run_under_test)
         self.run_under_test.engines = []
         self.instance = types.SimpleNamespace(name="r00", started_at=0.0, was_killed=lambda begin, end: False)
@@ -421,6 +421,32 @@
         short.is_short = True
         self.assertEqual(self.found(short), {})
 
+    def test_nothing_excuses_an_end_of_a_process_that_passed_for_an_end_where_processes_really_end(self):
+        self.run_under_test.kinds = {"exits"}
+        self.checks.faults.end(self.checks.faults.begin("r00", "pause"))
+        self.arrive("crashed")
+        short = self.request("answered", "gen", 200)
+        short.is_short = True
+        self.assertEqual(self.found(short), {"MIXED": 1})
+
+    def test_last_run_tells_what_ended_an_answer(self):
+        for states, found in ((("truncated", "crashed"), {"MIXED": 1}), (("crashed", "truncated"), {})):
+            for state in states:
+                self.arrive(state)
+                last = self.checks.arrivals["x-1"][-1]
+                last.framing, last.end = "close", "closed" if state == "truncated" else "crashed"
+            short = self.request("answered", "idem", 200)
+            short.is_short = True
+            self.assertEqual(self.found(short), found)
+
+    def test_streams_alone_count_for_order(self):
+        for plan, count in ((["0", "20"], 0), (["0", "3", "0"], 1)):
+            self.arrive("crashed")
+            short = self.request("answered", "gen", 200)
+            short.is_short, short.plan = True, plan
+            self.assertEqual(self.found(short), {"MIXED": 1})
+            self.assertEqual(self.checks.counts["order"], count)
+
     def test_answer_that_its_connection_ends_may_be_short_but_not_another(self):
         request = self.request("answered", status=200)
         own = {"x-response-seal": wire.digest("seal", "x-1")}
@@ -467,6 +493,18 @@
         self.checks.judge_versions(self.attempt(5, [(1, "v1"), (2, "v2")]))
         self.assertEqual(self.checks.findings, {"VERSIONS": 2})
 
+    def test_events_of_a_stream_come_once_and_in_order_over_all_tries(self):
+        for second, found in (([3, 4], {}), ([2, 3], {"ORDER": 1}), ([4], {"ORDER": 1}), ([4, 3], {"ORDER": 1})):
+            self.checks.findings.clear()
+            first = self.attempt(1, [(1, "v1"), (2, "v1")])
+            self.checks.judge_order(first)
+            again = self.attempt(2, [(number, "v1") for number in second], first)
+            self.checks.judge_order(again)
+            # Each stream counts once.
+            self.checks.judge_order(self.attempt(3, [(9, "v1")], again)) if found else None
+            self.assertEqual(dict(self.checks.findings), found, second)
+        self.assertEqual(self.checks.counts["order"], 3)
+
     def test_two_streams_may_go_on_at_an_engine_that_has_just_begun_again_under_its_id(self):
         for number in range(1, 5):
             joined = self.attempt(number, [(1, "v1"), (2, "v2")])
@@ -549,6 +587,73 @@
         self.assertNotEqual(request.id, "x-1")
         self.assertLessEqual(int(request.headers["X-Request-Deadline-Ms"]), 2000)
 
+    def test_caller_gives_a_stream_up_on_a_pause_and_keeps_what_came(self):
+        request = self.request("cut", "res", 200)
+        request.plan, request.patience, request.id = ["0", "3", "0"], 0.01, "x-1"
+        head = {"X-Response-Seal": wire.digest("seal", "x-1"), "X-Request-Id": "x-1", "Transfer-Encoding": "chunked"}
+
+        async def play():
+            reader = asyncio.StreamReader()
+            reader.feed_data(wire.head("HTTP/1.1 200 OK", head) + wire.chunk(engines.event("x-1", 1)))
+            caller = callers.Caller(1, self.instance, types.SimpleNamespace(checks=self.checks, lag=0.0, seed=1,
+                                                                            rng=lambda name: random.Random(1)))
+            return await caller.exchange(request, b"", reader, types.SimpleNamespace(write=lambda data: None))
+        self.assertFalse(asyncio.run(play()))
+        self.assertEqual((request.outcome, engines.events_in(request.seen)), ("gave_up", [(1, "v1")]))
+
+    def test_some_callers_name_their_whole_deadline_with_each_try(self):
+        first, named = self.attempt(1, [(1, "v1")]), []
+        first.headers = {"X-Request-Id": "x-1", "X-Request-Deadline-Ms": 3000}
+        first.body, first.path, first.key, first.deadline_at = b"", "/res/x-1", "lasting-1", time.monotonic() + 1
+        run = types.SimpleNamespace(seed=1, keys=faults.Keys(), rng=lambda name: random.Random(1), closing=False,
+                                    link_share=0, kinds={"fresh-deadlines"}, checks=self.checks)
+        caller = callers.Caller(1, self.instance, run)
+        caller.rng = types.SimpleNamespace(random=lambda: 0.1, choice=lambda some: some[0], uniform=lambda low, high: 0.01,
+                                           getrandbits=lambda bits: 0)
+
+        async def exchange(request, data, reader, writer):
+            named.append(int(request.headers["X-Request-Deadline-Ms"]))
+            request.end("cut")
+
+        async def play():
+            server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.15.0.3", 0)
+            run.instances = [types.SimpleNamespace(front=server.sockets[0].getsockname(), name="r01", key_answers={}, link=None)]
+            caller.exchange, caller.finish = exchange, lambda request: None
+            await caller.take_up(first)
+            server.close()
+        asyncio.run(play())
+        self.assertEqual(len(named), callers.TAKE_UPS)
+        self.assertGreater(min(named), 2000)
+
+    def test_engine_ends_its_connections_before_it_stops_to_listen(self):
+        async def play():
+            engine = self.engine(link=types.SimpleNamespace(set_target_down=lambda down: asyncio.sleep(0)))
+            engine.listen = ("127.15.0.4", 8080)
+            engine.server = await asyncio.start_server(engine.serve, *engine.listen)
+            old, _ = await asyncio.open_connection(*engine.listen)
+            await asyncio.sleep(0.01)
+            ending = asyncio.ensure_future(engine.crash(False, 0.05))
+            self.assertEqual(await old.read(), b"")
+            late, writer = await asyncio.open_connection(*engine.listen)
+            writer.write(b"GET /health HTTP/1.1\r\n\r\n")
+            with self.assertRaises(ConnectionResetError):
+                await late.read()
+            await ending
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection(*engine.listen)
+        asyncio.run(play())
+
+    def test_engine_that_writes_a_few_bytes_at_a_time_writes_them_all_until_its_end(self):
+        engine, arrival, written = self.engine(drips=True), self.arrival("x-1"), []
+        engine.rng = types.SimpleNamespace(random=lambda: 0.0, choice=lambda sizes: sizes[0])
+        writer = types.SimpleNamespace(write=written.append, drain=lambda: asyncio.sleep(0))
+        arrival.framing, data = "chunks", engines.event("x-1", 1)
+        asyncio.run(engine.send(arrival, data, writer))
+        self.assertEqual((b"".join(written), max(map(len, written))), (wire.chunk(data), 1))
+        arrival.state = "crashed"
+        asyncio.run(engine.send(arrival, data, writer))
+        self.assertEqual(len(written), len(wire.chunk(data)) + 1)
+
     def sent(self, number):
         """A request that an instance sends to an engine, with its arrival there."""
         request = self.request("answered", "idem", 200)
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -89,6 +89,8 @@
         self.repeats = "repeats" in run.kinds and number % 3 == 0
         self.silent_until = 0.0
         self.row_is_odd = False
+        # Whether it has closed its connections and still listens, and whether it writes a few bytes at a time.
+        self.ending, self.drips = False, "drips" in run.kinds and number % 3 == 1
         # Whether its answers say that it leaves, and until when it asks an instance to send it nothing.
         self.says_leaving = False
         # Requests a second that it takes from all instances together, and when it first said so.
@@ -144,12 +146,23 @@
                 arrival.was_silent = True
             await asyncio.sleep(left)
 
-    async def crash(self, with_reset=True):
-        """Refuses connections from now on; all open ones are reset, or closed as a process's end does."""
+    async def crash(self, with_reset=True, listens_s=0.0):
+        """Refuses connections from now on; all open ones are reset, or closed as a process's end does.
+
+        With `listens_s` they end first, and it listens for so much longer, in seconds; what connects meanwhile is reset.
+        """
+        if listens_s > 0:
+            self.ending = True
+            self.end_connections(with_reset)
+            await asyncio.sleep(listens_s)
         if self.server is not None:
             self.server.close()
             self.server = None
         await self.link.set_target_down(True)
+        self.end_connections(with_reset or listens_s > 0)
+        self.ending = False
+
+    def end_connections(self, with_reset):
         for arrival in self.running:
             arrival.state = arrival.end = "crashed"
         for transport in list(self.connections):
@@ -162,6 +175,8 @@
         self.connections.add(writer.transport)
         try:
             keep, repeats = True, []
+            while self.ending:
+                await asyncio.sleep(0.001)
             while keep:
                 line, headers = await asyncio.wait_for(wire.read_head(reader), KEEP_ALIVE_S)
                 body = await wire.read_body(reader, headers)
@@ -249,8 +264,7 @@
             await self.until_heard(arrival)
             if arrival.state == "crashed":
                 return False
-            writer.write(self.framed(arrival, data))
-            await writer.drain()
+            await self.send(arrival, data, writer)
             if arrival.answered_at is None:
                 arrival.answered_at = time.monotonic()
             await asyncio.sleep(gap)
@@ -267,10 +281,26 @@
             arrival.end = "closed"
         return keep
 
+    async def send(self, arrival, data, writer):
+        """Writes a piece of an answer, at some engines and times a few bytes at a time."""
+        data = self.framed(arrival, data)
+        size = len(data)
+        if self.drips and self.rng.random() < 0.3:
+            size = max(self.rng.choice((1, 3, 16)), len(data) // 64)
+        for begin in range(0, len(data), max(1, size)):
+            writer.write(data[begin:begin + size])
+            await writer.drain()
+            if size < len(data):
+                await asyncio.sleep(0.0005)
+            if arrival.state == "crashed":
+                return
+
     async def cut(self, arrival, writer):
         """Ends a connection before the answer on it is whole."""
-        arrival.state = "truncated"
         await writer.drain()
+        if arrival.state == "crashed":
+            return False
+        arrival.state = "truncated"
         arrival.end = self.rng.choice(("closed", "reset"))
         if arrival.end == "reset":
             wire.reset(writer.transport)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -111,6 +111,7 @@
         if "versions" in run.kinds:
             yield self.release_software(run.rng("releases"))
             yield self.kill_all(run.rng("kill-all"))
+        yield self.end_processes(run.rng("ends"))
         yield self.silence_engines(run.rng("silence"))
         yield self.write_odd_rows(run.rng("odd-rows"))
 
@@ -306,6 +307,39 @@
                 await asyncio.sleep(rng.uniform(0.5, LAPSE_S))
                 self.run.store.remove("servers", old)
 
+    async def end_processes(self, rng):
+        """Engines end while answers run; their connections are closed and not reset."""
+        ways = [way for way in ("exits", "late-listeners", "address-reuse") if way in self.run.kinds]
+        while ways:
+            await asyncio.sleep(rng.uniform(0.2, 1) * self.run.calm)
+            engine = rng.choice(self.run.engines)
+            if not engine.turn.locked():
+                self.run.spawn(self.end_process(engine, rng.choice(ways), rng))
+
+    async def end_process(self, engine, way, rng):
+        async with engine.turn:
+            entry = self.log.begin(engine.name, way)
+            self.run.checks.counts[f"engine_{way.replace('-', '_')}"] += 1
+            old, same_id, version, down = engine.id, False, None, rng.uniform(0, 1)
+            if way == "exits":
+                engine.leaving = True
+                engine.register()
+                await asyncio.sleep(rng.uniform(0.2, 3))
+            elif way == "late-listeners":
+                same_id, down = rng.random() < 0.5, rng.choice((0, rng.uniform(0, 0.05), rng.uniform(0.5, 2)))
+            else:
+                down = rng.choice((rng.uniform(0, 0.02), down))
+                version = f"v{rng.randint(max(1, self.newest_software - 2), self.newest_software)}"
+            listens_s = rng.uniform(0, 0.05) if way == "late-listeners" else 0
+            await engine.crash(False, listens_s)
+            self.note(f"{engine.name} {old} {way}, listened {listens_s:.3f} s longer, down for {down:.3f} s")
+            await asyncio.sleep(down)
+            await engine.start(same_id, version)
+            self.note(f"{engine.name} starts as {engine.id} {engine.version}")
+            self.log.end(entry)
+        if not same_id:
+            await self.remove_later(old, rng.uniform(0, LAPSE_S))
+
     async def lose_some(self, rng):
         """Up to half of the instances are lost at once, and operators name weights beside it."""
         while True:
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -32,7 +32,9 @@
 CONFIGURATION_S = 15
 ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
 # Kinds that run only when they are named.
-OTHER_KINDS = "odd-rows,versions,leaving,large,limits,deadly,weights,regions,mute"
+OTHER_KINDS = "odd-rows,versions,leaving,large,limits,deadly,weights,regions,mute,real-ends"
+# What "real-ends" stands for; each of them may be named alone.
+REAL_ENDS = {"exits", "late-listeners", "address-reuse", "drips", "fresh-deadlines", "early-take-ups"}
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -48,6 +50,8 @@
         self.kinds = set(options.kinds.split(","))
         if "versions" in self.kinds:
             self.kinds |= {"process", "engines", "store"}
+        if "real-ends" in self.kinds:
+            self.kinds |= REAL_ENDS
         self.calm, self.link_share, self.grace = options.calm, options.link_share, GRACE_S
         self.idle_timeout, self.route_timeout, self.lag = 1.0, 2.0, 0.0
         # Region of each zone.
