Soak: cuts between some instances and all engines, judged as RECOVER

Cause: not mended here; this is the failing test.

Change: a kind `cuts`, only when named. A link looks up which process opened a connection (the kernel's socket table, then /proc/PID/fd of the processes that the soak started) and holds, resets, refuses or cuts it one way. Cuts take some instances, a zone or most, all engines or one service, may spare open connections, and come again. Callers that ask the directory stand beside those that know one instance; first tries of both are counted second by second in recover.csv. RECOVER_SERVICE is the same share where only one service is cut off, which the users' rule does not name. In these runs processes are stopped only with `process`; instances and engines are in three zones. A stream that breaks off at an instance that is cut off is excused as one behind a faulty link is, by a fault that only this kind records.

Limits: the proxy has accepted a connection that hangs or is refused, so instances see no connect time-out.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers with kept connections whose requests arrive as the idle time-out of the instance expires."""
 import asyncio
+import json
 import time
 
 import checks
@@ -16,6 +17,9 @@
 TAKE_UPS = 3
 LEAST_LEFT_S = 0.2
 CONNECT_S = 5.0
+DIRECTORY_PORT = 8603
+# Tries of a request of callers that ask the directory.
+DIRECTORY_TRIES = 3
 # Callers whose request ends each engine that runs it.
 DEADLY = 2
 
@@ -58,6 +62,7 @@
         while True:
             number += 1
             request, data = self.make(link, opened, number, idle)
+            request.group = "home"
             try:
                 self.rested_since = None
                 goes_on = await self.exchange(request, data, reader, writer)
@@ -244,6 +249,95 @@
             self.run.checks.finding("MIXED", f"{request}: {seen[-120:]!r} of {len(expected)} bytes", request.id)
 
 
+class DirectoryCaller(Caller):
+    """Asks the directory where to connect; sends on while earlier requests are under way, and tries again elsewhere."""
+
+    def __init__(self, number, near, run):
+        super().__init__(number, near, run)
+        self.place = near.place
+        self.known, self.until = [], 0.0
+        # A quarter keep an answer three times as long.
+        self.patience = 3 if number % 4 == 0 else 1
+        # Open connections with nothing under way: instance, reader, writer and time of the last use.
+        self.idle = []
+
+    async def live(self):
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        while not self.run.closing:
+            if time.monotonic() > self.until:
+                await self.resolve()
+            self.run.spawn(self.ask())
+            await asyncio.sleep(self.rng.uniform(0.4, 1.2))
+        for _, _, writer, _ in self.idle:
+            writer.close()
+
+    async def resolve(self):
+        """Asks an instance of its zone; keeps the former answer where it gets none."""
+        asked = self.rng.choice([instance for instance in self.run.instances if instance.place == self.place])
+        region = self.run.regions[f"zone-{self.place}"]
+        target = f"/-/resolve?name={HOST}&region={region}&zone=zone-{self.place}"
+        try:
+            document = await asyncio.wait_for(self.read_directory(asked, target), 1)
+        except (*wire.READ_ERRORS, asyncio.TimeoutError):
+            return
+        by_address = {"%s:%d" % instance.front: instance for instance in self.run.instances}
+        known = [by_address[address] for address in document.get("addresses", ())]
+        if known:
+            self.known, self.until = known, time.monotonic() + document["ttl-s"] * self.patience
+
+    async def read_directory(self, asked, target):
+        reader, writer = await asyncio.open_connection(asked.address, DIRECTORY_PORT)
+        try:
+            writer.write(wire.message(f"GET {target} HTTP/1.1", {"Host": "directory"}))
+            _, headers = await wire.read_head(reader)
+            return json.loads(await wire.read_body(reader, headers))
+        finally:
+            writer.close()
+
+    async def ask(self):
+        """One request and its tries, each at another of the addresses."""
+        failed = set()
+        while len(failed) < DIRECTORY_TRIES and not self.run.closing:
+            left = [instance for instance in self.known if instance not in failed]
+            if not left:
+                return
+            connection = await self.connect(left)
+            if connection is None or await self.attempt(connection, not failed):
+                return
+            failed.add(connection[0])
+
+    async def connect(self, among):
+        """An idle connection to one of the instances, or a new one."""
+        now = time.monotonic()
+        while self.idle:
+            home, reader, writer, used_at = self.idle.pop()
+            if home in among and now - used_at < self.run.idle_limit_since(used_at) / 2:
+                return home, reader, writer, now - used_at
+            writer.close()
+        home = self.rng.choice(among)
+        try:
+            return home, *await asyncio.wait_for(asyncio.open_connection(*home.front), 1), None
+        except (OSError, asyncio.TimeoutError):
+            return None
+
+    async def attempt(self, connection, is_first):
+        """One try; True unless another instance may serve the request."""
+        home, reader, writer, idle = connection
+        self.home = home
+        request, data = self.make(None, time.monotonic(), 1 if idle is None else 2, idle or 0.0)
+        request.group = "directory" if is_first else None
+        goes_on = False
+        try:
+            goes_on = await self.exchange(request, data, reader, writer)
+        finally:
+            self.finish(request)
+            if goes_on and not self.run.closing and self.rng.random() < 0.7:
+                self.idle.append((home, reader, writer, time.monotonic()))
+            else:
+                writer.close()
+        return request.outcome == "abandoned" or request.status in (200, 401, 404)
+
+
 class DeadlyCaller(Caller):
     """Sends one request again and again, at any instance, that ends each engine that runs it."""
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -127,6 +127,8 @@
         self.had_choice = False
         # The route among those that configurations add and drop.
         self.path, self.added = "", None
+        # Which callers a first try is counted with; None for later tries.
+        self.group = None
         # An ordinary close ended the answer before its last byte; only an engine's close allows that.
         self.is_short = False
 
@@ -330,6 +332,8 @@
         """Judges a request once everything about it is known."""
         self.counts["requests"] += 1
         self.judge_versions(request)
+        if self.run.cuts is not None:
+            self.run.cuts.take(request)
         # An instance has a choice where two engines of the version that began the stream serve.
         first = request.stream.events[0][1] if request.stream.events else None
         request.had_choice = request.resumes is not None and self.serving(first, request) > 1
@@ -388,7 +392,7 @@
     def count_beginning(self, request):
         """Counts new streams that begin and taken up ones that go on, at instances in touch."""
         name, begin = request.instance.name, request.sent_at - SOUND_S
-        targets = [name, f"link:store:{name}", "store", *([request.link] if request.link else [])]
+        targets = [name, f"cut:{name}", f"link:store:{name}", "store", *([request.link] if request.link else [])]
         if request.instance.started_at > begin or self.faults.during(targets, begin, request.ended_at):
             return
         if request.outcome == "abandoned" or request.status == 401 or request.resumes and not request.had_choice:
@@ -416,7 +420,8 @@
         begin = request.sent_at - SOUND_S
         if request.link:
             causes += self.faults.during([request.link], begin, request.ended_at)
-        return causes, self.engine_faults(arrivals, begin, request.ended_at)
+        cuts = self.faults.during([f"cut:{request.instance.name}"], begin, request.ended_at)
+        return causes, cuts + self.engine_faults(arrivals, begin, request.ended_at)
 
     def engine_faults(self, arrivals, begin, end):
         targets = [target for one in arrivals for target in (one.engine, f"link:{one.engine}")]
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -2,8 +2,10 @@
 """Tests that the soak's checks tell a fault of the relay from what a fault of the surroundings explains."""
 import asyncio
 import collections
+import contextlib
 import functools
 import json
+import os
 import pathlib
 import random
 import tempfile
@@ -13,6 +15,7 @@
 
 import callers
 import checks
+import cuts
 import engines
 import faults
 import odd
@@ -27,7 +30,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.run_under_test = types.SimpleNamespace(seed=1, folder=pathlib.Path(folder.name), lag=0.0,
-                                                    service_history={}, more={}, dropped={})
+                                                    service_history={}, more={}, dropped={}, cuts=None)
         self.checks = self.run_under_test.checks = checks.Checks(self.run_under_test)
         self.run_under_test.engines = []
         self.instance = types.SimpleNamespace(name="r00", started_at=0.0, was_killed=lambda begin, end: False)
@@ -224,7 +227,7 @@
 
     def engine(self, **more):
         run = types.SimpleNamespace(rng=lambda name: random.Random(1), kinds={"repeats"}, checks=self.checks,
-                                    store=store.Store(None))
+                                    store=store.Store(None), cuts=None)
         made = engines.Engine(0, "plain", ("127.15.0.1", 8080), ("127.15.0.2", 8080), run)
         made.id, made.born, made.server = "i-e0-1", 1, object()
         vars(made).update(more)
@@ -370,6 +373,108 @@
             link.stop_listening()
         asyncio.run(play())
 
+    def test_first_tries_at_cut_off_instances_are_served_two_thirds_as_often(self):
+        for at_cut, others, broken in (((603, 6), (771, 759), True), ((168, 38), (1218, 1201), True),
+                                       ((300, 200), (300, 300), False), ((300, 199), (300, 300), True),
+                                       ((300, 100), (300, 150), False), ((300, 99), (300, 150), True),
+                                       ((20, 0), (480, 480), False), ((21, 0), (479, 479), True),
+                                       ((0, 0), (500, 500), False), ((500, 0), (0, 0), False)):
+            self.assertEqual(cuts.breaks_recover(at_cut, others), broken, (at_cut, others))
+
+    def start_cut(self, service=None, ago=5.0):
+        away = types.SimpleNamespace(name="r01", started_at=0.0)
+        made = cuts.Cuts(self.run_under_test)
+        self.addCleanup(made.table.socket.close)
+        made.all = [cuts.Cut([away], "hang", service)]
+        made.all[0].begin -= ago
+        return made, away
+
+    def first_try(self, instance, status=503, **more):
+        made = self.request("answered", status=status)
+        made.instance, made.group, made.number = instance, "directory", 1
+        vars(made).update(more)
+        return made
+
+    def test_cut_counts_first_tries_at_instances_in_touch(self):
+        made, away = self.start_cut()
+        for more in ({}, {"group": None}, {"status": 401}, {"status": 404}, {"outcome": "abandoned"},
+                     {"number": 2, "idle": 0.9, "idle_limit": 1.0}, {"sent_at": time.monotonic() - 9}):
+            made.take(self.first_try(away, **more))
+        made.take(self.first_try(away, None, outcome="closed", number=2, idle=0.5, idle_limit=1.0))
+        made.take(self.first_try(self.instance, 200))
+        self.checks.faults.begin("r00", "pause")
+        made.take(self.first_try(self.instance, 503))
+        self.assertEqual([made.all[0].total("directory", is_cut) for is_cut in (True, False)], [(2, 0), (1, 1)])
+
+    def test_first_seconds_and_other_services_do_not_count(self):
+        made, away = self.start_cut("gen", 2.5)
+        made.take(self.first_try(away, 503))
+        made.take(self.first_try(away, 503, route="gen"))
+        self.assertEqual(list(made.all[0].tries.values()), [[1, 0]])
+        self.assertEqual(made.all[0].total("directory", True), (0, 0))
+
+    def test_cut_is_judged_by_callers_and_by_service(self):
+        for service, status, found in ((None, 503, {"RECOVER": 1}), ("plain", 503, {"RECOVER_SERVICE": 1}), (None, 200, {})):
+            self.checks.findings.clear()
+            made, away = self.start_cut(service)
+            for group, count in (("directory", 30), ("home", 10)):
+                for _ in range(count):
+                    made.take(self.first_try(away, status, group=group))
+                    made.take(self.first_try(self.instance, 200, group=group))
+            made.judge()
+            self.assertEqual(dict(self.checks.findings), found)
+            lines = (self.run_under_test.folder / "recover.csv").read_text().splitlines()
+            served = count if status == 200 else 0
+            self.assertEqual(lines[2], f"0,{service or 'all'},hang,home,5,{served},10,10,10")
+
+    def test_cut_holds_resets_and_lets_through_by_process(self):
+        async def play(number, how, pid, answer, spares_old=False, healed=False):
+            async def echo(reader, writer):
+                writer.write(await reader.read(9))
+                writer.close()
+            network = f"127.15.{1 + os.getpid() % 250}"
+            listen, target = (f"{network}.{1 + number}", 8080), (f"{network}.{101 + number}", 8080)
+            engine = await asyncio.start_server(echo, *target)
+            link = proxy.Link("link:e0", listen, target)
+            run = types.SimpleNamespace(checks=self.checks, spawn=asyncio.ensure_future,
+                                        engines=[types.SimpleNamespace(link=link, service="plain")],
+                                        schedule=types.SimpleNamespace(note=lambda text: None))
+            link.cuts = made = cuts.Cuts(run)
+            self.addCleanup(made.table.socket.close)
+            await link.start()
+            instance = types.SimpleNamespace(name="r00", process=types.SimpleNamespace(pid=pid))
+            old = await asyncio.open_connection(*link.listen)
+            holding = run.spawn(made.hold(cuts.Cut([instance], how, None, spares_old), 0.6))
+            await asyncio.sleep(0.02)
+            new = await asyncio.open_connection(*link.listen)
+            for reader, writer in (old, new):
+                writer.write(b"question")
+            if healed:
+                await holding
+            answers = []
+            for reader, writer in (old, new):
+                with contextlib.suppress(ConnectionError):
+                    try:
+                        answers.append(await asyncio.wait_for(reader.read(9), 0.2))
+                    except asyncio.TimeoutError:
+                        answers.append(None)
+                    continue
+                answers.append("reset")
+            self.assertEqual(answers, answer, (how, pid, spares_old, healed))
+            await holding
+            for _, writer in (old, new):
+                writer.close()
+            link.stop_listening()
+            engine.close()
+        own, other, whole = os.getpid(), os.getppid(), b"question"
+        plays = [(how, own, [whole, whole], False, True) for how in ("hang", "up", "down")]
+        for how, found in (("hang", None), ("up", None), ("down", None), ("reset", "reset"), ("refuse", "reset")):
+            plays += [(how, own, [found, found]), (how, own, [whole, found], True), (how, other, [whole, whole])]
+
+        async def play_all():
+            await asyncio.gather(*(play(number, *one) for number, one in enumerate(plays)))
+        asyncio.run(play_all())
+
     def test_returned_store_gives_versions_out_again(self):
         async def play():
             kept = store.Store(None)
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -77,6 +77,7 @@
         self.name = f"e{number}"
         self.service, self.listen, self.shown, self.run = service, listen, shown, run
         self.rng = run.rng(self.name)
+        self.zone = "zone-" + "abc"[number // 2 % 3] if run.cuts is not None else "zone-a"
         self.starts = self.reports = 0
         self.id = None
         self.fault = None
@@ -130,7 +131,7 @@
 
     def describe(self):
         self.reports += 1
-        row = {"service": self.service, "address": "%s:%d" % self.shown, "zone": "zone-a", "version": self.version,
+        row = {"service": self.service, "address": "%s:%d" % self.shown, "zone": self.zone, "version": self.version,
                "slots": 64, "state": "draining" if self.leaving else "ready", "cold-remaining-ms": 0,
                "sequence": self.reports, "born": self.born}
         if self.service == "gen":
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -96,7 +96,7 @@
     def loops(self):
         """Coroutines of the schedule, one for each thing that fails by itself."""
         run = self.run
-        for instance in run.instances:
+        for instance in run.instances if "cuts" not in run.kinds or "process" in run.kinds else ():
             yield self.trouble_instance(instance, run.rng(f"fault-{instance.name}"))
         for engine in run.engines:
             yield self.trouble_engine(engine, run.rng(f"fault-{engine.name}"))
@@ -106,6 +106,8 @@
         yield self.trouble_store(run.rng("fault-store"))
         yield self.change_configuration(run.rng("configuration"))
         yield self.name_limits(run.rng("limits"))
+        if run.cuts is not None:
+            yield run.cuts.live(run.rng("cuts"))
         if "weights" in run.kinds:
             yield self.lose_some(run.rng("lose-some"))
         if "versions" in run.kinds:
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -25,7 +25,7 @@
         self.name = f"r{number:02d}"
         self.address, self.store, self.run = address, store, run
         self.front = (address, 8606)
-        # Name of its region and zone.
+        # Name of its zone.
         self.place = sorted(run.regions)[number % len(run.regions)][-1]
         self.process = None
         self.paused = False
@@ -43,7 +43,7 @@
         self.turn = asyncio.Lock()
 
     def start(self):
-        flags = {"name": self.name, "region": f"region-{self.place}", "failure_domain": f"zone-{self.place}",
+        flags = {"name": self.name, "region": self.run.regions[f"zone-{self.place}"], "failure_domain": f"zone-{self.place}",
                  "regions": json.dumps(self.run.regions), "address": self.address,
                  "caller_listen": f"{self.address}:8606", "ready_listen": f"{self.address}:8605",
                  "directory_listen": f"{self.address}:8603", "internal_ports": "7600,7615",
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -14,6 +14,8 @@
         self.held = set()
         self.cut = set()
         self.pipes = set()
+        # Told of connections that come, where cuts are made between one instance and engines.
+        self.cuts = None
         self.server = None
         self.target_down = False
         # A fault that ends and an engine that starts open the link at the same time.
@@ -84,11 +86,15 @@
         # Nothing comes through any more, in either direction; new connections work.
         self.is_mute = False
         self.due = 0.0
+        # Of the side that an instance opened: directions held by a cut, and whether bytes reset it.
+        self.cut, self.resets = None, False
 
     def connection_made(self, transport):
         self.transport = transport
         self.link.pipes.add(self)
         if self.other is None:
+            if self.link.cuts is not None:
+                self.link.cuts.opened(self)
             asyncio.ensure_future(self.connect())
         else:
             self.other.other = self
@@ -108,7 +114,14 @@
         self.take(None)
         return True
 
+    def is_cut_off(self):
+        opener = self if self.direction == "up" else self.other
+        return opener.cut is not None and self.direction in opener.cut
+
     def take(self, data):
+        if self.is_cut_off() and (self if self.direction == "up" else self.other).resets:
+            self.reset()
+            return
         if self.direction in self.link.cut:
             self.damaged = True
         if self.damaged or self.is_mute:
@@ -122,7 +135,7 @@
             self.flush()
 
     def flush(self):
-        if self.other is None or self.other.transport is None or self.direction in self.link.held:
+        if self.other is None or self.other.transport is None or self.direction in self.link.held or self.is_cut_off():
             return
         now = asyncio.get_running_loop().time()
         target = self.other.transport
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -17,6 +17,7 @@
 
 import callers
 import checks
+import cuts
 import engines
 import faults
 import instances
@@ -28,11 +29,13 @@
 STORE_PORT = 8601
 GRACE_S = 8
 START_S = 20
+# Callers that ask the directory, for each instance.
+DIRECTORY_CALLERS = 8
 # Time for which an instance may still use an older configuration, in seconds.
 CONFIGURATION_S = 15
 ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
 # Kinds that run only when they are named.
-OTHER_KINDS = "odd-rows,versions,leaving,large,limits,deadly,weights,regions,mute"
+OTHER_KINDS = "odd-rows,versions,leaving,large,limits,deadly,weights,regions,mute,cuts"
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
 NETWORKS = 110 * 256
 
@@ -53,6 +56,10 @@
         # Region of each zone.
         places = "ab" if "regions" in self.kinds else "a"
         self.regions = {f"zone-{place}": f"region-{place}" for place in places}
+        self.cuts = None
+        if "cuts" in self.kinds:
+            self.regions = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-b"}
+            self.cuts = cuts.Cuts(self)
         self.closing = False
         # The newest configuration's services of routes that move, and its limits.
         self.services, self.limits = {}, {}
@@ -116,6 +123,7 @@
             service = "gen" if is_gen else "spare" if moved else "plain"
             engine = engines.Engine(number, service, own, shown, self)
             engine.link = await self.add_link(f"link:{engine.name}", shown, own)
+            engine.link.cuts = self.cuts
             await engine.start()
             self.engines.append(engine)
         self.trap = odd.Trap((f"{self.network}.9", 8080), self)
@@ -154,6 +162,10 @@
             for _ in range(self.options.callers):
                 self.spawn(callers.Caller(number, instance, self).live())
                 number += 1
+        if self.cuts is not None:
+            for _ in range(DIRECTORY_CALLERS * len(self.instances)):
+                self.spawn(callers.DirectoryCaller(number, self.rng(f"place-{number}").choice(self.instances), self).live())
+                number += 1
         if "deadly" in self.kinds:
             for one in range(callers.DEADLY):
                 self.spawn(callers.DeadlyCaller(number + one, self.instances[0], self).live())
@@ -176,7 +188,8 @@
         counts = " ".join(f"{name}={count}" for name, count in sorted(self.checks.counts.items()))
         shares = " ".join(f"share_{kind}={self.checks.share(kind):.2f}" for kind in ("new", "taken_up")
                           if self.checks.counts[f"streams_{kind}"])
-        return f"soak seed={self.seed} findings={found} {kinds} {counts} {shares} logs={self.folder}"
+        first = self.cuts.summary() if self.cuts is not None else ""
+        return f"soak seed={self.seed} findings={found} {kinds} {counts} {shares} {first} logs={self.folder}"
 
 
 def read_options(arguments):
@@ -231,6 +244,8 @@
         with open(instance.log_path, encoding="utf-8", errors="replace") as log:
             run.checks.check_unread(log)
     run.checks.judge_shares()
+    if run.cuts is not None:
+        run.cuts.judge()
     print(run.summary())
     return 1 if run.checks.findings else 0
 
