Soak: an engine whose process has ended answers nobody

Cause: a connection that was accepted in the moment in which the stand-in ended was served by its successor-to-be, still under the old id and start, so that a dead process confirmed itself. A process that has ended answers nobody, so such a connection is reset now.

--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -178,6 +178,9 @@
             keep, repeats = True, []
             while self.ending:
                 await asyncio.sleep(0.001)
+            if self.server is None:
+                # It was accepted in the moment in which the process ended.
+                return wire.reset(writer.transport)
             while keep:
                 line, headers = await asyncio.wait_for(wire.read_head(reader), KEEP_ALIVE_S)
                 body = await wire.read_body(reader, headers)
