--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -143,6 +143,7 @@
     core::incarnation m_asked_start{};       ///< Start of its upstream as the record told it.
     std::uint64_t m_connect_failures = 0;    ///< Attempts whose connection could not be made.
     std::uint64_t m_sends = 0;               ///< Attempts that sent the request.
+    std::uint64_t m_end_checks = 0; ///< Questions about the end of the current attempt's answer.
     std::uint64_t m_possible_executions = 0; ///< Sent attempts that may have executed the request.
     std::vector<core::upstream_id> m_tried;  ///< Upstreams of all attempts so far.
     core::time_point m_attempt_started{};    ///< Start of the current attempt.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -201,12 +201,18 @@
     {
         return;
     }
+    const bool is_closed = m_framing == net::body_framing::until_close;
+    if (is_closed)
+    {
+        // What listens there next may be another start, of another version.
+        m_selection.m_upstream->doubt(core::runtime_clock::now());
+    }
     if (m_mode == response_mode::events && m_framer.is_inside_event())
     {
         on_connection_lost("ended_inside_event");
         return;
     }
-    if (m_framing != net::body_framing::until_close)
+    if (!is_closed)
     {
         finish_response();
         return;
@@ -248,7 +254,11 @@
         finish_response();
         return;
     case process_presence::another:
-        m_selection.m_upstream->doubt(core::runtime_clock::now());
+        if (m_selection.m_upstream->m_leaving_since)
+        {
+            on_end_unproven();
+            return;
+        }
         on_connection_lost("upstream_restarted");
         return;
     case process_presence::silent:
@@ -284,7 +294,15 @@
         return;
     }
     const upstream& current = *m_selection.m_upstream;
-    if (result != net::probe_result::refused || current.m_leaving_since)
+    const bool is_refused = result == net::probe_result::refused;
+    if (!is_refused && !listening_suffices &&
+        ++m_end_checks < m_state.m_session_settings.m_max_end_checks)
+    {
+        // A sound upstream may be silent for a while.
+        confirm_upstream_is_there();
+        return;
+    }
+    if (!is_refused || current.m_leaving_since)
     {
         on_end_unproven();
         return;
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -264,6 +264,7 @@
     m_first_byte_received = false;
     m_body.clear();
     m_framer.clear();
+    m_end_checks = 0;
     const std::uint64_t attempt = ++m_attempt;
     const upstream_record& record = chosen.m_upstream->m_record;
     m_tried.push_back(record.m_id);
--- a/tarragontrail/relay/relay_session_software.cpp
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -95,7 +95,8 @@
 /// be able to tell it.
 void relay_session::note_begun_stream(core::time_point now)
 {
-    if (!m_stream || !m_software)
+    // The version of a stream that is taken up was told by others, or by the plan.
+    if (!m_stream || !m_software || m_request.m_taken_up)
     {
         return;
     }
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -83,7 +83,10 @@
     std::uint64_t m_response_limit_bytes = std::uint64_t{64} * 1024 * 1024;
     /// Largest event of a stream.
     std::size_t m_event_limit_bytes = std::size_t{256} * 1024;
-    /// Longest check whether the upstream of an answer that ends with its connection has crashed.
+    /// Questions to the upstream of an answer that ends with its connection, until that end counts
+    /// as broken off.
+    std::uint64_t m_max_end_checks = 4;
+    /// Longest check whether it has crashed.
     std::chrono::milliseconds m_end_probe_limit{300};
     /// Interval of checks while a suspect request is held; half of crash attribution's
     /// evaluation delay.
--- a/unit_tests/platform/software_versions_test.cpp
+++ b/unit_tests/platform/software_versions_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(take_up_is_told_by_the_plan);
     CPPUNIT_TEST(take_up_that_waited_for_a_stopped_instance_is_old);
     CPPUNIT_TEST(take_up_with_a_fresh_deadline_is_old);
+    CPPUNIT_TEST(version_told_by_the_plan_is_not_remembered);
     CPPUNIT_TEST(plain_stream_may_begin_at_any_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +105,16 @@
         CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up_after(0s, 5s));
     }
 
+    /// The instance that began the stream may tell another one yet.
+    void version_told_by_the_plan_is_not_remembered()
+    {
+        CPPUNIT_ASSERT_EQUAL(200U, status_of_take_up_after(0s));
+        const auto origin =
+            m_state->m_stream_versions.origin("s", core::id_of<relay::stream_id>(std::string("r1")),
+                                              {{"v2"}}, 1s, core::runtime_clock::now());
+        CPPUNIT_ASSERT(origin.m_evidence == relay::version_evidence::plan);
+    }
+
     void plain_stream_may_begin_at_any_version()
     {
         configure(relay::request_kind::stream);
--- a/unit_tests/platform/unproven_end_test.cpp
+++ b/unit_tests/platform/unproven_end_test.cpp
@@ -32,10 +32,15 @@
     void check_presence(const upstream_record& /*asked*/,
                         std::function<void(process_presence)> handler) override
     {
+        if (m_silent_answers && (*m_silent_answers)-- == 0)
+        {
+            m_presence = process_presence::same;
+        }
         boost::asio::post(m_context, [this, handler = std::move(handler)] { handler(m_presence); });
     }
 
     process_presence m_presence = process_presence::same;
+    std::optional<int> m_silent_answers; ///< Until one is the same again; empty for ever.
 
 private:
     boost::asio::io_context& m_context;
@@ -53,6 +58,7 @@
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_is_there_is_whole);
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_started_again_goes_on_elsewhere);
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_does_not_respond_goes_on_elsewhere);
+    CPPUNIT_TEST(unframed_stream_of_an_engine_that_is_silent_for_a_while_is_whole);
     CPPUNIT_TEST(long_unframed_answer_of_an_upstream_that_left_is_not_joined);
     CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +107,17 @@
     void unframed_stream_of_an_engine_that_does_not_respond_goes_on_elsewhere()
     {
         check_goes_on_elsewhere(process_presence::silent);
+        const auto closed = m_state->m_upstreams.find(core::id_of<core::upstream_id>("u1"));
+        CPPUNIT_ASSERT(closed->m_doubted_since.has_value());
+    }
+
+    void unframed_stream_of_an_engine_that_is_silent_for_a_while_is_whole()
+    {
+        configure_engines(process_presence::silent);
+        m_engines.m_silent_answers = 2;
+        add_upstream([](const std::string&) { return reply{unframed_events(1, 2), true}; });
+        add_upstream([](const std::string&) { return reply{events(3, 4) + end_of_chunks}; });
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), ask()->body());
     }
 
     /// Part of it has been passed on, and another run's answer may differ.
