Requests at an instance that reaches no upstream are passed on to one that does

Cause: reachability belongs to a pair of instance and upstream, and the code took it for a property of the upstream: an instance that was cut off ejected one upstream after the other, refused what only it could not reach, and went on being named by the directory (95 of 95 answers). Change: upstream_reach tells from failures in a row, with no response between, that a service is cut off from here. Such a request goes to a near instance that reaches the service, on a listener of its own, as its caller sent it, with the time that is left: that one charges the workspace and chooses the upstream, and does not pass it on again; attempts that may have run count there. The others are told, and their directories name instances that reach all services, while there are any.

--- a/tarragontrail/relay/caller_request.hpp
+++ b/tarragontrail/relay/caller_request.hpp
@@ -47,8 +47,10 @@
     std::optional<std::uint64_t> m_charged_tokens;
     /// Set when the caller takes up a stream whose connection broke.
     std::optional<taken_up_stream> m_taken_up;
-    std::uint64_t m_fingerprint = 0; ///< Equal for repeats of a request by the same caller.
-    net::http_request m_message;     ///< Method, target, headers to forward, and body.
+    bool m_passed_on = false;         ///< Another instance received it and passed it on.
+    std::uint64_t m_earlier_runs = 0; ///< Attempts there that may have executed it.
+    std::uint64_t m_fingerprint = 0;  ///< Equal for repeats of a request by the same caller.
+    net::http_request m_message;      ///< Method, target, headers to forward, and body.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -321,7 +321,7 @@
 void fleet_exchange::apply_state(const wire::member_state& state, core::time_point now)
 {
     const instance_status status{state.m_started, state.m_ready, state.m_leaving,
-                                 state.m_store_reached};
+                                 state.m_store_reached, state.m_cut_off};
     if (m_registry.on_status(state.m_instance, status, now))
     {
         m_state.m_limits.on_peer_restarted(state.m_instance, now);
--- a/tarragontrail/relay/fleet_member.hpp
+++ b/tarragontrail/relay/fleet_member.hpp
@@ -9,6 +9,9 @@
 /// Key prefix of the instances' rows.
 constexpr std::string_view member_prefix = "member/";
 
+/// Requests that are passed on arrive at the peer port plus this.
+constexpr std::uint16_t passed_on_port_offset = 1;
+
 /// Instance of the fleet, as its row in the table store describes it.
 struct fleet_member
 {
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -57,7 +57,8 @@
       m_crash_rows(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_weights_namings(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_version_plans(state, store, [this](const table_row& row) { publish_own_row(row); }),
-      m_identity_checks(state, engines, {}), m_check_timer(context), m_register_timer(context)
+      m_identity_checks(state, engines, {}), m_reach_checks(state, engines, {}),
+      m_check_timer(context), m_register_timer(context)
 {
     for (const followed_table table :
          {followed_table::operators, followed_table::upstreams, followed_table::fleet})
@@ -107,6 +108,7 @@
     m_store.on_era([this](std::uint64_t era) { begin_era(era); });
     m_state.m_announcer = this;
     m_state.m_engines = &engines;
+    m_state.m_peers = this;
     m_state.m_part_crashes.set_sender(this);
     m_state.m_quarantines_known = false;
 }
@@ -205,8 +207,10 @@
         m_logged_readiness = is_ready();
         observe::log("readiness", {{"ready", m_logged_readiness}, {"leaving", m_leaving}});
     }
-    m_registry.set_own_status({m_self.m_started, is_ready(), m_leaving, is_table_store_reachable()},
+    m_registry.set_own_status({m_self.m_started, is_ready(), m_leaving, is_table_store_reachable(),
+                               m_state.m_reach.cut_off_hashes()},
                               now);
+    check_reach(now);
     check_registration();
     m_document_applier.on_timer(now);
     m_state.m_upstreams.remove_departed(m_settings.m_departed_retention, now);
@@ -220,6 +224,35 @@
     m_check_timer.run_after(m_settings.m_check_interval, [this] { run_periodic_checks(); });
 }
 
+/// Tells the others at once which services cannot be reached from here, so that their directories
+/// name other instances.
+void fleet_service::check_reach(core::time_point now)
+{
+    m_reach_checks.check(now);
+    std::vector<std::uint64_t> cut_off = m_state.m_reach.cut_off_hashes();
+    if (cut_off != m_told_cut_off)
+    {
+        m_told_cut_off = std::move(cut_off);
+        m_exchange.broadcast_heartbeat();
+    }
+}
+
+std::optional<passing_peer>
+fleet_service::peer_reaching(const std::string& service,
+                             const std::vector<core::instance_id>& tried)
+{
+    const auto peer = m_registry.peer_reaching(core::hash_name(service), tried, m_state.m_random(),
+                                               core::runtime_clock::now());
+    if (!peer)
+    {
+        return std::nullopt;
+    }
+    net::tcp::endpoint endpoint =
+        net::parse_endpoint(m_registry.members().at(*peer).m_peer_address);
+    endpoint.port(static_cast<std::uint16_t>(endpoint.port() + passed_on_port_offset));
+    return passing_peer{*peer, endpoint};
+}
+
 /// Instances that are not heard may still use their shares of the fleet's limits.
 void fleet_service::share_limits(core::time_point now)
 {
@@ -351,6 +384,7 @@
     heartbeat.m_state.m_ready = is_ready();
     heartbeat.m_state.m_leaving = m_leaving;
     heartbeat.m_state.m_store_reached = is_table_store_reachable();
+    heartbeat.m_state.m_cut_off = m_state.m_reach.cut_off_hashes();
     heartbeat.m_versions =
         wire::table_versions{follower(followed_table::operators).mirror().position(),
                              follower(followed_table::upstreams).mirror().position(),
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -7,6 +7,7 @@
 #include "tarragontrail/relay/fleet_exchange.hpp"
 #include "tarragontrail/relay/identity_checks.hpp"
 #include "tarragontrail/relay/quarantine_rows.hpp"
+#include "tarragontrail/relay/reach_checks.hpp"
 #include "tarragontrail/relay/staleness_detector.hpp"
 #include "tarragontrail/relay/table_follower.hpp"
 #include "tarragontrail/relay/version_plan_rows.hpp"
@@ -48,6 +49,7 @@
 class fleet_service : public fleet_exchange_listener,
                       public relay_announcer,
                       public part_evidence_sender,
+                      public peer_source,
                       public weights_announcer
 {
 public:
@@ -78,6 +80,8 @@
     void announce_weights_update(const placement::announce_engine& update) override;
     void announce_yield(const placement::duty_release& release) override;
     void ask_presence(core::instance_id instance) override;
+    std::optional<passing_peer> peer_reaching(const std::string& service,
+                                              const std::vector<core::instance_id>& tried) override;
     void send_part_evidence(const recovery::part_attribution_action& evidence) override;
 
 private:
@@ -126,6 +130,7 @@
     void write_kept_rows(core::time_point now);
     void check_versions(core::time_point now);
     void check_contact(core::time_point now);
+    void check_reach(core::time_point now);
     bool is_table_store_reachable() const;
     table_follower& follower(followed_table table);
 
@@ -158,6 +163,8 @@
     std::vector<recovery::crash_history> m_read_histories;
     version_plan_rows m_version_plans;
     identity_checks m_identity_checks;
+    reach_checks m_reach_checks;
+    std::vector<std::uint64_t> m_told_cut_off; ///< Services cut off, as told to others last.
     net::timer m_check_timer;
     net::timer m_register_timer;
     /// Version of this instance's row, as the table store acknowledged it last.
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -104,10 +104,19 @@
     /// Parses a caller's request; throws request_error.
     virtual caller_request decode(const net::http_request& message) const = 0;
 
+    /// Parses a request that another instance passes on; throws request_error.
+    virtual caller_request decode_passed_on(const net::http_request& message) const = 0;
+
     /// Builds the request that is sent to an upstream.
     virtual net::http_request encode(const caller_request& request,
                                      const upstream_request_metadata& metadata) const = 0;
 
+    /// Builds the request that is passed on to another instance, as its caller sent it, with the
+    /// number of attempts that may have executed it.
+    virtual net::http_request encode_for_peer(const caller_request& request,
+                                              std::chrono::milliseconds time_left,
+                                              std::uint64_t earlier_runs) const = 0;
+
     /// Parses the head of an upstream's response.
     virtual response_metadata parse_head(const net::http_response& head,
                                          const caller_request& request,
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/relay/instance_registry.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace tarragontrail::relay {
 
@@ -112,6 +113,49 @@
     return m_statuses.at(instance).m_status.m_ready;
 }
 
+bool instance_registry::reaches_upstreams(core::instance_id instance, core::time_point now) const
+{
+    if (!is_ready(instance, now))
+    {
+        return false;
+    }
+    const instance_status& status =
+        instance == m_self.m_instance ? m_own_status : m_statuses.at(instance).m_status;
+    return status.m_cut_off.empty();
+}
+
+std::optional<core::instance_id>
+instance_registry::peer_reaching(std::uint64_t service, const std::vector<core::instance_id>& tried,
+                                 std::uint64_t draw, core::time_point now) const
+{
+    std::array<std::vector<core::instance_id>, 3> by_distance;
+    for (const auto& [instance, member] : m_members)
+    {
+        if (instance == m_self.m_instance || !is_ready(instance, now) ||
+            std::find(tried.begin(), tried.end(), instance) != tried.end())
+        {
+            continue;
+        }
+        const std::vector<std::uint64_t>& cut_off = m_statuses.at(instance).m_status.m_cut_off;
+        if (std::find(cut_off.begin(), cut_off.end(), service) != cut_off.end())
+        {
+            continue;
+        }
+        const std::size_t distance = member.m_failure_domain == m_self.m_failure_domain ? 0
+                                     : member.m_region == m_self.m_region               ? 1
+                                                                                        : 2;
+        by_distance[distance].push_back(instance);
+    }
+    for (const std::vector<core::instance_id>& peers : by_distance)
+    {
+        if (!peers.empty())
+        {
+            return peers[draw % peers.size()];
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t instance_registry::alive_count(core::time_point now) const
 {
     std::size_t count = 0;
@@ -205,12 +249,15 @@
 std::vector<std::string> instance_registry::addresses_for(const caller_locality& caller,
                                                           core::time_point now) const
 {
+    const bool has_reaching =
+        std::any_of(m_members.begin(), m_members.end(),
+                    [this, now](const auto& entry) { return reaches_upstreams(entry.first, now); });
     std::vector<std::string> domain;
     std::vector<std::string> region;
     std::vector<std::string> all;
     for (const auto& [instance, member] : m_members)
     {
-        if (!is_ready(instance, now))
+        if (!is_ready(instance, now) || (has_reaching && !reaches_upstreams(instance, now)))
         {
             continue;
         }
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -19,6 +19,8 @@
     bool m_ready = false;                ///< It serves callers.
     bool m_leaving = false;              ///< It is shutting down.
     bool m_table_store_reachable = true; ///< The table store answers its calls.
+    /// Hashes of the names of services whose upstreams it cannot reach.
+    std::vector<std::uint64_t> m_cut_off = {};
 };
 
 /// Failure domain and region of a caller that asks for addresses.
@@ -91,6 +93,15 @@
     /// True when the instance is alive and serves callers.
     bool is_ready(core::instance_id instance, core::time_point now) const;
 
+    /// True when the instance is ready and reaches the upstreams of all services.
+    bool reaches_upstreams(core::instance_id instance, core::time_point now) const;
+
+    /// Another instance that is ready and reaches a service, the near ones first, and is none of
+    /// those tried; `draw` chooses among equals. Nothing when there is none.
+    std::optional<core::instance_id> peer_reaching(std::uint64_t service,
+                                                   const std::vector<core::instance_id>& tried,
+                                                   std::uint64_t draw, core::time_point now) const;
+
     /// Number of instances that are alive, this one included.
     std::size_t alive_count(core::time_point now) const;
 
--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -11,6 +11,12 @@
 
 constexpr std::chrono::milliseconds shortest_timeout{1};
 
+/// Headers that an instance adds to a request that it passes on.
+constexpr std::uint32_t peer_header_bytes = 1'024;
+
+/// Longer than other instances keep connections for requests that they pass on.
+constexpr std::chrono::milliseconds peer_keep_alive_timeout{15'000};
+
 /// Longer ones overflow the clock.
 constexpr std::chrono::milliseconds longest_timeout = std::chrono::hours(24 * 365);
 
@@ -51,13 +57,25 @@
 } // namespace
 
 relay_service::relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
-                             std::size_t connection_limit)
+                             std::size_t connection_limit,
+                             const std::optional<net::tcp::endpoint>& peers)
     : m_state(state), m_settings(first_settings(connection_limit)),
       m_server(
           state.m_context, endpoint, m_settings,
-          [this](const std::shared_ptr<net::http_exchange>& exchange) { on_request(exchange); },
+          [this](const std::shared_ptr<net::http_exchange>& exchange) {
+              on_request(exchange, false);
+          },
           answer_fault)
 {
+    if (peers)
+    {
+        m_peer_server = std::make_unique<net::http_server>(
+            m_state.m_context, *peers, m_settings,
+            [this](const std::shared_ptr<net::http_exchange>& exchange) {
+                on_request(exchange, true);
+            },
+            answer_fault);
+    }
     m_state.m_on_config = [this] { apply_limits(); };
 }
 
@@ -77,6 +95,16 @@
     m_settings.m_keep_alive_timeout =
         std::clamp(limits.m_idle_timeout, shortest_timeout, longest_timeout);
     m_server.update(m_settings);
+    if (m_peer_server)
+    {
+        net::http_server_settings settings = m_settings;
+        settings.m_header_limit_bytes +=
+            std::min(peer_header_bytes,
+                     std::numeric_limits<std::uint32_t>::max() - settings.m_header_limit_bytes);
+        settings.m_keep_alive_timeout =
+            std::max(settings.m_keep_alive_timeout, peer_keep_alive_timeout);
+        m_peer_server->update(settings);
+    }
     observe::log("limits_in_force", {{"config", m_state.m_routes->config().m_version},
                                      {"head_bytes", m_settings.m_header_limit_bytes},
                                      {"body_bytes", m_settings.m_body_limit_bytes},
@@ -96,15 +124,42 @@
 
 bool relay_service::is_idle() const
 {
-    return in_flight() == 0 && m_server.busy_count() == 0 && !m_server.has_arrivals();
+    return in_flight() == 0 && busy_count() == 0 && !m_server.has_arrivals() &&
+           !(m_peer_server && m_peer_server->has_arrivals());
+}
+
+std::size_t relay_service::busy_count() const
+{
+    return m_server.busy_count() + (m_peer_server ? m_peer_server->busy_count() : 0);
+}
+
+void relay_service::announce_leaving()
+{
+    m_server.announce_leaving();
+    if (m_peer_server)
+    {
+        m_peer_server->announce_leaving();
+    }
+}
+
+void relay_service::end_pipelines()
+{
+    m_server.end_pipelines();
+    if (m_peer_server)
+    {
+        m_peer_server->end_pipelines();
+    }
 }
 
-void relay_service::on_request(const std::shared_ptr<net::http_exchange>& exchange)
+void relay_service::on_request(const std::shared_ptr<net::http_exchange>& exchange,
+                               bool is_passed_on)
 {
     std::shared_ptr<relay_session> session;
     try
     {
-        caller_request request = m_state.m_codec.decode(exchange->request());
+        caller_request request = is_passed_on
+                                     ? m_state.m_codec.decode_passed_on(exchange->request())
+                                     : m_state.m_codec.decode(exchange->request());
         session = std::make_shared<relay_session>(m_state, exchange, std::move(request));
         session->start();
     }
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -3,6 +3,9 @@
 #include "tarragontrail/net/http_server.hpp"
 #include "tarragontrail/relay/relay_state.hpp"
 
+#include <memory>
+#include <optional>
+
 namespace tarragontrail::relay {
 
 /// Listens for callers and creates a session for each request.
@@ -10,8 +13,10 @@
 {
 public:
     /// Binds at once; throws boost::system::system_error when the address is in use.
+    /// `peers` is where other instances pass requests on to this one.
     relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
-                  std::size_t connection_limit);
+                  std::size_t connection_limit,
+                  const std::optional<net::tcp::endpoint>& peers = std::nullopt);
     ~relay_service();
     relay_service(const relay_service&) = delete;
     relay_service& operator=(const relay_service&) = delete;
@@ -20,15 +25,18 @@
     void apply_limits();
 
     /// Continues to serve, but closes each connection after its next response.
-    void announce_leaving() { m_server.announce_leaving(); }
+    void announce_leaving();
 
     /// Continues to serve, but closes each connection after its next response even when the caller
     /// has sent more requests behind it.
-    void end_pipelines() { m_server.end_pipelines(); }
+    void end_pipelines();
 
     /// Bound port, also when the endpoint's port was zero.
     std::uint16_t port() const { return m_server.port(); }
 
+    /// Same for requests that other instances pass on; zero when they pass none on.
+    std::uint16_t peer_port() const { return m_peer_server ? m_peer_server->port() : 0; }
+
     /// Number of requests in progress.
     std::size_t in_flight() const noexcept { return m_state.m_sessions.size(); }
 
@@ -41,16 +49,18 @@
     /// Number of responses that are ended and not yet written whole.
     std::size_t unsent_responses() const
     {
-        const std::size_t busy = m_server.busy_count();
+        const std::size_t busy = busy_count();
         return busy > in_flight() ? busy - in_flight() : 0;
     }
 
 private:
-    void on_request(const std::shared_ptr<net::http_exchange>& exchange);
+    void on_request(const std::shared_ptr<net::http_exchange>& exchange, bool is_passed_on);
+    std::size_t busy_count() const;
 
     relay_state& m_state;
     net::http_server_settings m_settings;
     net::http_server m_server;
+    std::unique_ptr<net::http_server> m_peer_server; ///< Null when no peers pass requests on.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -15,8 +15,8 @@
     : m_state(state), m_exchange(std::move(exchange)), m_request(std::move(request)),
       m_arrival(core::runtime_clock::now()),
       m_unread_time(state.m_standstill.unread_time(core::suspension_counting_now())),
-      m_deadline_timer(state.m_context), m_overdue_timer(state.m_context),
-      m_retry_timer(state.m_context)
+      m_possible_executions(m_request.m_earlier_runs), m_deadline_timer(state.m_context),
+      m_overdue_timer(state.m_context), m_retry_timer(state.m_context)
 {}
 
 relay_session::~relay_session() = default;
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -76,6 +76,11 @@
     selection_request make_selection_request() const;
     bool admit(const selection& chosen);
     void send(const selection& chosen);
+    bool pass_on();
+    void on_passed_head(const net::http_response& head, net::body_framing framing);
+    void on_passed_complete();
+    void on_passed_failed(const net::call_failure& failure);
+    void note_unreached_upstream();
     upstream_request_metadata make_request_metadata(const selection& chosen) const;
     std::uint64_t cache_isolation_id() const;
     void record_cached_parts(const selection& chosen);
@@ -137,12 +142,14 @@
     std::uint64_t m_priority = 0; ///< Zero is the most urgent.
     double m_charged_units = 0;   ///< Units charged to the workspace's limit.
 
-    selection m_selection; ///< Upstream of the current attempt.
+    std::vector<core::instance_id> m_passed_to; ///< Instances that the request was passed on to.
+    bool m_is_passing = false;                  ///< The current attempt is at one of them.
+    selection m_selection; ///< Upstream of the current attempt, or of the one before.
     std::shared_ptr<net::http_call> m_call;
-    std::uint64_t m_attempt = 0;             ///< Number of the current attempt.
-    core::incarnation m_asked_start{};       ///< Start of its upstream as the record told it.
-    std::uint64_t m_connect_failures = 0;    ///< Attempts whose connection could not be made.
-    std::uint64_t m_sends = 0;               ///< Attempts that sent the request.
+    std::uint64_t m_attempt = 0;          ///< Number of the current attempt.
+    core::incarnation m_asked_start{};    ///< Start of its upstream as the record told it.
+    std::uint64_t m_connect_failures = 0; ///< Attempts whose connection could not be made.
+    std::uint64_t m_sends = 0;            ///< Attempts that sent the request.
     std::uint64_t m_end_checks = 0; ///< Questions about the end of the current attempt's answer.
     std::uint64_t m_possible_executions = 0; ///< Sent attempts that may have executed the request.
     std::vector<core::upstream_id> m_tried;  ///< Upstreams of all attempts so far.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -21,6 +21,12 @@
     {
         return;
     }
+    if (m_is_passing)
+    {
+        on_passed_head(head, framing);
+        return;
+    }
+    m_state.m_reach.on_response(m_service);
     const response_metadata metadata =
         m_state.m_codec.parse_head(head, m_request, m_selection.m_upstream->m_record);
     record_weights_version(metadata);
@@ -201,6 +207,11 @@
     {
         return;
     }
+    if (m_is_passing)
+    {
+        on_passed_complete();
+        return;
+    }
     const bool is_closed = m_framing == net::body_framing::until_close;
     if (is_closed)
     {
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -54,6 +54,15 @@
     {
         return;
     }
+    if (m_is_passing)
+    {
+        on_passed_failed(failure);
+        return;
+    }
+    if (!m_first_byte_received)
+    {
+        note_unreached_upstream();
+    }
     if (shows_end_of_process(failure))
     {
         // What listens there next may be another start, of another version.
@@ -82,7 +91,15 @@
     observe::log("unreachable", {{"request", m_request.m_id},
                                  {"upstream", m_selection.m_upstream->m_record.m_name},
                                  {"cause", net::to_string(failure.m_fault)}});
-    if (++m_connect_failures >= m_state.m_session_settings.m_max_connect_attempts)
+    const bool is_cut_off = m_state.m_reach.is_cut_off(m_service);
+    const relay_session_settings& settings = m_state.m_session_settings;
+    const bool has_failed_often = ++m_connect_failures >= settings.m_connect_failures_to_pass;
+    if ((is_cut_off || has_failed_often) && pass_on())
+    {
+        return;
+    }
+    // Where no instance reaches the service, no further upstream is tried.
+    if (is_cut_off || m_connect_failures >= settings.m_max_connect_attempts)
     {
         end_without_upstream(refusal_reason::no_upstream,
                              m_state.m_session_settings.m_no_upstream_retry_after);
@@ -91,6 +108,16 @@
     dispatch();
 }
 
+/// The upstream of the current attempt has not responded to this instance.
+void relay_session::note_unreached_upstream()
+{
+    const auto& upstreams = m_state.m_upstreams.of_service(m_service);
+    const auto count = std::count_if(upstreams.begin(), upstreams.end(),
+                                     [](const auto& each) { return !each->m_leaving_since; });
+    m_state.m_reach.on_failure(m_service, m_selection.m_upstream->m_record.m_id,
+                               static_cast<std::size_t>(std::max<std::ptrdiff_t>(count, 1)));
+}
+
 /// The upstream reported that it did not execute the request.
 void relay_session::on_not_executed()
 {
@@ -218,6 +245,7 @@
                   {"upstream", m_selection.m_upstream->m_record.m_name},
                   {"waited_ms", rounded_milliseconds(now - m_attempt_started)},
                   {"forecast_ms", rounded_milliseconds(m_selection.m_predicted_first_byte)}});
+    note_unreached_upstream();
     m_selection.m_upstream->m_health.on_failure(now);
     ++m_selection.m_upstream->m_unreported_failures;
     const bool executions_left = m_possible_executions + 1 < m_route->m_max_attempts;
--- /dev/null
+++ b/tarragontrail/relay/relay_session_pass.cpp
@@ -0,0 +1,147 @@
+// Passes a request on to an instance that reaches the upstreams of its service.
+#include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/relay/attempt_listener.hpp"
+#include "tarragontrail/relay/log_times.hpp"
+
+#include <algorithm>
+
+namespace tarragontrail::relay {
+namespace {
+
+/// Instances that are asked until one takes a request over.
+constexpr std::size_t most_peers = 2;
+
+/// Whether the status promises that the request has not run and never will.
+bool is_promise(unsigned status)
+{
+    switch (status)
+    {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+/// Sends the request to another instance as its caller sent it; that one charges its workspace and
+/// chooses an upstream. False when the request cannot be passed on.
+bool relay_session::pass_on()
+{
+    if (m_request.m_passed_on || m_response_started || m_state.m_peers == nullptr ||
+        m_passed_to.size() >= most_peers)
+    {
+        return false;
+    }
+    const auto peer = m_state.m_peers->peer_reaching(m_service, m_passed_to);
+    if (!peer)
+    {
+        return false;
+    }
+    m_passed_to.push_back(peer->m_instance);
+    if (m_charged_units > 0)
+    {
+        m_state.m_limits.refund(core::id_of<core::workspace_id>(m_workspace->m_name),
+                                m_charged_units);
+        m_charged_units = 0;
+    }
+    if (m_attempt == 0)
+    {
+        m_state.budget_of(m_service).on_request();
+    }
+    const std::uint64_t attempt = ++m_attempt;
+    m_is_passing = true;
+    m_mode = response_mode::none;
+    m_framing.reset();
+    m_response_end = "none";
+    m_body.clear();
+    const std::chrono::milliseconds left = whole_milliseconds(remaining_time());
+    observe::log("passed_on", {{"request", m_request.m_id},
+                               {"attempt", attempt},
+                               {"service", m_service},
+                               {"peer", core::value_of(peer->m_instance)},
+                               {"left_ms", left.count()}});
+    m_state.m_metrics.count_decision("passed_on");
+
+    net::call_settings timing;
+    timing.m_connect_timeout = std::min(m_state.m_session_settings.m_connect_timeout, left);
+    timing.m_first_byte_timeout = left + m_state.m_session_settings.m_connect_timeout;
+    timing.m_idle_timeout = timing.m_first_byte_timeout;
+    timing.m_body_limit_bytes = m_state.m_session_settings.m_response_limit_bytes;
+    timing.m_reuse_limit = m_state.m_session_settings.m_unrepeatable_reuse_limit;
+    m_is_outcome_open = true;
+    m_call = m_state.m_client.start(
+        peer->m_endpoint, m_state.m_codec.encode_for_peer(m_request, left, m_possible_executions),
+        timing, std::make_shared<attempt_listener>(shared_from_this(), attempt));
+    return true;
+}
+
+void relay_session::on_passed_head(const net::http_response& head, net::body_framing framing)
+{
+    m_head = head;
+    m_framing = framing;
+    if (framing == net::body_framing::length)
+    {
+        m_mode = response_mode::buffered;
+        return;
+    }
+    m_mode = response_mode::piped;
+    m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
+    begin_response();
+}
+
+void relay_session::on_passed_complete()
+{
+    record_response_end("whole");
+    m_is_passing = false;
+    m_is_outcome_open = false;
+    m_call.reset();
+    const unsigned status = m_head.result_int();
+    if (m_response_started)
+    {
+        m_exchange->end_stream();
+        end(status, "passed_on");
+        return;
+    }
+    if (is_promise(status) && m_possible_executions > 0)
+    {
+        // The other instance speaks of its own attempts alone.
+        refuse(refusal_reason::outcome_unknown);
+        return;
+    }
+    m_time_to_first_byte = core::runtime_clock::now() - m_arrival;
+    m_bytes_sent = m_body.size();
+    net::http_response response = m_state.m_codec.forward_head(m_head);
+    response.body() = std::move(m_body);
+    m_exchange->respond(std::move(response));
+    end(status, "passed_on");
+}
+
+void relay_session::on_passed_failed(const net::call_failure& failure)
+{
+    record_response_end(net::to_string(failure.m_fault));
+    m_is_passing = false;
+    m_is_outcome_open = false;
+    m_call.reset();
+    observe::log("pass_failed", {{"request", m_request.m_id},
+                                 {"peer", core::value_of(m_passed_to.back())},
+                                 {"cause", net::to_string(failure.m_fault)},
+                                 {"answering", m_response_started}});
+    if (failure.m_stage != net::call_stage::connecting)
+    {
+        note_possible_execution();
+        retry_unless_begun(net::to_string(failure.m_fault));
+        return;
+    }
+    if (!pass_on())
+    {
+        end_without_upstream(refusal_reason::no_upstream,
+                             m_state.m_session_settings.m_no_upstream_retry_after);
+    }
+}
+
+} // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -1,5 +1,6 @@
 // Selects an upstream for a request and sends it, or refuses it.
 #include "tarragontrail/observe/log.hpp"
+#include "tarragontrail/relay/attempt_listener.hpp"
 #include "tarragontrail/relay/cache_salt.hpp"
 #include "tarragontrail/relay/log_times.hpp"
 #include "tarragontrail/relay/relay_session.hpp"
@@ -8,39 +9,6 @@
 
 namespace tarragontrail::relay {
 
-/// Forwards the events of one call to its session, with the number of the attempt.
-class relay_session::attempt_listener : public net::call_listener
-{
-public:
-    attempt_listener(std::shared_ptr<relay_session> session, std::uint64_t attempt)
-        : m_session(std::move(session)), m_attempt(attempt)
-    {}
-
-    void on_head(const net::http_response& head, net::body_framing framing) override
-    {
-        m_session->run_guarded("head", [&] { m_session->on_head(m_attempt, head, framing); });
-    }
-
-    void on_body(std::string_view chunk) override
-    {
-        m_session->run_guarded("body", [&] { m_session->on_body(m_attempt, chunk); });
-    }
-
-    void on_complete() override
-    {
-        m_session->run_guarded("complete", [this] { m_session->on_complete(m_attempt); });
-    }
-
-    void on_failed(const net::call_failure& failure) override
-    {
-        m_session->run_guarded("failed", [&] { m_session->on_failed(m_attempt, failure); });
-    }
-
-private:
-    std::shared_ptr<relay_session> m_session;
-    std::uint64_t m_attempt;
-};
-
 selection_request relay_session::make_selection_request() const
 {
     selection_request request;
@@ -80,7 +48,7 @@
 {
     const core::time_point now = core::runtime_clock::now();
     if (is_held_as_suspect(now) || is_held_for_parts(core::upstream_id{}, now) ||
-        !is_software_chosen(now))
+        (m_state.m_reach.is_cut_off(m_service) && pass_on()) || !is_software_chosen(now))
     {
         return;
     }
@@ -281,7 +249,8 @@
         m_part_attempt =
             m_state.m_part_crashes.begin_attempt(m_part_ids, record.m_id, m_attempt_started);
     }
-    if (m_sends == 0)
+    // The instance that received a request counts it.
+    if (m_sends == 0 && !m_request.m_passed_on)
     {
         m_state.budget_of(m_service).on_request();
     }
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -15,6 +15,7 @@
 #include "tarragontrail/relay/route_table.hpp"
 #include "tarragontrail/relay/standstill_monitor.hpp"
 #include "tarragontrail/relay/stream_versions.hpp"
+#include "tarragontrail/relay/upstream_reach.hpp"
 #include "tarragontrail/relay/upstream_selector.hpp"
 
 #include <functional>
@@ -56,6 +57,25 @@
     virtual void announce_streams(const std::vector<begun_stream>& streams) = 0;
 };
 
+/// Another instance that takes requests over.
+struct passing_peer
+{
+    core::instance_id m_instance{};
+    net::tcp::endpoint m_endpoint; ///< For requests that are passed on.
+};
+
+/// Instances that requests can be passed on to.
+class peer_source
+{
+public:
+    virtual ~peer_source() = default;
+
+    /// An instance, near ones first, that reaches the service and is none of those that were tried;
+    /// nothing when there is none.
+    virtual std::optional<passing_peer>
+    peer_reaching(const std::string& service, const std::vector<core::instance_id>& tried) = 0;
+};
+
 /// Timeouts and limits of sessions, beyond the settings of the route.
 struct relay_session_settings
 {
@@ -75,6 +95,8 @@
     double m_overdue_objective_fraction = 0.5;
     /// Upstreams that are tried until a connection is made.
     std::uint64_t m_max_connect_attempts = 4;
+    /// Upstreams that accept no connection until the request is passed on to another instance.
+    std::uint64_t m_connect_failures_to_pass = 3;
     /// Upstreams that may be sent one request.
     std::uint64_t m_max_sends = 3;
     /// Larger responses are streamed.
@@ -158,6 +180,7 @@
     upstream_table m_upstreams;
     cached_part_index m_cached_parts; ///< Predicted cache contents.
     upstream_selector m_selector;
+    upstream_reach m_reach;            ///< Services that this instance cannot reach.
     standstill_monitor m_standstill;   ///< For how long requests may have waited unread.
     turn_order m_turn_order;           ///< Shares the limits that upstreams name.
     stream_versions m_stream_versions; ///< Software versions at which streams begin and go on.
@@ -180,6 +203,7 @@
     observe::metrics m_metrics;
     relay_announcer* m_announcer = nullptr; ///< Null without a fleet.
     engine_control* m_engines = nullptr;    ///< Same.
+    peer_source* m_peers = nullptr;         ///< Same.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/wire/generated_messages.cpp
+++ b/tarragontrail/wire/generated_messages.cpp
@@ -893,6 +893,7 @@
     put_field(fields, value.m_ready);
     put_field(fields, value.m_leaving);
     put_field(fields, value.m_store_reached);
+    put_field(fields, value.m_cut_off);
     return fields;
 }
 
@@ -903,6 +904,7 @@
     fields.get(value.m_ready);
     fields.get(value.m_leaving);
     fields.get(value.m_store_reached);
+    fields.get(value.m_cut_off);
     fields.expect_end();
 }
 
--- a/tarragontrail/wire/generated_messages.hpp
+++ b/tarragontrail/wire/generated_messages.hpp
@@ -226,11 +226,12 @@
 /// What one instance says of itself.
 struct member_state
 {
-    core::instance_id m_instance{}; ///< Instance.
-    core::incarnation m_started{};  ///< Its incarnation.
-    bool m_ready{};                 ///< It serves callers.
-    bool m_leaving{};               ///< It is shutting down.
-    bool m_store_reached{};         ///< The platform's store answers it, as far as it knows.
+    core::instance_id m_instance{};       ///< Instance.
+    core::incarnation m_started{};        ///< Its incarnation.
+    bool m_ready{};                       ///< It serves callers.
+    bool m_leaving{};                     ///< It is shutting down.
+    bool m_store_reached{};               ///< The platform's store answers it, as far as it knows.
+    std::vector<std::uint64_t> m_cut_off; ///< Hashes of the names of services that it cannot reach.
 };
 
 /// How far an instance's copies of the followed tables reach.
--- a/unit_tests/platform/raw_caller.hpp
+++ b/unit_tests/platform/raw_caller.hpp
@@ -35,6 +35,9 @@
     /// The connection has ended, or the frame of the response is whole.
     bool is_over() const { return m_ended || claim() == end_claim::complete; }
 
+    /// Closes the connection.
+    void leave() { m_socket.close(); }
+
     end_claim claim() const
     {
         const std::size_t head = m_bytes.find("\r\n\r\n");
