A websocket connection that ends before its handshake is freed

Cause: while the opening handshake waits for bytes, websocketpp keeps a handler of the pending read that holds the connection, and the connection holds its transport. websocket_codec gave up its own reference only, so each try to a peer that does not answer, and each accepted connection that says nothing, stayed for the life of the process. Open connections have a handler that holds nothing.

Class: a reference that a library's pending operation holds. The codec is the only user of websocketpp; no other leak was reported.

Change: the codec's end is the end of the transport's input (eof), by which the library lets go of the handler.

Result: codec_without_an_answer_leaves_no_memory failed before (20,128,000 bytes behind 500 pairs of codecs, plain -O2 build), passes now; codec_that_is_open_leaves_no_memory passed before and after.

Not run: the whole suites, and how fast memory grows in an instance that is cut off from its peers.

--- a/tarragontrail/wire/websocket_codec.cpp
+++ b/tarragontrail/wire/websocket_codec.cpp
@@ -94,7 +94,18 @@
     m_state->m_client.connect(m_state->m_client_side);
 }
 
-websocket_codec::~websocket_codec() = default;
+/// A connection whose handshake is under way holds itself by the read that waits for its bytes.
+websocket_codec::~websocket_codec()
+{
+    if (m_state->m_client_side)
+    {
+        m_state->m_client_side->eof();
+    }
+    if (m_state->m_server_side)
+    {
+        m_state->m_server_side->eof();
+    }
+}
 
 void websocket_codec::feed(const char* bytes, std::size_t size)
 {
