Scripted upstream: handlers that outlive it touch nothing of it

Seen: AddressSanitizer, heap-use-after-free in scripted_upstream::read, in resumed_answers_test::answer_with_a_cut_head_is_no_success and stray_answer_test::refusal_without_id_promises_nothing: both replace their upstreams while the loop goes on.

Cause: a fault of the test stand-in alone. Reads that wait on its connections hold the connection and `this`, and count the close in freed memory.

Change: handlers hold a weak reference and return once the upstream is gone. What tests see of a living upstream is as before.

Not run: the other platform tests with this header, and the ordinary build.

--- a/unit_tests/platform/scripted_upstream.hpp
+++ b/unit_tests/platform/scripted_upstream.hpp
@@ -65,24 +65,31 @@
         std::size_t m_sent_bytes = 0;     ///< Of the endless answer.
     };
 
+    /// Expires with this upstream, which the loop's pending handlers may outlive.
+    std::weak_ptr<char> life() const { return m_life; }
+
     void accept()
     {
-        m_acceptor.async_accept(
-            [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-                if (!error)
-                {
-                    ++m_connections;
-                    read(std::make_shared<connection>(std::move(socket)));
-                    accept();
-                }
-            });
+        m_acceptor.async_accept([this, life = life()](boost::system::error_code error,
+                                                      boost::asio::ip::tcp::socket socket) {
+            if (!error && !life.expired())
+            {
+                ++m_connections;
+                read(std::make_shared<connection>(std::move(socket)));
+                accept();
+            }
+        });
     }
 
     void read(const std::shared_ptr<connection>& peer)
     {
         boost::asio::async_read_until(
             peer->m_socket, peer->m_input, "\r\n\r\n",
-            [this, peer](boost::system::error_code error, std::size_t size) {
+            [this, peer, life = life()](boost::system::error_code error, std::size_t size) {
+                if (life.expired())
+                {
+                    return;
+                }
                 if (error)
                 {
                     ++m_closed_by_client;
@@ -133,7 +140,11 @@
     {
         boost::asio::async_write(
             peer->m_socket, boost::asio::buffer(peer->m_endless),
-            [this, peer](boost::system::error_code error, std::size_t size) {
+            [this, peer, life = life()](boost::system::error_code error, std::size_t size) {
+                if (life.expired())
+                {
+                    return;
+                }
                 if (error)
                 {
                     ++m_closed_by_client;
@@ -146,14 +157,19 @@
                     return;
                 }
                 peer->m_pace.expires_after(std::chrono::milliseconds(1));
-                peer->m_pace.async_wait(
-                    [this, peer](boost::system::error_code) { send_endless(peer); });
+                peer->m_pace.async_wait([this, peer, life](boost::system::error_code) {
+                    if (!life.expired())
+                    {
+                        send_endless(peer);
+                    }
+                });
             });
     }
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     script m_answer;
     std::vector<std::shared_ptr<connection>> m_held;
+    std::shared_ptr<char> m_life = std::make_shared<char>();
 };
 
 } // namespace tarragontrail::test
