--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -75,6 +75,7 @@
     bool is_held_for_parts(core::upstream_id engine, core::time_point now);
     selection_request make_selection_request() const;
     bool admit(const selection& chosen);
+    std::uint64_t begin_attempt();
     void send(const selection& chosen);
     bool pass_on();
     void on_passed_head(const net::http_response& head, net::body_framing framing);
--- a/tarragontrail/relay/relay_session_pass.cpp
+++ b/tarragontrail/relay/relay_session_pass.cpp
@@ -53,12 +53,8 @@
     {
         m_state.budget_of(m_service).on_request();
     }
-    const std::uint64_t attempt = ++m_attempt;
+    const std::uint64_t attempt = begin_attempt();
     m_is_passing = true;
-    m_mode = response_mode::none;
-    m_framing.reset();
-    m_response_end = "none";
-    m_body.clear();
     const std::chrono::milliseconds left = whole_milliseconds(remaining_time());
     observe::log("passed_on", {{"request", m_request.m_id},
                                {"attempt", attempt},
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -221,10 +221,9 @@
     return metadata;
 }
 
-void relay_session::send(const selection& chosen)
+/// Forgets what belongs to the attempt before; returns the number of the new one.
+std::uint64_t relay_session::begin_attempt()
 {
-    m_selection = chosen;
-    m_held_since.reset();
     m_attempt_started = core::runtime_clock::now();
     m_mode = response_mode::none;
     m_framing.reset();
@@ -233,7 +232,14 @@
     m_body.clear();
     m_framer.clear();
     m_end_checks = 0;
-    const std::uint64_t attempt = ++m_attempt;
+    return ++m_attempt;
+}
+
+void relay_session::send(const selection& chosen)
+{
+    m_selection = chosen;
+    m_held_since.reset();
+    const std::uint64_t attempt = begin_attempt();
     const upstream_record& record = chosen.m_upstream->m_record;
     m_tried.push_back(record.m_id);
     m_asked_start = record.m_started;
--- a/unit_tests/net/unfinished_codec_test.cpp
+++ b/unit_tests/net/unfinished_codec_test.cpp
@@ -20,7 +20,7 @@
 
     static constexpr int codec_count = 500;
     /// Less than one of a hundred codecs leaves behind when each keeps its input buffer.
-    static constexpr std::size_t growth_limit_bytes = 64 * 1024;
+    static constexpr std::size_t growth_limit_bytes = std::size_t{64} * 1024;
 
     static void exchange(websocket_codec& from, websocket_codec& to)
     {
