--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -395,7 +395,7 @@
     if (const auto* plan = std::get_if<wire::version_plan_entry>(&message);
         plan && row.m_key.starts_with(version_plan_rows::key_prefix))
     {
-        m_version_plans.on_row(*plan, core::runtime_clock::now());
+        m_version_plans.on_row(*plan, row.m_version, core::runtime_clock::now());
         const auto announced = m_state.m_stream_versions.take_announcements();
         if (!announced.empty())
         {
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -271,6 +271,7 @@
          {"attempt", attempt},
          {"upstream", record.m_name},
          {"software", record.m_software.m_name},
+         {"plan", m_software ? m_state.m_stream_versions.plan_number(m_service) : 0},
          {"candidates", chosen.m_candidates},
          {"in_flight", load.m_in_flight},
          {"queued_ms", rounded_milliseconds(chosen.m_predicted_queue_time)},
--- a/tarragontrail/relay/relay_session_software.cpp
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -55,12 +55,15 @@
                     &relay_session::dispatch);
         return false;
     }
+    const auto contact_age = m_state.m_stream_versions.contact_age(now);
     observe::log("stream_taken_up",
                  {{"request", m_request.m_id},
                   {"first_attempt", m_request.m_taken_up->m_first_attempt},
                   {"service", m_service},
                   {"software", origin.m_version ? origin.m_version->m_name : std::string("none")},
                   {"known_by", to_string(origin.m_evidence)},
+                  {"plan", m_state.m_stream_versions.plan_number(m_service)},
+                  {"contact_age_ms", contact_age ? rounded_milliseconds(*contact_age) : "unknown"},
                   {"max_age_ms", rounded_milliseconds(max_age)}});
     m_state.m_metrics.count_taken_up_stream(to_string(origin.m_evidence));
     m_software = origin.m_version;
--- a/tarragontrail/relay/stream_versions.cpp
+++ b/tarragontrail/relay/stream_versions.cpp
@@ -160,6 +160,17 @@
     return {possible.front(), version_evidence::plan};
 }
 
+std::uint64_t stream_versions::plan_number(const std::string& service) const
+{
+    const version_plan* plan = plan_of(service);
+    return plan == nullptr ? 0 : plan->number();
+}
+
+std::optional<core::duration> stream_versions::contact_age(core::time_point now) const
+{
+    return m_last_contact ? std::make_optional(now - *m_last_contact) : std::nullopt;
+}
+
 bool stream_versions::is_informed(const std::string& service, core::time_point now) const
 {
     return plan_of(service) != nullptr && is_in_contact(now);
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -110,6 +110,13 @@
                          const std::set<software_version>& present, core::duration max_age,
                          core::time_point now) const;
 
+    /// Number of a service's plan, for logs; zero when none is known.
+    std::uint64_t plan_number(const std::string& service) const;
+
+    /// Time since others last confirmed that this instance knows the newest rows, for logs; nothing
+    /// when nobody has.
+    std::optional<core::duration> contact_age(core::time_point now) const;
+
     /// Whether the service's plan is known and in use at the other instances too.
     bool is_informed(const std::string& service, core::time_point now) const;
 
--- a/tarragontrail/relay/version_plan_rows.cpp
+++ b/tarragontrail/relay/version_plan_rows.cpp
@@ -50,7 +50,8 @@
     : m_state(state), m_store(store), m_on_written(std::move(on_written))
 {}
 
-void version_plan_rows::on_row(const wire::version_plan_entry& entry, core::time_point now)
+void version_plan_rows::on_row(const wire::version_plan_entry& entry,
+                               const core::store_version& version, core::time_point now)
 {
     const version_plan plan = plan_of(entry);
     m_stored[entry.m_service] = plan.number();
@@ -75,6 +76,8 @@
     }
     observe::log("version_plan", {{"service", entry.m_service},
                                   {"number", plan.number()},
+                                  {"era", version.m_era},
+                                  {"row", version.m_number},
                                   {"slots", shares_text(plan)},
                                   {"late", is_late}});
 }
--- a/tarragontrail/relay/version_plan_rows.hpp
+++ b/tarragontrail/relay/version_plan_rows.hpp
@@ -35,8 +35,9 @@
     version_plan_rows(relay_state& state, table_store& store,
                       std::function<void(const table_row&)> on_written);
 
-    /// A plan's row was read.
-    void on_row(const wire::version_plan_entry& entry, core::time_point now);
+    /// A plan's row was read, which has this version.
+    void on_row(const wire::version_plan_entry& entry, const core::store_version& version,
+                core::time_point now);
 
     /// Changes plans that no longer fit the upstreams, and writes rows that the table has lost.
     /// `is_planner` tells that this instance is the first one to do so.
--- a/unit_tests/relay/version_plan_rows_test.cpp
+++ b/unit_tests/relay/version_plan_rows_test.cpp
@@ -168,7 +168,7 @@
             {row_write_result::outcome::applied, core::store_version{0, version}});
         m_fleet.apply({{write.m_key, write.m_value, {0, version}, false}});
         const auto message = wire::decode(write.m_value);
-        m_rows->on_row(std::get<wire::version_plan_entry>(message), m_now);
+        m_rows->on_row(std::get<wire::version_plan_entry>(message), {0, version}, m_now);
     }
 
     /// A plan's row is read that another instance has written.
@@ -180,7 +180,7 @@
             entry.m_assignments.push_back({each.m_slot, each.m_version.m_name, each.m_since});
         }
         m_fleet.apply({{"versions/s", wire::encode(entry), {0, version}, false}});
-        m_rows->on_row(entry, now);
+        m_rows->on_row(entry, {0, version}, now);
     }
 
     boost::asio::io_context m_context;
