A plan of an ended era of the store tells nothing of what was lost by its return

Cause: the history of a version plan was taken from its row, and plans were told apart by their number. When the table store comes back from an older copy, the plans that were in use are gone. An instance that starts then took the older row for the whole history, went on from it, and its plans had the numbers of the lost ones; others ignored them and went on with theirs.

Change: a row names the era in which it was written and the time from which on it shows all plans, as the assignment of a slot that does not exist, which earlier builds pass over. A row of an ended era is nothing to an instance that knows no plan. Instances that know more write it at once; where nobody does, the plan begins anew and tells nothing of older streams. Plans are in order of their rows, and two histories that have parted keep each other's versions possible until now.

--- a/tarragontrail/core/store_version.hpp
+++ b/tarragontrail/core/store_version.hpp
@@ -23,6 +23,9 @@
     }
 };
 
+/// Era of a store that has never come back from an older copy; one that tells no era has zero.
+inline constexpr std::uint64_t first_era = 1;
+
 /// Fencing number of a holder whose row has this version; grows with the version over all eras.
 constexpr std::uint64_t fencing_number(const store_version& version) noexcept
 {
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -417,6 +417,7 @@
     for (std::size_t table = 0; table < followed_table_count; ++table)
     {
         m_followers[table]->learn_position(reported[table]);
+    m_state.m_stream_versions.on_era(era);
         const table_mirror& mirror = m_followers[table]->mirror();
         const core::store_version own = mirror.position().m_complete;
         const core::store_version peer_version =
--- a/tarragontrail/relay/stream_versions.cpp
+++ b/tarragontrail/relay/stream_versions.cpp
@@ -68,8 +68,16 @@
 bool stream_versions::has_moved(const version_plan& plan, stream_id stream, core::duration max_age,
                                 core::time_point now) const
 {
-    const auto since = earliest(max_age, now);
-    return plan.possible_versions(stream, since.value_or(store_time::min())).size() > 1;
+    const store_time since = earliest(max_age, now).value_or(store_time::min());
+    return since < plan.whole_since() || plan.possible_versions(stream, since).size() > 1;
+}
+
+std::optional<software_version>
+stream_versions::only_version(const std::set<software_version>& present) const
+{
+    const bool may_have_lost_plan = m_era > core::first_era;
+    return present.size() == 1 && !may_have_lost_plan ? std::make_optional(*present.begin())
+                                                      : std::nullopt;
 }
 
 std::optional<software_version>
@@ -81,7 +89,7 @@
     if (plan == nullptr)
     {
         // Until the first plan all streams begin at the only version.
-        return present.size() == 1 ? std::make_optional(*present.begin()) : std::nullopt;
+        return only_version(present);
     }
     const bool is_mixed = present.size() > 1 || plan->shares().size() > 1 ||
                           has_moved(*plan, stream, m_settings.m_announced_time, now);
@@ -147,10 +155,14 @@
     }
     if (plan == nullptr)
     {
-        return present.size() == 1 ? stream_origin{*present.begin(), version_evidence::single}
-                                   : stream_origin{};
+        const auto only = only_version(present);
+        return only ? stream_origin{only, version_evidence::single} : stream_origin{};
     }
     const store_time since = earliest(max_age, now).value_or(store_time::min());
+    if (since < plan->whole_since())
+    {
+        return {};
+    }
     const std::vector<software_version> possible =
         stream ? plan->possible_versions(*stream, since) : plan->all_versions(since);
     if (possible.size() != 1)
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/core/store_version.hpp"
 #include "tarragontrail/relay/version_plan.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -70,6 +72,10 @@
     /// Streams that began here in slots that have moved are added to the announcements.
     bool set_plan(const std::string& service, version_plan plan, core::time_point now);
 
+    /// The table store answers in this era. After a return from an older copy nothing is known of
+    /// a service without a plan: the store may have lost it.
+    void on_era(std::uint64_t era) { m_era = std::max(m_era, era); }
+
     /// Plan of a service; null when none is known.
     const version_plan* plan_of(const std::string& service) const;
 
@@ -153,3 +159,6 @@
 };
 
 } // namespace tarragontrail::relay
+    /// The only version, while the service has never had a plan.
+    std::optional<software_version> only_version(const std::set<software_version>& present) const;
+    std::uint64_t m_era = 0; ///< Of the table store.
--- a/tarragontrail/relay/version_plan.cpp
+++ b/tarragontrail/relay/version_plan.cpp
@@ -222,6 +222,121 @@
     return next;
 }
 
+version_plan version_plan::whole_from(store_time since) const
+{
+    version_plan next = *this;
+    next.m_whole_since = since;
+    return next;
+}
+
+version_plan version_plan::numbered(std::uint64_t number) const
+{
+    version_plan next = *this;
+    next.m_number = number;
+    return next;
+}
+
+/// Whether the later history of a slot goes on from the earlier one; it may have forgotten what
+/// ended before `oldest`.
+bool version_plan::goes_on_from(const std::vector<period>& earlier,
+                                const std::vector<period>& later, store_time oldest)
+{
+    for (std::size_t first = 0; first < earlier.size(); ++first)
+    {
+        if (first > 0 && earlier[first].m_since >= oldest)
+        {
+            return false;
+        }
+        const bool is_repeated = earlier.size() - first <= later.size() &&
+                                 std::equal(earlier.begin() + static_cast<std::ptrdiff_t>(first),
+                                            earlier.end(), later.begin());
+        if (is_repeated)
+        {
+            return true;
+        }
+    }
+    return earlier.empty();
+}
+
+/// History of a slot of two plans that were both in use until now: any of their versions is
+/// possible until then.
+std::vector<version_plan::period> version_plan::parted_slot(const std::vector<period>& present,
+                                                            const std::vector<period>& other,
+                                                            store_time now)
+{
+    if (present.empty() || other.empty())
+    {
+        return present.empty() ? other : present;
+    }
+    if (present == other)
+    {
+        return present;
+    }
+    const software_version& last = present.back().m_version;
+    std::vector<period> joined;
+    for (const std::vector<period>* history : {&present, &other})
+    {
+        for (const period& each : *history)
+        {
+            const bool is_known =
+                std::any_of(joined.begin(), joined.end(), [&each](const period& known) {
+                    return known.m_version == each.m_version;
+                });
+            if (!is_known && each.m_version != last)
+            {
+                joined.push_back({each.m_version, joined.empty() ? each.m_since : now});
+            }
+        }
+    }
+    joined.push_back({last, now});
+    return joined;
+}
+
+version_plan version_plan::joined(const version_plan& other, store_time now,
+                                  const version_plan_settings& settings) const
+{
+    const store_time oldest = now - settings.m_history;
+    const bool is_later =
+        std::equal(other.m_slots.begin(), other.m_slots.end(), m_slots.begin(),
+                   [oldest](const std::vector<period>& earlier, const std::vector<period>& later) {
+                       return goes_on_from(earlier, later, oldest);
+                   });
+    if (is_later)
+    {
+        return *this;
+    }
+    version_plan next = *this;
+    for (std::size_t slot = 0; slot < slot_count; ++slot)
+    {
+        next.m_slots[slot] = parted_slot(m_slots[slot], other.m_slots[slot], now);
+        if (!next.m_slots[slot].empty())
+        {
+            next.m_changed = std::max(next.m_changed, next.m_slots[slot].back().m_since);
+        }
+    }
+    return next;
+}
+
+bool version_plan::shows(const version_plan& other, store_time since) const
+{
+    for (std::size_t slot = 0; slot < slot_count; ++slot)
+    {
+        std::vector<software_version> own;
+        add_versions(m_slots[slot], since, own);
+        std::vector<software_version> others;
+        add_versions(other.m_slots[slot], since, others);
+        const bool has_all =
+            std::all_of(others.begin(), others.end(), [&own](const software_version& version) {
+                return std::find(own.begin(), own.end(), version) != own.end();
+            });
+        if (!has_all)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 version_plan version_plan::moved_to(store_time time) const
 {
     version_plan next = *this;
--- a/tarragontrail/relay/version_plan.hpp
+++ b/tarragontrail/relay/version_plan.hpp
@@ -73,6 +73,24 @@
     /// Time of the last assignment.
     store_time last_change() const noexcept { return m_changed; }
 
+    /// Time from which on the plan shows every assignment that was in use; streams that began
+    /// earlier may have begun by one that it does not show.
+    store_time whole_since() const noexcept { return m_whole_since; }
+
+    /// The same plan, whole from this time on.
+    version_plan whole_from(store_time since) const;
+
+    /// The same plan under another number.
+    version_plan numbered(std::uint64_t number) const;
+
+    /// This plan, in force from now on, with what another one shows that was in use until now.
+    version_plan joined(const version_plan& other, store_time now,
+                        const version_plan_settings& settings) const;
+
+    /// Whether the plan shows all versions at which a stream that began at `since` or later may
+    /// have begun by another plan.
+    bool shows(const version_plan& other, store_time since) const;
+
     /// The same plan with the last assignments made at this time instead.
     version_plan moved_to(store_time time) const;
 
@@ -94,9 +112,15 @@
     {
         software_version m_version;
         store_time m_since{};
+
+        bool operator==(const period&) const = default;
     };
 
     static std::size_t slot_of(stream_id stream);
+    static bool goes_on_from(const std::vector<period>& earlier, const std::vector<period>& later,
+                             store_time oldest);
+    static std::vector<period> parted_slot(const std::vector<period>& present,
+                                           const std::vector<period>& other, store_time now);
     static void add_versions(const std::vector<period>& slot, store_time since,
                              std::vector<software_version>& versions);
     bool is_good_enough(const std::map<software_version, std::uint64_t>& capacities,
@@ -107,6 +131,7 @@
     std::uint64_t m_number = 0;
     std::array<std::vector<period>, slot_count> m_slots; ///< Oldest period first.
     store_time m_changed{};                              ///< Time of the last assignment.
+    store_time m_whole_since = store_time::min();
 };
 
 } // namespace tarragontrail::relay
--- a/unit_tests/relay/version_plan_rows_test.cpp
+++ b/unit_tests/relay/version_plan_rows_test.cpp
@@ -53,6 +53,11 @@
     CPPUNIT_TEST(plan_that_was_written_late_is_dated_anew);
     CPPUNIT_TEST(late_plan_tells_nothing_of_streams_that_began_before_it_was_seen);
     CPPUNIT_TEST(plan_that_the_store_has_lost_is_written_again);
+    CPPUNIT_TEST(row_of_an_ended_era_tells_nothing_to_an_instance_that_starts);
+    CPPUNIT_TEST(row_of_an_ended_era_is_replaced_by_what_others_know);
+    CPPUNIT_TEST(plan_begins_anew_when_nobody_knows_the_lost_ones);
+    CPPUNIT_TEST(plans_of_one_number_and_two_histories_are_both_possible);
+    CPPUNIT_TEST(plan_of_an_earlier_build_is_followed_and_marked_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,7 +113,7 @@
         add_upstream("b", "v2");
         const version_plan late =
             *known.adapted({{{"v1"}, 16}, {{"v2"}, 16}}, store_begin + 10s, {});
-        take(late, 9, m_now + 16s);
+        take(late, {0, 9}, m_now + 16s);
         m_rows->check(true, m_fleet, m_now + 16s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store.m_writes.size());
         const auto message = wire::decode(m_store.m_writes[1].m_value);
@@ -128,7 +133,7 @@
         m_rows->check(true, m_fleet, m_now);
         acknowledge(8);
         const version_plan known = *m_state->m_stream_versions.plan_of("s");
-        take(*known.adapted({{{"v2"}, 16}}, store_begin + 10s, {}), 9, m_now + 16s);
+        take(*known.adapted({{{"v2"}, 16}}, store_begin + 10s, {}), {0, 9}, m_now + 16s);
         m_state->m_stream_versions.on_contact(m_now + 16s);
         const stream_origin origin = m_state->m_stream_versions.origin(
             "s", stream_id{11}, {{"v1"}, {"v2"}}, 2s, m_now + 16s);
@@ -146,9 +151,135 @@
         CPPUNIT_ASSERT(m_store.m_writes[1].m_expected == (core::store_version{1, 0}));
     }
 
+    /// The store has come back from a copy without the plans that others go on with.
+    void row_of_an_ended_era_tells_nothing_to_an_instance_that_starts()
+    {
+        restore({2, 9}, version_plan{}.adapted({{{"v1"}, 16}}, store_begin, {}));
+        CPPUNIT_ASSERT(m_state->m_stream_versions.plan_of("s") == nullptr);
+        CPPUNIT_ASSERT(!origin_at(m_now).m_version);
+        CPPUNIT_ASSERT(
+            !m_state->m_stream_versions.version_of_new("s", stream_id{11}, {{"v1"}}, m_now));
+        // Whoever knows the lost plans writes them.
+        const version_plan lost = *version_plan{}.adapted({{{"v2"}, 16}}, store_begin + 1s, {});
+        take(lost, {2, 10}, m_now, "era/2", store_begin + 2s);
+        CPPUNIT_ASSERT(m_state->m_stream_versions.version_of_new("s", stream_id{11}, {{"v2"}},
+                                                                 m_now) == software_version{"v2"});
+        CPPUNIT_ASSERT(!origin_at(m_now + 5s).m_version);
+        CPPUNIT_ASSERT(origin_at(m_now + 10s).m_version == software_version{"v2"});
+    }
+
+    void row_of_an_ended_era_is_replaced_by_what_others_know()
+    {
+        m_rows->check(true, m_fleet, m_now);
+        acknowledge(8);
+        const version_plan stored = *m_state->m_stream_versions.plan_of("s");
+        const version_plan lost = *stored.adapted({{{"v2"}, 16}}, store_begin + 2s, {});
+        take(lost, {0, 9}, m_now + 2s);
+        m_state->m_upstreams.remove(core::id_of<core::upstream_id>("a"), m_now);
+        add_upstream("b", "v2");
+        restore({2, 8}, stored);
+        m_state->m_stream_versions.on_contact(m_now);
+        CPPUNIT_ASSERT(m_state->m_stream_versions.version_of_new("s", stream_id{11}, {{"v2"}},
+                                                                 m_now) == software_version{"v2"});
+        m_rows->check(false, m_fleet, m_now + 3s);
+        m_rows->check(false, m_fleet, m_now + 3s + 500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store.m_writes.size());
+        const auto message = wire::decode(m_store.m_writes.back().m_value);
+        const auto& entry = std::get<wire::version_plan_entry>(message);
+        CPPUNIT_ASSERT(entry.m_number > lost.number());
+        CPPUNIT_ASSERT_EQUAL(std::string("era/2"), entry.m_assignments.back().m_version);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{version_plan::slot_count},
+                             entry.m_assignments.back().m_slot);
+    }
+
+    /// Streams that began before are not told by it.
+    void plan_begins_anew_when_nobody_knows_the_lost_ones()
+    {
+        const version_plan stored = *version_plan{}.adapted({{{"v1"}, 16}}, store_begin, {});
+        restore({2, 9}, stored);
+        m_rows->check(true, m_fleet, m_now);
+        m_rows->check(true, m_fleet, m_now + 1s);
+        CPPUNIT_ASSERT(m_store.m_writes.empty());
+        m_rows->check(true, m_fleet, m_now + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store.m_writes.size());
+        acknowledge(10, 2, m_now + 2s);
+        const version_plan* known = m_state->m_stream_versions.plan_of("s");
+        CPPUNIT_ASSERT(known != nullptr && known->number() > stored.number() + 100);
+        CPPUNIT_ASSERT(known->whole_since() == store_begin + 2s);
+    }
+
+    void plans_of_one_number_and_two_histories_are_both_possible()
+    {
+        m_rows->check(true, m_fleet, m_now);
+        acknowledge(8);
+        const version_plan stored = *m_state->m_stream_versions.plan_of("s");
+        take(*stored.adapted({{{"v2"}, 16}}, store_begin + 2s, {}), {0, 9}, m_now + 2s);
+        const version_plan other = *stored.adapted({{{"v3"}, 16}}, store_begin + 3s, {});
+        m_state->m_stream_versions.on_era(2);
+        take(other, {2, 9}, m_now + 4s, "era/2", store_begin + 3s);
+        CPPUNIT_ASSERT(!origin_at(m_now + 5s).m_version);
+        CPPUNIT_ASSERT(m_state->m_stream_versions.version_of_new("s", stream_id{11}, {{"v3"}},
+                                                                 m_now) == software_version{"v3"});
+        CPPUNIT_ASSERT(origin_at(m_now + 12s).m_version == software_version{"v3"});
+        // The row does not show what was in use here.
+        m_fleet.replace({}, {2, 9});
+        m_rows->check(true, m_fleet, m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store.m_writes.size());
+    }
+
+    void plan_of_an_earlier_build_is_followed_and_marked_again()
+    {
+        const version_plan first = *version_plan{}.adapted({{{"v1"}, 16}}, store_begin, {});
+        restore({2, 9}, {});
+        take(first, {2, 10}, m_now, "era/2", store_begin);
+        const version_plan next = *first.adapted({{{"v2"}, 16}}, store_begin + 9s, {});
+        take(next, {2, 11}, m_now + 9s);
+        CPPUNIT_ASSERT(m_state->m_stream_versions.plan_of("s")->assignments() ==
+                       next.assignments());
+        add_upstream("b", "v2");
+        m_rows->check(true, m_fleet, m_now + 10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store.m_writes.size());
+        const auto message = wire::decode(m_store.m_writes.back().m_value);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("era/2"),
+            std::get<wire::version_plan_entry>(message).m_assignments.back().m_version);
+    }
+
 private:
     static constexpr store_time store_begin = 1h;
 
+    /// Where a stream began of which an instance in contact is asked, up to 2 s after its begin.
+    stream_origin origin_at(core::time_point now)
+    {
+        m_state->m_stream_versions.on_contact(now);
+        return m_state->m_stream_versions.origin("s", stream_id{11}, {{"v1"}, {"v2"}, {"v3"}}, 2s,
+                                                 now);
+    }
+
+    static wire::version_plan_entry entry_of(const version_plan& plan)
+    {
+        wire::version_plan_entry entry{"s", plan.number(), {}};
+        for (const version_plan::assignment& each : plan.assignments())
+        {
+            entry.m_assignments.push_back({each.m_slot, each.m_version.m_name, each.m_since});
+        }
+        return entry;
+    }
+
+    /// The store answers from an older copy, which has this plan.
+    void restore(const core::store_version& version, const std::optional<version_plan>& stored)
+    {
+        m_state->m_stream_versions.on_era(version.m_era);
+        if (!stored)
+        {
+            m_fleet.replace({}, version);
+            return;
+        }
+        const wire::version_plan_entry entry = entry_of(*stored);
+        m_fleet.replace({{"versions/s", wire::encode(entry), version, false}}, version);
+        m_rows->on_row(entry, version, m_now + 2s);
+    }
+
     void add_upstream(const std::string& name, const std::string& version)
     {
         upstream_record record;
@@ -161,26 +292,29 @@
     }
 
     /// The store has done the last write, and its row is read.
-    void acknowledge(std::uint64_t version)
+    void acknowledge(std::uint64_t number) { acknowledge(number, 0, m_now); }
+
+    void acknowledge(std::uint64_t number, std::uint64_t era, core::time_point now)
     {
+        const core::store_version version{era, number};
         const writing_store::pending_write write = m_store.m_writes.back();
-        m_store.m_writes.back().m_handler(
-            {row_write_result::outcome::applied, core::store_version{0, version}});
-        m_fleet.apply({{write.m_key, write.m_value, {0, version}, false}});
+        m_store.m_writes.back().m_handler({row_write_result::outcome::applied, version});
+        m_fleet.apply({{write.m_key, write.m_value, version, false}});
         const auto message = wire::decode(write.m_value);
-        m_rows->on_row(std::get<wire::version_plan_entry>(message), {0, version}, m_now);
+        m_rows->on_row(std::get<wire::version_plan_entry>(message), version, now);
     }
 
     /// A plan's row is read that another instance has written.
-    void take(const version_plan& plan, std::uint64_t version, core::time_point now)
+    void take(const version_plan& plan, const core::store_version& version, core::time_point now,
+              const std::string& mark = {}, store_time marked_since = {})
     {
-        wire::version_plan_entry entry{"s", plan.number(), {}};
-        for (const version_plan::assignment& each : plan.assignments())
+        wire::version_plan_entry entry = entry_of(plan);
+        if (!mark.empty())
         {
-            entry.m_assignments.push_back({each.m_slot, each.m_version.m_name, each.m_since});
+            entry.m_assignments.push_back({version_plan::slot_count, mark, marked_since});
         }
-        m_fleet.apply({{"versions/s", wire::encode(entry), {0, version}, false}});
-        m_rows->on_row(entry, {0, version}, now);
+        m_fleet.apply({{"versions/s", wire::encode(entry), version, false}});
+        m_rows->on_row(entry, version, now);
     }
 
     boost::asio::io_context m_context;
--- a/unit_tests/relay/version_plan_test.cpp
+++ b/unit_tests/relay/version_plan_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 
 using namespace tarragontrail;
 using namespace tarragontrail::relay;
@@ -39,6 +40,9 @@
     CPPUNIT_TEST(stream_begun_long_after_its_slot_moved_has_one_version);
     CPPUNIT_TEST(plan_written_late_keeps_the_earlier_version_possible);
     CPPUNIT_TEST(true_version_is_always_possible);
+    CPPUNIT_TEST(lost_assignments_stay_possible_beside_an_older_plan);
+    CPPUNIT_TEST(later_plan_of_one_history_makes_nothing_doubtful);
+    CPPUNIT_TEST(true_version_is_possible_after_two_histories_have_parted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -182,6 +186,83 @@
             }
         }));
     }
+
+    /// A copy of the store lacks the plan by which streams began a moment ago.
+    void lost_assignments_stay_possible_beside_an_older_plan()
+    {
+        const version_plan stored = plan_for({{old_version, 16}});
+        const version_plan lost = *stored.adapted({{new_version, 16}}, start + 10s, settings);
+        const version_plan back = *lost.adapted({{old_version, 16}}, start + 20s, settings);
+        CPPUNIT_ASSERT(!stored.shows(back, start));
+        const version_plan joined = stored.joined(back, start + 21s, settings);
+        CPPUNIT_ASSERT(joined.version_of_new(stream_id{7}) == old_version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             joined.possible_versions(stream_id{7}, start + 15s).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             joined.possible_versions(stream_id{7}, start + 22s).size());
+        CPPUNIT_ASSERT(joined.shows(back, start));
+    }
+
+    void later_plan_of_one_history_makes_nothing_doubtful()
+    {
+        const version_plan first = plan_for({{old_version, 16}});
+        const version_plan next = *first.adapted({{new_version, 16}}, start + 10s, settings);
+        CPPUNIT_ASSERT(next.joined(first, start + 30s, settings).assignments() ==
+                       next.assignments());
+        CPPUNIT_ASSERT(first.shows(first, start));
+        CPPUNIT_ASSERT(next.shows(first, start));
+    }
+
+    /// Instances go on by both until one of them reads the other's plan.
+    void true_version_is_possible_after_two_histories_have_parted()
+    {
+        CPPUNIT_ASSERT(rc::check("true_version_is_possible_after_two_histories_have_parted", [] {
+            store_time now = start;
+            const auto draw_capacities = [] {
+                std::map<software_version, std::uint64_t> capacities{{{"v0"}, 1}};
+                for (const char* name : {"v1", "v2", "v3"})
+                {
+                    const auto capacity = *rc::gen::inRange<std::uint64_t>(0, 100);
+                    if (capacity > 0)
+                    {
+                        capacities[{name}] = capacity;
+                    }
+                }
+                return capacities;
+            };
+            struct begun
+            {
+                stream_id m_stream;
+                software_version m_version;
+                store_time m_at;
+            };
+            std::vector<begun> streams;
+            std::array<version_plan, 2> plans{plan_for(draw_capacities(), now), {}};
+            plans[1] = *plans[0].adapted({{{"v4"}, 1}}, now + 2s, settings);
+            plans[0] = *plans[0].adapted({{{"v5"}, 1}}, now + 2s, settings);
+            now += 2s;
+            const auto steps = *rc::gen::inRange(1, 20);
+            for (int step = 0; step < steps; ++step)
+            {
+                now += store_time(*rc::gen::inRange(1, 2'000));
+                version_plan& plan = plans.at(*rc::gen::inRange<std::size_t>(0, 2));
+                plan = plan.adapted(draw_capacities(), now, settings).value_or(plan);
+                for (const version_plan& used : plans)
+                {
+                    const stream_id stream{*rc::gen::arbitrary<std::uint64_t>()};
+                    streams.push_back({stream, *used.version_of_new(stream), now});
+                }
+            }
+            now += 1ms;
+            const version_plan joined = plans[0].joined(plans[1], now, settings);
+            for (const begun& each : streams)
+            {
+                const auto possible = joined.possible_versions(each.m_stream, each.m_at);
+                RC_ASSERT(std::find(possible.begin(), possible.end(), each.m_version) !=
+                          possible.end());
+            }
+        }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(version_plan_test, "relay");
