Another instance confirms plans as of when it spoke, and not from the same dead end

Callers saw streams joined of two versions at instances that had stood still, or were cut off.

Cause: any message of an instance that was not ahead counted as contact at the time of reading. It may have waited in a buffer for seconds, and instances that are cut off together confirmed each other in what none of them knew.

On the former logic message_that_waited_confirms_no_plans and instances_that_are_cut_off_together_confirm_no_plans fail.

Change: a heartbeat confirms as of the store's clock at its sending, an answer of the store as of its time. Instances confirm each other only while one of them has reached the store lately, or while no member is missing.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -94,6 +94,9 @@
     for (const auto& each : m_followers)
     {
         each->on_store_time([this](std::chrono::milliseconds time) {
+    follower(followed_table::fleet).on_confirmed([this](store_time as_of) {
+        note_contact(as_of, core::runtime_clock::now());
+    });
             m_state.m_stream_versions.set_store_time(time, core::runtime_clock::now());
             m_state.m_freshness.set_store_time(time, core::suspension_counting_now());
         });
@@ -216,7 +219,10 @@
     m_state.m_upstreams.remove_departed(m_settings.m_departed_retention, now);
     share_limits(now);
     update_store_reader(now);
-    check_contact(now);
+    if (m_state.m_standstill.on_check(core::suspension_counting_now()))
+    {
+        m_state.m_stream_versions.forget_contact();
+    }
     check_versions(now);
     m_state.m_crash_attribution.on_timer(now);
     share_crash_reports();
@@ -292,9 +298,8 @@
     }
 }
 
-/// An instance that has stood still knows nothing of the time; one without others, which the store
-/// has answered since, has the newest rows. Others may be there that it does not hear.
-void fleet_service::check_contact(core::time_point now)
+/// This instance knows every row that was known at this time of the store's clock.
+void fleet_service::note_contact(store_time as_of, core::time_point now)
 {
     if (m_state.m_standstill.on_check(core::suspension_counting_now()))
     {
@@ -412,12 +417,12 @@
 void fleet_service::on_versions(core::instance_id peer, const wire::table_versions& versions,
                                 core::time_point now)
 {
+    m_state.m_stream_versions.on_era(era);
     const std::array<table_position, followed_table_count> reported{
         versions.m_operators, versions.m_upstreams, versions.m_fleet};
     for (std::size_t table = 0; table < followed_table_count; ++table)
     {
         m_followers[table]->learn_position(reported[table]);
-    m_state.m_stream_versions.on_era(era);
         const table_mirror& mirror = m_followers[table]->mirror();
         const core::store_version own = mirror.position().m_complete;
         const core::store_version peer_version =
@@ -432,9 +437,11 @@
         }
     }
     note_configuration_age(versions);
-    if (!follower(followed_table::fleet).mirror().lacks(versions.m_fleet))
+    // The message may have waited on its way: it tells what its sender knew when it was sent.
+    if (!follower(followed_table::fleet).mirror().lacks(versions.m_fleet) &&
+        versions.m_store_time > store_time::zero() && may_peers_confirm(now))
     {
-        m_state.m_stream_versions.on_contact(now);
+        note_contact(versions.m_store_time, now);
     }
     // With a table as new as the peer's, only a return of the store explains an older document.
     if (!follower(followed_table::operators).mirror().lacks(versions.m_operators) &&
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -129,7 +129,8 @@
     void share_crash_reports();
     void write_kept_rows(core::time_point now);
     void check_versions(core::time_point now);
-    void check_contact(core::time_point now);
+    void note_contact(store_time as_of, core::time_point now);
+    bool may_peers_confirm(core::time_point now) const;
     void check_reach(core::time_point now);
     bool is_table_store_reachable() const;
     table_follower& follower(followed_table table);
@@ -176,7 +177,6 @@
     std::size_t m_logged_alive = 1; ///< Instances that are heard, as logged last.
     /// Readiness that was logged last.
     bool m_logged_readiness = false;
-    std::optional<core::time_point> m_alone_since; ///< Set while no other instance is heard.
     /// This instance reads the table store rather than its peers' copies.
     bool m_is_store_reader = true;
 };
--- a/tarragontrail/relay/instance_registry.cpp
+++ b/tarragontrail/relay/instance_registry.cpp
@@ -166,6 +166,12 @@
     return count;
 }
 
+bool instance_registry::hears_all(core::time_point now) const
+{
+    return std::all_of(m_members.begin(), m_members.end(),
+                       [this, now](const auto& entry) { return is_present(entry.first, now); });
+}
+
 std::optional<core::instance_id> instance_registry::first_ready(core::time_point now) const
 {
     for (const auto& [instance, member] : m_members)
--- a/tarragontrail/relay/instance_registry.hpp
+++ b/tarragontrail/relay/instance_registry.hpp
@@ -105,6 +105,9 @@
     /// Number of instances that are alive, this one included.
     std::size_t alive_count(core::time_point now) const;
 
+    /// True when all members send heartbeats.
+    bool hears_all(core::time_point now) const;
+
     /// Ready instance with the lowest identifier.
     std::optional<core::instance_id> first_ready(core::time_point now) const;
 
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -88,8 +88,18 @@
         return m_store_clock.at(now);
     }
 
-    /// Other instances or the table store have confirmed that this one knows the newest rows.
-    void on_contact(core::time_point now) { m_last_contact = now; }
+    /// Other instances or the table store have confirmed that this one knew the newest rows at
+    /// this time.
+    void on_contact(core::time_point as_of)
+    {
+        m_last_contact = std::max(m_last_contact.value_or(as_of), as_of);
+    }
+
+    /// Whether it was confirmed that this instance knew the newest rows at `since` or later.
+    bool is_confirmed_since(core::time_point since) const
+    {
+        return m_last_contact && *m_last_contact >= since;
+    }
 
     /// Nothing that was heard before counts as contact: this instance may have stood still.
     void forget_contact() { m_last_contact.reset(); }
--- a/unit_tests/relay/unheard_fleet_test.cpp
+++ b/unit_tests/relay/unheard_fleet_test.cpp
@@ -13,6 +13,8 @@
 {
     CPPUNIT_TEST_SUITE(unheard_fleet_test);
     CPPUNIT_TEST(silence_alone_does_not_confirm_plans);
+    CPPUNIT_TEST(message_that_waited_confirms_no_plans);
+    CPPUNIT_TEST(instances_that_are_cut_off_together_confirm_no_plans);
     CPPUNIT_TEST(silent_instances_keep_their_share_of_the_retry_budget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -62,6 +64,25 @@
         return last().m_state.m_stream_versions.is_informed(service, core::runtime_clock::now());
     }
 
+    void know_plan()
+    {
+        last().m_state.m_stream_versions.set_plan(service, version_plan(1, {}),
+                                                  core::runtime_clock::now());
+    }
+
+    /// Another instance that has no newer rows says so; the store has confirmed its configuration
+    /// at a time.
+    void hear(store_time sent, store_time confirmed)
+    {
+        wire::table_versions versions;
+        versions.m_fleet = {{0, 20}, {0, 20}, {0, 20}};
+        versions.m_configuration = 1;
+        versions.m_confirmed = confirmed;
+        versions.m_store_time = sent;
+        static_cast<fleet_exchange_listener&>(last().m_service)
+            .on_versions(core::instance_id{1}, versions, core::runtime_clock::now());
+    }
+
     /// The last instance is cut off from the others.
     void lose_others()
     {
@@ -92,6 +113,30 @@
         CPPUNIT_ASSERT(is_informed());
     }
 
+    /// It was sent before the receiver stood still, and read afterwards.
+    void message_that_waited_confirms_no_plans()
+    {
+        start_fleet(70);
+        lose_others();
+        know_plan();
+        m_context.run_for(4s);
+        hear(test_instance::store_time() - 3s, test_instance::store_time() - 3s);
+        CPPUNIT_ASSERT(!is_informed());
+        hear(test_instance::store_time(), test_instance::store_time());
+        CPPUNIT_ASSERT(is_informed());
+    }
+
+    /// None of them has reached the store for a while, and a member that is not heard may have.
+    void instances_that_are_cut_off_together_confirm_no_plans()
+    {
+        start_fleet(73);
+        lose_others();
+        know_plan();
+        m_context.run_for(4s);
+        hear(test_instance::store_time(), test_instance::store_time() - 8s);
+        CPPUNIT_ASSERT(!is_informed());
+    }
+
     void silent_instances_keep_their_share_of_the_retry_budget()
     {
         start_fleet(67);
