The store is asked for the plans before one tells where a stream began

Callers saw streams joined of two versions by a take-up at an instance that had not read the plan by which they had begun.

Cause: what an instance knows was taken for what exists. The time within which a changed plan reaches all (1.5 s) is exceeded by a process that stands still, a lost message or a slow store.

On the former logic take_up_is_told_by_the_plan_that_the_store_holds and take_up_is_refused_where_nothing_confirms_the_plan_since_it_came fail.

Change: a stream that this instance does not remember is told by the plan only once a read of the fleet's table that began after the request's arrival was applied. Requests share reads, at most ten a second. Where the store does not answer within 0.4 s, another instance must have confirmed a later time than the arrival; otherwise the take-up is refused as before. An instance out of contact asks the store, too, before it refuses a new stream.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -57,6 +57,10 @@
       m_crash_rows(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_weights_namings(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_version_plans(state, store, [this](const table_row& row) { publish_own_row(row); }),
+      m_plan_reads(context, m_settings.m_plan_read_interval,
+                   [this](shared_read::handler handler) {
+                       follower(followed_table::fleet).read_changes(std::move(handler));
+                   }),
       m_identity_checks(state, engines, {}), m_reach_checks(state, engines, {}),
       m_check_timer(context), m_register_timer(context)
 {
@@ -90,13 +94,13 @@
             m_state.m_freshness.on_confirmed(as_of, core::suspension_counting_now());
         }
     });
+    follower(followed_table::fleet).on_confirmed([this](store_time as_of) {
+        note_contact(as_of, core::runtime_clock::now());
+    });
     m_state.m_freshness.begin(m_settings.m_freshness, core::suspension_counting_now());
     for (const auto& each : m_followers)
     {
         each->on_store_time([this](std::chrono::milliseconds time) {
-    follower(followed_table::fleet).on_confirmed([this](store_time as_of) {
-        note_contact(as_of, core::runtime_clock::now());
-    });
             m_state.m_stream_versions.set_store_time(time, core::runtime_clock::now());
             m_state.m_freshness.set_store_time(time, core::suspension_counting_now());
         });
@@ -112,6 +116,7 @@
     m_state.m_announcer = this;
     m_state.m_engines = &engines;
     m_state.m_peers = this;
+    m_state.m_plan_source = this;
     m_state.m_part_crashes.set_sender(this);
     m_state.m_quarantines_known = false;
 }
@@ -301,21 +306,22 @@
 /// This instance knows every row that was known at this time of the store's clock.
 void fleet_service::note_contact(store_time as_of, core::time_point now)
 {
-    if (m_state.m_standstill.on_check(core::suspension_counting_now()))
-    {
-        m_state.m_stream_versions.forget_contact();
-    }
-    if (m_registry.alive_count(now) > 1)
-    {
-        m_alone_since.reset();
-        return;
-    }
-    m_alone_since = m_alone_since.value_or(now);
-    const table_follower& fleet = follower(followed_table::fleet);
-    if (fleet.is_store_reachable() && fleet.answered_at() >= m_alone_since)
-    {
-        m_state.m_stream_versions.on_contact(now);
-    }
+    const auto store_now = m_state.m_freshness.store_time_at(core::suspension_counting_now());
+    const store_time age = store_now.value_or(as_of) - as_of;
+    m_state.m_stream_versions.on_contact(now - std::max(age, store_time::zero()));
+}
+
+/// Instances that are cut off together confirm each other in what none of them knows, so one of
+/// those that are heard must have reached the store lately, or none may be missing.
+bool fleet_service::may_peers_confirm(core::time_point now) const
+{
+    const auto standing = m_state.m_freshness.standing(core::suspension_counting_now());
+    return standing == configuration_standing::current || m_registry.hears_all(now);
+}
+
+void fleet_service::read_plans(std::function<void(bool is_read)> handler)
+{
+    m_plan_reads.ask(std::move(handler));
 }
 
 /// Few instances of each region read the table store; the others receive changes from them.
@@ -411,13 +417,13 @@
         each->begin_era(era);
     }
     m_rollout.begin_era(era);
+    m_state.m_stream_versions.on_era(era);
 }
 
 /// Requests a table from a peer that has a newer version than the store or its readers delivered.
 void fleet_service::on_versions(core::instance_id peer, const wire::table_versions& versions,
                                 core::time_point now)
 {
-    m_state.m_stream_versions.on_era(era);
     const std::array<table_position, followed_table_count> reported{
         versions.m_operators, versions.m_upstreams, versions.m_fleet};
     for (std::size_t table = 0; table < followed_table_count; ++table)
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -8,6 +8,7 @@
 #include "tarragontrail/relay/identity_checks.hpp"
 #include "tarragontrail/relay/quarantine_rows.hpp"
 #include "tarragontrail/relay/reach_checks.hpp"
+#include "tarragontrail/relay/shared_read.hpp"
 #include "tarragontrail/relay/staleness_detector.hpp"
 #include "tarragontrail/relay/table_follower.hpp"
 #include "tarragontrail/relay/version_plan_rows.hpp"
@@ -36,6 +37,8 @@
     std::chrono::milliseconds m_first_follow_delay{400};
     /// No request goes to a leaving upstream later than this.
     std::chrono::milliseconds m_drain_limit{2'500};
+    /// Between two reads of the plans for streams whose version must be known.
+    std::chrono::milliseconds m_plan_read_interval{100};
     /// Configurations and what is known of their age.
     configuration_freshness_settings m_freshness;
     /// Bandwidth of this instance's link, in Mbit/s.
@@ -50,6 +53,7 @@
                       public relay_announcer,
                       public part_evidence_sender,
                       public peer_source,
+                      public plan_source,
                       public weights_announcer
 {
 public:
@@ -83,6 +87,7 @@
     std::optional<passing_peer> peer_reaching(const std::string& service,
                                               const std::vector<core::instance_id>& tried) override;
     void send_part_evidence(const recovery::part_attribution_action& evidence) override;
+    void read_plans(std::function<void(bool is_read)> handler) override;
 
 private:
     /// A copy of a table as it is sent to other instances.
@@ -163,6 +168,7 @@
     /// Same for suspended requests, whose crashes must be known by their times first.
     std::vector<recovery::crash_history> m_read_histories;
     version_plan_rows m_version_plans;
+    shared_read m_plan_reads;
     identity_checks m_identity_checks;
     reach_checks m_reach_checks;
     std::vector<std::uint64_t> m_told_cut_off; ///< Services cut off, as told to others last.
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -44,6 +44,15 @@
         piped,    ///< Long response, forwarded as it arrives.
     };
 
+    /// Whether the plans of software versions were read for this request.
+    enum class plan_read
+    {
+        none,    ///< Not asked for.
+        pending, ///< Asked for.
+        done,    ///< What the table store held after the request's arrival is known.
+        failed,  ///< The table store has not answered in time.
+    };
+
     /// How an attempt at an upstream ended.
     enum class attempt_outcome
     {
@@ -69,6 +78,8 @@
     std::optional<selection> choose_upstream(core::time_point now);
     bool is_software_chosen(core::time_point now);
     bool choose_software_of_taken_up(core::time_point now);
+    void ask_for_plans();
+    bool is_waiting_for_plans(core::time_point now);
     core::duration max_stream_age(core::time_point now) const;
     void note_begun_stream(core::time_point now);
     bool is_held_as_suspect(core::time_point now);
@@ -134,6 +145,7 @@
     std::optional<stream_id> m_stream;      ///< Set for a stream that may be resumed.
     /// Software that the stream's events come from; every attempt goes to an upstream that runs it.
     std::optional<software_version> m_software;
+    plan_read m_plan_read = plan_read::none;
     std::optional<prompt_profile> m_prompt;       ///< Set for a request to a model.
     std::vector<std::uint64_t> m_part_ids;        ///< Model and identity of each part but the last.
     std::optional<core::time_point> m_held_since; ///< Start of the hold for a suspected part.
--- a/tarragontrail/relay/relay_session_software.cpp
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -26,6 +26,7 @@
     }
     if (now < m_arrival + m_state.m_session_settings.m_max_version_hold)
     {
+        ask_for_plans();
         start_timer(m_retry_timer, now + m_state.m_session_settings.m_version_recheck_interval,
                     &relay_session::dispatch);
         return false;
@@ -36,18 +37,69 @@
     return false;
 }
 
+void relay_session::ask_for_plans()
+{
+    if (m_plan_read != plan_read::none || m_state.m_plan_source == nullptr)
+    {
+        return;
+    }
+    m_plan_read = plan_read::pending;
+    m_state.m_plan_source->read_plans([weak = weak_from_this()](bool is_read) {
+        const auto self = weak.lock();
+        if (!self || self->m_ended || self->m_plan_read != plan_read::pending)
+        {
+            return;
+        }
+        self->m_plan_read = is_read ? plan_read::done : plan_read::failed;
+        if (!self->m_software && self->m_request.m_taken_up)
+        {
+            self->start_timer(self->m_retry_timer, core::runtime_clock::now(),
+                              &relay_session::dispatch);
+        }
+    });
+}
+
+/// The stream may have begun by a plan that is not known here yet, so the table store is asked.
+bool relay_session::is_waiting_for_plans(core::time_point now)
+{
+    ask_for_plans();
+    const core::time_point limit = m_arrival + m_state.m_session_settings.m_max_version_hold;
+    if (m_plan_read != plan_read::pending)
+    {
+        m_retry_timer.cancel();
+        return false;
+    }
+    if (now < limit)
+    {
+        start_timer(m_retry_timer, limit, &relay_session::dispatch);
+        return true;
+    }
+    m_plan_read = plan_read::failed;
+    return false;
+}
+
 /// Finds the version at which the stream began; without it the request is refused at once, as
 /// events of another version would not fit.
 bool relay_session::choose_software_of_taken_up(core::time_point now)
 {
+    stream_versions& versions = m_state.m_stream_versions;
+    const bool is_remembered = m_stream && versions.remembers(m_service, *m_stream, now);
+    if (!is_remembered && is_waiting_for_plans(now))
+    {
+        return false;
+    }
     const core::duration max_age = max_stream_age(now);
     const bool is_service_known = m_stream || m_route->m_targets.size() == 1;
+    // Where the store does not answer, other instances must have told of a later time than that of
+    // the request.
+    const bool is_confirmed =
+        is_remembered || m_plan_read != plan_read::failed || versions.is_confirmed_since(m_arrival);
     const stream_origin origin =
-        is_service_known
-            ? m_state.m_stream_versions.origin(
-                  m_service, m_stream, m_state.m_upstreams.software_of(m_service), max_age, now)
+        is_service_known && is_confirmed
+            ? versions.origin(m_service, m_stream, m_state.m_upstreams.software_of(m_service),
+                              max_age, now)
             : stream_origin{};
-    const bool may_learn = !m_state.m_stream_versions.is_informed(m_service, now) &&
+    const bool may_learn = !(is_confirmed && versions.is_informed(m_service, now)) &&
                            now < m_arrival + m_state.m_session_settings.m_max_version_hold;
     if (!origin.m_version && may_learn)
     {
@@ -55,14 +107,15 @@
                     &relay_session::dispatch);
         return false;
     }
-    const auto contact_age = m_state.m_stream_versions.contact_age(now);
+    const auto contact_age = versions.contact_age(now);
     observe::log("stream_taken_up",
                  {{"request", m_request.m_id},
                   {"first_attempt", m_request.m_taken_up->m_first_attempt},
                   {"service", m_service},
                   {"software", origin.m_version ? origin.m_version->m_name : std::string("none")},
                   {"known_by", to_string(origin.m_evidence)},
-                  {"plan", m_state.m_stream_versions.plan_number(m_service)},
+                  {"plan", versions.plan_number(m_service)},
+                  {"plans_read", m_plan_read == plan_read::done},
                   {"contact_age_ms", contact_age ? rounded_milliseconds(*contact_age) : "unknown"},
                   {"max_age_ms", rounded_milliseconds(max_age)}});
     m_state.m_metrics.count_taken_up_stream(to_string(origin.m_evidence));
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -76,6 +76,17 @@
     peer_reaching(const std::string& service, const std::vector<core::instance_id>& tried) = 0;
 };
 
+/// Reads the plans of software versions.
+class plan_source
+{
+public:
+    virtual ~plan_source() = default;
+
+    /// Reads what the table store holds at the time of the call or later; the handler is told
+    /// whether its plans are known here now.
+    virtual void read_plans(std::function<void(bool is_read)> handler) = 0;
+};
+
 /// Timeouts and limits of sessions, beyond the settings of the route.
 struct relay_session_settings
 {
@@ -204,6 +215,7 @@
     relay_announcer* m_announcer = nullptr; ///< Null without a fleet.
     engine_control* m_engines = nullptr;    ///< Same.
     peer_source* m_peers = nullptr;         ///< Same.
+    plan_source* m_plan_source = nullptr;   ///< Same.
 };
 
 } // namespace tarragontrail::relay
--- /dev/null
+++ b/tarragontrail/relay/shared_read.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "tarragontrail/core/clock.hpp"
+#include "tarragontrail/net/timer.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <vector>
+
+namespace tarragontrail::relay {
+
+/// One read for all that ask while it is due: whoever asks gets a read that begins afterwards.
+class shared_read
+{
+public:
+    /// Told whether what was read is known here now.
+    using handler = std::function<void(bool is_read)>;
+
+    /// `read` makes one read. Reads begin at least `interval` apart.
+    shared_read(boost::asio::io_context& context, std::chrono::milliseconds interval,
+                std::function<void(handler)> read)
+        : m_interval(interval), m_read(std::move(read)), m_timer(context)
+    {}
+
+    /// Asks for a read that begins now or later.
+    void ask(handler on_read);
+
+private:
+    void schedule();
+    void begin();
+
+    std::chrono::milliseconds m_interval;
+    std::function<void(handler)> m_read;
+    net::timer m_timer;
+    std::vector<handler> m_waiting; ///< For the next read.
+    core::time_point m_begun{};     ///< Last read.
+    bool m_is_due = false;          ///< A read is scheduled or under way.
+};
+
+} // namespace tarragontrail::relay
--- a/tarragontrail/relay/stream_versions.cpp
+++ b/tarragontrail/relay/stream_versions.cpp
@@ -183,6 +183,13 @@
     return m_last_contact ? std::make_optional(now - *m_last_contact) : std::nullopt;
 }
 
+bool stream_versions::remembers(const std::string& service, stream_id stream,
+                                core::time_point now) const
+{
+    const auto known = m_begun.find(key_of(service, stream));
+    return known != m_begun.end() && now - known->second.m_at <= m_settings.m_memory;
+}
+
 bool stream_versions::is_informed(const std::string& service, core::time_point now) const
 {
     return plan_of(service) != nullptr && is_in_contact(now);
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -133,6 +133,9 @@
     /// when nobody has.
     std::optional<core::duration> contact_age(core::time_point now) const;
 
+    /// Whether it is remembered where a stream began.
+    bool remembers(const std::string& service, stream_id stream, core::time_point now) const;
+
     /// Whether the service's plan is known and in use at the other instances too.
     bool is_informed(const std::string& service, core::time_point now) const;
 
@@ -156,6 +159,8 @@
     void remember(std::uint64_t key, remembered_stream begun);
     std::optional<store_time> earliest(core::duration max_age, core::time_point now) const;
     bool is_in_contact(core::time_point now) const;
+    /// The only version, while the service has never had a plan.
+    std::optional<software_version> only_version(const std::set<software_version>& present) const;
     bool has_moved(const version_plan& plan, stream_id stream, core::duration max_age,
                    core::time_point now) const;
 
@@ -166,9 +171,7 @@
     std::vector<begun_stream> m_announcements;
     store_clock m_store_clock;
     std::optional<core::time_point> m_last_contact;
+    std::uint64_t m_era = 0; ///< Of the table store.
 };
 
 } // namespace tarragontrail::relay
-    /// The only version, while the service has never had a plan.
-    std::optional<software_version> only_version(const std::set<software_version>& present) const;
-    std::uint64_t m_era = 0; ///< Of the table store.
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -266,54 +266,102 @@
     const bool is_short = m_consecutive_failures > 0 || std::exchange(m_is_resuming, false);
     const std::chrono::milliseconds wait =
         is_short ? m_settings.m_max_wait_after_failure : m_settings.m_max_wait;
-    m_store.follow(
-        m_table, m_last_version, wait, [this, call = ++m_call](const table_result& answer) {
-            if (call != m_call)
-            {
-                return;
-            }
-            if (const auto* failure = std::get_if<store_failure>(&answer))
-            {
-                on_failure(*failure);
-                const auto delay = std::min<std::chrono::milliseconds>(
-                    m_settings.m_initial_backoff * m_consecutive_failures,
-                    m_settings.m_max_backoff);
-                schedule(delay,
-                         failure->m_history_lost ? &table_follower::read : &table_follower::follow);
-                return;
-            }
-            on_success();
-            const auto& changed = std::get<table_rows>(answer);
-            note_store_time(changed);
-            if (changed.m_version.m_era != m_last_version.m_era)
-            {
-                // Numbers of two eras do not join: changes in between would be missing.
-                read();
-                return;
-            }
-            const bool is_taken = run_guarded("changes", [this, &changed] {
-                const table_position before = m_mirror.position();
-                const change_span span{std::min(before.m_newest, before.m_complete),
-                                       changed.m_version};
-                const std::vector<table_row> changes = m_mirror.apply(changed.m_rows, span);
-                log_dropped_rows(changed.m_version);
-                if (!changes.empty())
-                {
-                    pass_on(changed.m_rows, span);
-                    report_changes(changes, row_source::store);
-                }
-                confirm(changed);
-            });
-            if (!is_taken)
-            {
-                schedule(m_settings.m_max_backoff, &table_follower::read);
-                return;
-            }
-            m_last_version = std::max(m_last_version, changed.m_version);
-            schedule(changed.m_rows.empty() ? std::chrono::milliseconds(0)
-                                            : m_settings.m_delay_after_changes,
-                     &table_follower::follow);
-        });
+    m_store.follow(m_table, m_last_version, wait,
+                   [this, call = ++m_call](const table_result& answer) {
+                       if (call != m_call)
+                       {
+                           return;
+                       }
+                       if (const auto* failure = std::get_if<store_failure>(&answer))
+                       {
+                           on_failure(*failure);
+                           const auto delay = std::min<std::chrono::milliseconds>(
+                               m_settings.m_initial_backoff * m_consecutive_failures,
+                               m_settings.m_max_backoff);
+                           schedule(delay, failure->m_history_lost ? &table_follower::read
+                                                                   : &table_follower::follow);
+                           return;
+                       }
+                       on_success();
+                       const auto& changed = std::get<table_rows>(answer);
+                       note_store_time(changed);
+                       if (changed.m_version.m_era != m_last_version.m_era)
+                       {
+                           // Numbers of two eras do not join: changes in between would be missing.
+                           read();
+                           return;
+                       }
+                       if (!take_changes(changed))
+                       {
+                           schedule(m_settings.m_max_backoff, &table_follower::read);
+                           return;
+                       }
+                       m_last_version = std::max(m_last_version, changed.m_version);
+                       schedule(changed.m_rows.empty() ? std::chrono::milliseconds(0)
+                                                       : m_settings.m_delay_after_changes,
+                                &table_follower::follow);
+                   });
+}
+
+/// Applies an answer that has the changes after those of the copy.
+bool table_follower::take_changes(const table_rows& changed)
+{
+    return run_guarded("changes", [this, &changed] {
+        const table_position before = m_mirror.position();
+        const change_span span{std::min(before.m_newest, before.m_complete), changed.m_version};
+        const std::vector<table_row> changes = m_mirror.apply(changed.m_rows, span);
+        log_dropped_rows(changed.m_version);
+        if (!changes.empty())
+        {
+            pass_on(changed.m_rows, span);
+            report_changes(changes, row_source::store);
+        }
+        confirm(changed);
+    });
+}
+
+void table_follower::read_changes(std::function<void(bool is_read)> handler)
+{
+    if (!m_mirror.is_complete())
+    {
+        handler(false);
+        return;
+    }
+    const core::store_version after = m_mirror.position().m_complete;
+    m_store.follow(m_table, after, std::chrono::milliseconds(0),
+                   [this, after, handler = std::move(handler)](const table_result& answer) {
+                       const auto* failure = std::get_if<store_failure>(&answer);
+                       if (failure != nullptr && !failure->m_history_lost)
+                       {
+                           handler(false);
+                           return;
+                       }
+                       const auto* changed = std::get_if<table_rows>(&answer);
+                       if (changed == nullptr || changed->m_version.m_era != after.m_era)
+                       {
+                           read_whole(handler);
+                           return;
+                       }
+                       note_store_time(*changed);
+                       handler(take_changes(*changed));
+                   });
+}
+
+void table_follower::read_whole(const std::function<void(bool is_read)>& handler)
+{
+    m_store.read(m_table, [this, handler](const table_result& answer) {
+        const auto* whole = std::get_if<table_rows>(&answer);
+        if (whole == nullptr)
+        {
+            handler(false);
+            return;
+        }
+        note_store_time(*whole);
+        handler(run_guarded("whole_table", [this, whole] {
+            apply_whole(whole->m_rows, whole->m_version, row_source::store);
+            confirm(*whole);
+        }));
+    });
 }
 
 void table_follower::on_failure(const store_failure& failure)
--- a/tarragontrail/relay/table_follower.hpp
+++ b/tarragontrail/relay/table_follower.hpp
@@ -81,6 +81,10 @@
     /// Sets whether this instance follows the store itself. The first read is always made.
     void set_active(bool active);
 
+    /// Reads the changes up to now, beside the calls that follow the table; tells whether the copy
+    /// has all of them.
+    void read_changes(std::function<void(bool is_read)> handler);
+
     /// Applies changes received from an instance that follows the store.
     void apply_changes(const std::vector<table_row>& rows, const change_span& span);
 
@@ -100,7 +104,9 @@
 
 private:
     void read();
+    void read_whole(const std::function<void(bool is_read)>& handler);
     void follow();
+    bool take_changes(const table_rows& changed);
     void apply_whole(const std::vector<table_row>& rows, const core::store_version& version,
                      row_source source);
     void on_rewrite_grace_over();
--- a/unit_tests/platform/software_versions_test.cpp
+++ b/unit_tests/platform/software_versions_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(take_up_that_waited_for_a_stopped_instance_is_old);
     CPPUNIT_TEST(take_up_with_a_fresh_deadline_is_old);
     CPPUNIT_TEST(version_told_by_the_plan_is_not_remembered);
+    CPPUNIT_TEST(take_up_is_told_by_the_plan_that_the_store_holds);
+    CPPUNIT_TEST(take_up_is_refused_where_nothing_confirms_the_plan_since_it_came);
+    CPPUNIT_TEST(take_up_goes_on_where_instances_confirm_the_plan_since_it_came);
     CPPUNIT_TEST(plain_stream_may_begin_at_any_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +118,36 @@
         CPPUNIT_ASSERT(origin.m_evidence == relay::version_evidence::plan);
     }
 
+    /// The stream began by a plan that the instance has not read yet.
+    void take_up_is_told_by_the_plan_that_the_store_holds()
+    {
+        m_plans.m_on_read = [this] {
+            set_plan(3, "v2", "v1", 14s);
+            return true;
+        };
+        m_state->m_plan_source = &m_plans;
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up_after(0s));
+        CPPUNIT_ASSERT_EQUAL(1, m_plans.m_reads);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_upstreams[0]->m_requests.size());
+    }
+
+    void take_up_is_refused_where_nothing_confirms_the_plan_since_it_came()
+    {
+        m_state->m_plan_source = &m_plans;
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up_after(0s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_upstreams[0]->m_requests.size());
+    }
+
+    void take_up_goes_on_where_instances_confirm_the_plan_since_it_came()
+    {
+        m_plans.m_on_read = [this] {
+            m_state->m_stream_versions.on_contact(core::runtime_clock::now());
+            return false;
+        };
+        m_state->m_plan_source = &m_plans;
+        CPPUNIT_ASSERT_EQUAL(200U, status_of_take_up_after(0s));
+    }
+
     void plain_stream_may_begin_at_any_version()
     {
         configure(relay::request_kind::stream);
@@ -124,6 +157,38 @@
     }
 
 private:
+    /// Reads of the plans whose results the test supplies; the store does not answer by default.
+    class scripted_plans : public relay::plan_source
+    {
+    public:
+        void read_plans(std::function<void(bool)> handler) override
+        {
+            ++m_reads;
+            handler(m_on_read && m_on_read());
+        }
+
+        std::function<bool()> m_on_read;
+        int m_reads = 0;
+    };
+
+    scripted_plans m_plans;
+
+    /// All slots have moved from one version to another some time ago.
+    void set_plan(std::uint64_t number, const char* from, const char* to,
+                  std::chrono::seconds since_move)
+    {
+        const core::time_point now = core::runtime_clock::now();
+        relay::stream_versions& versions = m_state->m_stream_versions;
+        const relay::store_time moved = *versions.store_time_at(now) - since_move;
+        std::vector<relay::version_plan::assignment> assignments;
+        for (std::uint64_t slot = 0; slot < relay::version_plan::slot_count; ++slot)
+        {
+            assignments.push_back({slot, {from}, relay::store_time::zero()});
+            assignments.push_back({slot, {to}, moved});
+        }
+        versions.set_plan("s", relay::version_plan(number, assignments), now);
+    }
+
     /// Status of the answer to a take-up that an instance reads after it has stood still. All slots
     /// have moved to the only version that is left, by default longer ago than callers wait.
     unsigned status_of_take_up_after(core::duration standstill,
@@ -135,13 +200,7 @@
         const core::time_point now = core::runtime_clock::now();
         relay::stream_versions& versions = m_state->m_stream_versions;
         versions.set_store_time(store_now, now);
-        std::vector<relay::version_plan::assignment> assignments;
-        for (std::uint64_t slot = 0; slot < relay::version_plan::slot_count; ++slot)
-        {
-            assignments.push_back({slot, {"v1"}, relay::store_time::zero()});
-            assignments.push_back({slot, {"v2"}, store_now - since_move});
-        }
-        versions.set_plan("s", relay::version_plan(2, assignments), now);
+        set_plan(2, "v1", "v2", since_move);
         versions.on_contact(now);
         m_state->m_standstill.on_check(core::suspension_counting_now() - standstill);
         return send(take_up("r1")).m_response.result_int();
