--- a/tarragontrail/relay/fleet_service_messages.cpp
+++ b/tarragontrail/relay/fleet_service_messages.cpp
@@ -491,6 +491,9 @@
     m_crash_rows.begin_era();
     m_weights_namings.begin_era();
     m_state.m_crash_attribution.forget_kept();
+    const core::time_point now = core::runtime_clock::now();
+    m_state.m_stream_versions.on_era(mirror.era(), now);
+    m_version_plans.begin_era(mirror, now);
     on_fleet_rows(mirror.rows());
     if (mirror.find(weights_rollout_coordinator::row_key) == nullptr)
     {
--- a/tarragontrail/relay/stream_versions.cpp
+++ b/tarragontrail/relay/stream_versions.cpp
@@ -72,12 +72,25 @@
     return since < plan.whole_since() || plan.possible_versions(stream, since).size() > 1;
 }
 
+void stream_versions::on_era(std::uint64_t era, core::time_point now)
+{
+    if (era > m_era)
+    {
+        m_era = era;
+        m_era_since = now;
+    }
+}
+
+bool stream_versions::may_have_lost_plans(core::time_point now) const
+{
+    return m_era > core::first_era && now - m_era_since <= m_settings.m_announced_time;
+}
+
 std::optional<software_version>
-stream_versions::only_version(const std::set<software_version>& present) const
+stream_versions::only_version(const std::set<software_version>& present, core::time_point now) const
 {
-    const bool may_have_lost_plan = m_era > core::first_era;
-    return present.size() == 1 && !may_have_lost_plan ? std::make_optional(*present.begin())
-                                                      : std::nullopt;
+    return present.size() == 1 && !may_have_lost_plans(now) ? std::make_optional(*present.begin())
+                                                            : std::nullopt;
 }
 
 std::optional<software_version>
@@ -89,7 +102,7 @@
     if (plan == nullptr)
     {
         // Until the first plan all streams begin at the only version.
-        return only_version(present);
+        return only_version(present, now);
     }
     const bool is_mixed = present.size() > 1 || plan->shares().size() > 1 ||
                           has_moved(*plan, stream, m_settings.m_announced_time, now);
@@ -155,7 +168,7 @@
     }
     if (plan == nullptr)
     {
-        const auto only = only_version(present);
+        const auto only = only_version(present, now);
         return only ? stream_origin{only, version_evidence::single} : stream_origin{};
     }
     const store_time since = earliest(max_age, now).value_or(store_time::min());
--- a/tarragontrail/relay/stream_versions.hpp
+++ b/tarragontrail/relay/stream_versions.hpp
@@ -72,9 +72,12 @@
     /// Streams that began here in slots that have moved are added to the announcements.
     bool set_plan(const std::string& service, version_plan plan, core::time_point now);
 
-    /// The table store answers in this era. After a return from an older copy nothing is known of
-    /// a service without a plan: the store may have lost it.
-    void on_era(std::uint64_t era) { m_era = std::max(m_era, era); }
+    /// The table store answers in this era. For some time after a return from an older copy nothing
+    /// is known of a service without a plan: the store may have lost it.
+    void on_era(std::uint64_t era, core::time_point now);
+
+    /// Whether plans that the store has lost may tell of streams that callers still go on with.
+    bool may_have_lost_plans(core::time_point now) const;
 
     /// Plan of a service; null when none is known.
     const version_plan* plan_of(const std::string& service) const;
@@ -95,12 +98,6 @@
         m_last_contact = std::max(m_last_contact.value_or(as_of), as_of);
     }
 
-    /// Whether it was confirmed that this instance knew the newest rows at `since` or later.
-    bool is_confirmed_since(core::time_point since) const
-    {
-        return m_last_contact && *m_last_contact >= since;
-    }
-
     /// Nothing that was heard before counts as contact: this instance may have stood still.
     void forget_contact() { m_last_contact.reset(); }
 
@@ -160,7 +157,8 @@
     std::optional<store_time> earliest(core::duration max_age, core::time_point now) const;
     bool is_in_contact(core::time_point now) const;
     /// The only version, while the service has never had a plan.
-    std::optional<software_version> only_version(const std::set<software_version>& present) const;
+    std::optional<software_version> only_version(const std::set<software_version>& present,
+                                                 core::time_point now) const;
     bool has_moved(const version_plan& plan, stream_id stream, core::duration max_age,
                    core::time_point now) const;
 
@@ -171,7 +169,8 @@
     std::vector<begun_stream> m_announcements;
     store_clock m_store_clock;
     std::optional<core::time_point> m_last_contact;
-    std::uint64_t m_era = 0; ///< Of the table store.
+    std::uint64_t m_era = 0;        ///< Of the table store.
+    core::time_point m_era_since{}; ///< When it became known.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/version_plan.cpp
+++ b/tarragontrail/relay/version_plan.cpp
@@ -236,26 +236,46 @@
     return next;
 }
 
-/// Whether the later history of a slot goes on from the earlier one; it may have forgotten what
-/// ended before `oldest`.
-bool version_plan::goes_on_from(const std::vector<period>& earlier,
-                                const std::vector<period>& later, store_time oldest)
+/// Position in the earlier history of a slot from which on the later one repeats it; nothing when
+/// the two have parted. The later one may have forgotten what ended before `oldest`, and may name
+/// other times where one of them was seen late.
+std::optional<std::size_t> version_plan::repeated_from(const std::vector<period>& earlier,
+                                                       const std::vector<period>& later,
+                                                       store_time oldest)
 {
     for (std::size_t first = 0; first < earlier.size(); ++first)
     {
         if (first > 0 && earlier[first].m_since >= oldest)
         {
-            return false;
+            return std::nullopt;
         }
-        const bool is_repeated = earlier.size() - first <= later.size() &&
-                                 std::equal(earlier.begin() + static_cast<std::ptrdiff_t>(first),
-                                            earlier.end(), later.begin());
+        const bool is_repeated =
+            earlier.size() - first <= later.size() &&
+            std::equal(earlier.begin() + static_cast<std::ptrdiff_t>(first), earlier.end(),
+                       later.begin(), [](const period& one, const period& other) {
+                           return one.m_version == other.m_version;
+                       });
         if (is_repeated)
         {
-            return true;
+            return first;
         }
     }
-    return earlier.empty();
+    return earlier.empty() ? std::make_optional(std::size_t{0}) : std::nullopt;
+}
+
+/// History of a slot that goes on from an earlier one; each assignment counts from the later of
+/// their times.
+std::vector<version_plan::period> version_plan::continued_slot(const std::vector<period>& earlier,
+                                                               std::vector<period> later,
+                                                               store_time oldest)
+{
+    const std::size_t first = repeated_from(earlier, later, oldest).value_or(earlier.size());
+    for (std::size_t i = first; i < earlier.size(); ++i)
+    {
+        store_time& since = later[i - first].m_since;
+        since = std::max(since, earlier[i].m_since);
+    }
+    return later;
 }
 
 /// History of a slot of two plans that were both in use until now: any of their versions is
@@ -296,22 +316,20 @@
                                   const version_plan_settings& settings) const
 {
     const store_time oldest = now - settings.m_history;
-    const bool is_later =
+    const bool goes_on =
         std::equal(other.m_slots.begin(), other.m_slots.end(), m_slots.begin(),
                    [oldest](const std::vector<period>& earlier, const std::vector<period>& later) {
-                       return goes_on_from(earlier, later, oldest);
+                       return repeated_from(earlier, later, oldest).has_value();
                    });
-    if (is_later)
-    {
-        return *this;
-    }
     version_plan next = *this;
     for (std::size_t slot = 0; slot < slot_count; ++slot)
     {
-        next.m_slots[slot] = parted_slot(m_slots[slot], other.m_slots[slot], now);
-        if (!next.m_slots[slot].empty())
+        std::vector<period>& own = next.m_slots[slot];
+        own = goes_on ? continued_slot(other.m_slots[slot], std::move(own), oldest)
+                      : parted_slot(own, other.m_slots[slot], now);
+        if (!own.empty())
         {
-            next.m_changed = std::max(next.m_changed, next.m_slots[slot].back().m_since);
+            next.m_changed = std::max(next.m_changed, own.back().m_since);
         }
     }
     return next;
--- a/tarragontrail/relay/version_plan.hpp
+++ b/tarragontrail/relay/version_plan.hpp
@@ -117,8 +117,11 @@
     };
 
     static std::size_t slot_of(stream_id stream);
-    static bool goes_on_from(const std::vector<period>& earlier, const std::vector<period>& later,
-                             store_time oldest);
+    static std::optional<std::size_t> repeated_from(const std::vector<period>& earlier,
+                                                    const std::vector<period>& later,
+                                                    store_time oldest);
+    static std::vector<period> continued_slot(const std::vector<period>& earlier,
+                                              std::vector<period> later, store_time oldest);
     static std::vector<period> parted_slot(const std::vector<period>& present,
                                            const std::vector<period>& other, store_time now);
     static void add_versions(const std::vector<period>& slot, store_time since,
--- a/tarragontrail/relay/version_plan_rows.cpp
+++ b/tarragontrail/relay/version_plan_rows.cpp
@@ -119,13 +119,34 @@
     // A write whose answer was lost may be done seconds later: until then streams began as before.
     const bool is_late = row.m_plan.number() > known->number() &&
                          row.m_plan.last_change() + m_settings.m_late_write < store_now;
-    take(entry.m_service, plan_after(row, *known, is_return, is_late, store_now), row, is_late,
-         now);
+    // An instance that was behind before the return does not know what was lost by it.
+    const bool is_informed = m_state.m_stream_versions.is_informed(entry.m_service, now);
+    take(entry.m_service, plan_after(row, *known, is_return, is_informed, is_late, store_now), row,
+         is_late, now);
+}
+
+void version_plan_rows::begin_era(const table_mirror& fleet, core::time_point now)
+{
+    stream_versions& versions = m_state.m_stream_versions;
+    const auto store_now = versions.store_time_at(now);
+    for (const std::string& service : m_services)
+    {
+        const version_plan* known = versions.plan_of(service);
+        const bool is_lost = known != nullptr && fleet.find(key_of(service)) == nullptr;
+        if (!is_lost || versions.is_informed(service, now) || !store_now)
+        {
+            continue;
+        }
+        // It may lack plans that were lost with the row.
+        versions.set_plan(service, known->whole_from(*store_now).numbered(known->number() + 1),
+                          now);
+    }
 }
 
 /// Plan that is in force once a row was read, with what was in use before.
 version_plan version_plan_rows::plan_after(const read_row& row, const version_plan& known,
-                                           bool is_return, bool is_late, store_time store_now) const
+                                           bool is_return, bool is_informed, bool is_late,
+                                           store_time store_now) const
 {
     // Streams are in doubt from now on, not only once the plan is written with a new time.
     const version_plan read = is_late ? row.m_plan.moved_to(store_now) : row.m_plan;
@@ -134,12 +155,19 @@
     const bool is_outdated = is_return && !row.m_is_of_era && !is_ahead;
     const version_plan next = is_outdated ? known.joined(read, store_now, m_settings.m_plan)
                                           : read.joined(known, store_now, m_settings.m_plan);
-    // An instance that was behind before the return does not know what was lost by it.
-    const bool has_missed_plans = is_return && !row.m_is_of_era && is_ahead;
-    const bool is_changed = next.assignments() != known.assignments();
-    return next
-        .whole_from(has_missed_plans ? store_now
-                                     : std::min(known.whole_since(), read.whole_since()))
+    // Only a row of this era tells how far back it shows all plans.
+    store_time whole_since = known.whole_since();
+    if (row.m_is_of_era)
+    {
+        whole_since = std::min(whole_since, row.m_plan.whole_since());
+    }
+    else if (is_return && !is_informed)
+    {
+        whole_since = store_now;
+    }
+    const bool is_changed =
+        next.assignments() != known.assignments() || whole_since != known.whole_since();
+    return next.whole_from(whole_since)
         .numbered(is_ahead ? read.number() : known.number() + (is_changed ? 1 : 0));
 }
 
@@ -277,7 +305,9 @@
         return std::nullopt;
     }
     const version_plan next = adapted.value_or(stored);
-    if (fleet.era() <= core::first_era)
+    const bool has_lost_plans = is_stored ? fleet.era() > core::first_era
+                                          : m_state.m_stream_versions.may_have_lost_plans(now);
+    if (!has_lost_plans)
     {
         return due_plan{next, is_planner ? core::duration::zero() : m_settings.m_takeover_delay};
     }
--- a/tarragontrail/relay/version_plan_rows.hpp
+++ b/tarragontrail/relay/version_plan_rows.hpp
@@ -49,6 +49,9 @@
     void on_row(const wire::version_plan_entry& entry, const core::store_version& version,
                 core::time_point now);
 
+    /// The first whole table of an era was read, ahead of its rows.
+    void begin_era(const table_mirror& fleet, core::time_point now);
+
     /// Changes plans that no longer fit the upstreams, and writes rows that the table has lost.
     /// `is_planner` tells that this instance is the first one to do so.
     void check(bool is_planner, const table_mirror& fleet, core::time_point now);
@@ -84,7 +87,7 @@
                                            const table_mirror& fleet, store_time store_now,
                                            core::time_point now) const;
     version_plan plan_after(const read_row& row, const version_plan& known, bool is_return,
-                            bool is_late, store_time store_now) const;
+                            bool is_informed, bool is_late, store_time store_now) const;
     void take(const std::string& service, const version_plan& plan, const read_row& row,
               bool is_late, core::time_point now);
     void write(const std::string& service, const version_plan& plan, const table_mirror& fleet,
--- a/unit_tests/relay/version_plan_rows_test.cpp
+++ b/unit_tests/relay/version_plan_rows_test.cpp
@@ -58,6 +58,9 @@
     CPPUNIT_TEST(plan_begins_anew_when_nobody_knows_the_lost_ones);
     CPPUNIT_TEST(plans_of_one_number_and_two_histories_are_both_possible);
     CPPUNIT_TEST(plan_of_an_earlier_build_is_followed_and_marked_again);
+    CPPUNIT_TEST(instance_that_was_behind_before_a_return_does_not_know_the_lost_plans);
+    CPPUNIT_TEST(row_without_its_era_takes_nothing_from_what_is_in_doubt);
+    CPPUNIT_TEST(plan_that_was_seen_late_parts_no_history);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -215,7 +218,7 @@
         const version_plan stored = *m_state->m_stream_versions.plan_of("s");
         take(*stored.adapted({{{"v2"}, 16}}, store_begin + 2s, {}), {0, 9}, m_now + 2s);
         const version_plan other = *stored.adapted({{{"v3"}, 16}}, store_begin + 3s, {});
-        m_state->m_stream_versions.on_era(2);
+        m_state->m_stream_versions.on_era(2, m_now);
         take(other, {2, 9}, m_now + 4s, "era/2", store_begin + 3s);
         CPPUNIT_ASSERT(!origin_at(m_now + 5s).m_version);
         CPPUNIT_ASSERT(m_state->m_stream_versions.version_of_new("s", stream_id{11}, {{"v3"}},
@@ -245,6 +248,48 @@
             std::get<wire::version_plan_entry>(message).m_assignments.back().m_version);
     }
 
+    /// It was cut off while others went on to plans that the store has lost since.
+    void instance_that_was_behind_before_a_return_does_not_know_the_lost_plans()
+    {
+        m_rows->check(true, m_fleet, m_now);
+        acknowledge(8);
+        restore({2, 8}, *m_state->m_stream_versions.plan_of("s"));
+        CPPUNIT_ASSERT(!origin_at(m_now + 4s).m_version);
+        CPPUNIT_ASSERT(origin_at(m_now + 10s).m_version == software_version{"v1"});
+    }
+
+    void row_without_its_era_takes_nothing_from_what_is_in_doubt()
+    {
+        const version_plan first = *version_plan{}.adapted({{{"v1"}, 16}}, store_begin, {});
+        restore({2, 9}, {});
+        take(first, {2, 10}, m_now, "era/2", store_begin);
+        CPPUNIT_ASSERT(!origin_at(m_now + 1s).m_version);
+        take(first.numbered(2), {2, 11}, m_now + 1s);
+        CPPUNIT_ASSERT(!origin_at(m_now + 1s).m_version);
+    }
+
+    /// Others have seen it in time, and later plans go on from theirs.
+    void plan_that_was_seen_late_parts_no_history()
+    {
+        m_rows->check(true, m_fleet, m_now);
+        acknowledge(8);
+        const version_plan known = *m_state->m_stream_versions.plan_of("s");
+        const version_plan moved = *known.adapted({{{"v2"}, 16}}, store_begin + 10s, {});
+        take(moved, {0, 9}, m_now + 16s);
+        CPPUNIT_ASSERT(!origin_at(m_now + 18s).m_version);
+        const version_plan next = *moved.adapted({{{"v2"}, 8}, {{"v3"}, 8}}, store_begin + 30s, {});
+        take(next, {0, 10}, m_now + 30s);
+        std::size_t told = 0;
+        m_state->m_stream_versions.on_contact(m_now + 31s);
+        for (std::uint64_t i = 0; i < 100; ++i)
+        {
+            const auto origin = m_state->m_stream_versions.origin(
+                "s", stream_id{i}, {{"v2"}, {"v3"}}, 2s, m_now + 31s);
+            told += origin.m_version ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(told > 25);
+    }
+
 private:
     static constexpr store_time store_begin = 1h;
 
@@ -269,7 +314,7 @@
     /// The store answers from an older copy, which has this plan.
     void restore(const core::store_version& version, const std::optional<version_plan>& stored)
     {
-        m_state->m_stream_versions.on_era(version.m_era);
+        m_state->m_stream_versions.on_era(version.m_era, m_now);
         if (!stored)
         {
             m_fleet.replace({}, version);
