A read of the plans is waited for once, and all others must confirm where it fails

Found by review: a take-up that waits for the plans could be dispatched twice when its service was cut off meanwhile; the wait counted from the arrival, also where a request had been held before; one instance that was not ahead sufficed where the store did not answer, though its own knowledge may be as old; an answer of an era that the copy has left counted; failed reads came ten times a second.

Change: only a waiting session goes on by the answer, the wait begins with the question, all members must have spoken since the arrival (from what earlier builds send), an answer of an ended era confirms nothing, and a failed read is repeated after 400 ms.

--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -57,7 +57,7 @@
       m_crash_rows(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_weights_namings(state, store, [this](const table_row& row) { publish_own_row(row); }),
       m_version_plans(state, store, [this](const table_row& row) { publish_own_row(row); }),
-      m_plan_reads(context, m_settings.m_plan_read_interval,
+      m_plan_reads(context, m_settings.m_plan_reads,
                    [this](shared_read::handler handler) {
                        follower(followed_table::fleet).read_changes(std::move(handler));
                    }),
@@ -95,7 +95,7 @@
         }
     });
     follower(followed_table::fleet).on_confirmed([this](store_time as_of) {
-        note_contact(as_of, core::runtime_clock::now());
+        m_state.m_stream_versions.on_contact(moment_of(as_of, core::runtime_clock::now()));
     });
     m_state.m_freshness.begin(m_settings.m_freshness, core::suspension_counting_now());
     for (const auto& each : m_followers)
@@ -303,12 +303,12 @@
     }
 }
 
-/// This instance knows every row that was known at this time of the store's clock.
-void fleet_service::note_contact(store_time as_of, core::time_point now)
+/// Moment of this instance's clock at which the store's clock showed a time.
+core::time_point fleet_service::moment_of(store_time as_of, core::time_point now) const
 {
     const auto store_now = m_state.m_freshness.store_time_at(core::suspension_counting_now());
     const store_time age = store_now.value_or(as_of) - as_of;
-    m_state.m_stream_versions.on_contact(now - std::max(age, store_time::zero()));
+    return now - std::max(age, store_time::zero());
 }
 
 /// Instances that are cut off together confirm each other in what none of them knows, so one of
@@ -324,6 +324,16 @@
     m_plan_reads.ask(std::move(handler));
 }
 
+bool fleet_service::do_all_confirm(core::time_point since) const
+{
+    const auto& members = m_registry.members();
+    return std::all_of(members.begin(), members.end(), [this, since](const auto& entry) {
+        const auto told = m_confirmed_by.find(entry.first);
+        return entry.first == m_self.m_instance ||
+               (told != m_confirmed_by.end() && told->second >= since);
+    });
+}
+
 /// Few instances of each region read the table store; the others receive changes from them.
 void fleet_service::update_store_reader(core::time_point now)
 {
@@ -417,7 +427,7 @@
         each->begin_era(era);
     }
     m_rollout.begin_era(era);
-    m_state.m_stream_versions.on_era(era);
+    m_state.m_stream_versions.on_era(era, core::runtime_clock::now());
 }
 
 /// Requests a table from a peer that has a newer version than the store or its readers delivered.
@@ -443,12 +453,7 @@
         }
     }
     note_configuration_age(versions);
-    // The message may have waited on its way: it tells what its sender knew when it was sent.
-    if (!follower(followed_table::fleet).mirror().lacks(versions.m_fleet) &&
-        versions.m_store_time > store_time::zero() && may_peers_confirm(now))
-    {
-        note_contact(versions.m_store_time, now);
-    }
+    note_plans_known_by(peer, versions, now);
     // With a table as new as the peer's, only a return of the store explains an older document.
     if (!follower(followed_table::operators).mirror().lacks(versions.m_operators) &&
         m_configuration_staleness.on_peer_version(versions.m_configuration,
@@ -459,6 +464,25 @@
     }
 }
 
+/// A peer that knows no newer plans confirms those that are known here, as of the time at which it
+/// sent the message, which may have waited on its way.
+void fleet_service::note_plans_known_by(core::instance_id peer,
+                                        const wire::table_versions& versions, core::time_point now)
+{
+    if (follower(followed_table::fleet).mirror().lacks(versions.m_fleet) ||
+        versions.m_store_time <= store_time::zero())
+    {
+        m_confirmed_by.erase(peer);
+        return;
+    }
+    const core::time_point sent = moment_of(versions.m_store_time, now);
+    m_confirmed_by[peer] = sent;
+    if (may_peers_confirm(now))
+    {
+        m_state.m_stream_versions.on_contact(sent);
+    }
+}
+
 /// A peer that has nothing newer confirms the configuration as far as it is confirmed there.
 void fleet_service::note_configuration_age(const wire::table_versions& versions)
 {
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -37,8 +37,8 @@
     std::chrono::milliseconds m_first_follow_delay{400};
     /// No request goes to a leaving upstream later than this.
     std::chrono::milliseconds m_drain_limit{2'500};
-    /// Between two reads of the plans for streams whose version must be known.
-    std::chrono::milliseconds m_plan_read_interval{100};
+    /// Reads of the plans for streams whose version must be known.
+    shared_read_settings m_plan_reads;
     /// Configurations and what is known of their age.
     configuration_freshness_settings m_freshness;
     /// Bandwidth of this instance's link, in Mbit/s.
@@ -88,6 +88,7 @@
                                               const std::vector<core::instance_id>& tried) override;
     void send_part_evidence(const recovery::part_attribution_action& evidence) override;
     void read_plans(std::function<void(bool is_read)> handler) override;
+    bool do_all_confirm(core::time_point since) const override;
 
 private:
     /// A copy of a table as it is sent to other instances.
@@ -111,6 +112,8 @@
     void publish_own_row(const table_row& row);
     void pass_on(followed_table table, const std::vector<table_row>& rows, const change_span& span);
     const packed_copy& packed_copy_of(followed_table table);
+    void note_plans_known_by(core::instance_id peer, const wire::table_versions& versions,
+                             core::time_point now);
     void note_configuration_age(const wire::table_versions& versions);
     void log_standing(core::time_point now);
     void on_rows(followed_table table, const std::vector<table_row>& rows, row_source source);
@@ -134,7 +137,7 @@
     void share_crash_reports();
     void write_kept_rows(core::time_point now);
     void check_versions(core::time_point now);
-    void note_contact(store_time as_of, core::time_point now);
+    core::time_point moment_of(store_time as_of, core::time_point now) const;
     bool may_peers_confirm(core::time_point now) const;
     void check_reach(core::time_point now);
     bool is_table_store_reachable() const;
@@ -169,6 +172,9 @@
     std::vector<recovery::crash_history> m_read_histories;
     version_plan_rows m_version_plans;
     shared_read m_plan_reads;
+    /// When other instances last sent what they know, where none of it was newer than what is known
+    /// here.
+    std::map<core::instance_id, core::time_point> m_confirmed_by;
     identity_checks m_identity_checks;
     reach_checks m_reach_checks;
     std::vector<std::uint64_t> m_told_cut_off; ///< Services cut off, as told to others last.
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -146,6 +146,8 @@
     /// Software that the stream's events come from; every attempt goes to an upstream that runs it.
     std::optional<software_version> m_software;
     plan_read m_plan_read = plan_read::none;
+    core::time_point m_plans_asked_at{};          ///< When the plans were asked for.
+    bool m_awaits_plans = false;                  ///< Nothing is done until they were read.
     std::optional<prompt_profile> m_prompt;       ///< Set for a request to a model.
     std::vector<std::uint64_t> m_part_ids;        ///< Model and identity of each part but the last.
     std::optional<core::time_point> m_held_since; ///< Start of the hold for a suspected part.
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -47,6 +47,7 @@
 void relay_session::dispatch()
 {
     const core::time_point now = core::runtime_clock::now();
+    m_awaits_plans = false;
     if (is_held_as_suspect(now) || is_held_for_parts(core::upstream_id{}, now) ||
         (m_state.m_reach.is_cut_off(m_service) && pass_on()) || !is_software_chosen(now))
     {
--- a/tarragontrail/relay/relay_session_software.cpp
+++ b/tarragontrail/relay/relay_session_software.cpp
@@ -44,6 +44,7 @@
         return;
     }
     m_plan_read = plan_read::pending;
+    m_plans_asked_at = core::runtime_clock::now();
     m_state.m_plan_source->read_plans([weak = weak_from_this()](bool is_read) {
         const auto self = weak.lock();
         if (!self || self->m_ended || self->m_plan_read != plan_read::pending)
@@ -51,7 +52,7 @@
             return;
         }
         self->m_plan_read = is_read ? plan_read::done : plan_read::failed;
-        if (!self->m_software && self->m_request.m_taken_up)
+        if (self->m_awaits_plans)
         {
             self->start_timer(self->m_retry_timer, core::runtime_clock::now(),
                               &relay_session::dispatch);
@@ -63,14 +64,14 @@
 bool relay_session::is_waiting_for_plans(core::time_point now)
 {
     ask_for_plans();
-    const core::time_point limit = m_arrival + m_state.m_session_settings.m_max_version_hold;
     if (m_plan_read != plan_read::pending)
     {
-        m_retry_timer.cancel();
         return false;
     }
+    const core::time_point limit = m_plans_asked_at + m_state.m_session_settings.m_max_version_hold;
     if (now < limit)
     {
+        m_awaits_plans = true;
         start_timer(m_retry_timer, limit, &relay_session::dispatch);
         return true;
     }
@@ -90,17 +91,17 @@
     }
     const core::duration max_age = max_stream_age(now);
     const bool is_service_known = m_stream || m_route->m_targets.size() == 1;
-    // Where the store does not answer, other instances must have told of a later time than that of
-    // the request.
-    const bool is_confirmed =
-        is_remembered || m_plan_read != plan_read::failed || versions.is_confirmed_since(m_arrival);
+    // Where the store does not answer, all other instances must have told what they know since.
+    const bool is_confirmed = is_remembered || m_plan_read != plan_read::failed ||
+                              m_state.m_plan_source->do_all_confirm(m_arrival);
     const stream_origin origin =
         is_service_known && is_confirmed
             ? versions.origin(m_service, m_stream, m_state.m_upstreams.software_of(m_service),
                               max_age, now)
             : stream_origin{};
-    const bool may_learn = !(is_confirmed && versions.is_informed(m_service, now)) &&
-                           now < m_arrival + m_state.m_session_settings.m_max_version_hold;
+    const bool may_learn =
+        !(is_confirmed && versions.is_informed(m_service, now)) &&
+        now < std::max(m_arrival, m_plans_asked_at) + m_state.m_session_settings.m_max_version_hold;
     if (!origin.m_version && may_learn)
     {
         start_timer(m_retry_timer, now + m_state.m_session_settings.m_version_recheck_interval,
--- a/tarragontrail/relay/relay_state.hpp
+++ b/tarragontrail/relay/relay_state.hpp
@@ -85,6 +85,9 @@
     /// Reads what the table store holds at the time of the call or later; the handler is told
     /// whether its plans are known here now.
     virtual void read_plans(std::function<void(bool is_read)> handler) = 0;
+
+    /// Whether all other members have told since this time that they know no newer plans.
+    virtual bool do_all_confirm(core::time_point since) const = 0;
 };
 
 /// Timeouts and limits of sessions, beyond the settings of the route.
--- a/tarragontrail/relay/shared_read.cpp
+++ b/tarragontrail/relay/shared_read.cpp
@@ -18,14 +18,15 @@
 {
     m_is_due = true;
     const core::time_point now = core::runtime_clock::now();
-    m_timer.run_at(std::max(now, m_begun + m_interval), [this] { begin(); });
+    m_timer.run_at(std::max(now, m_next), [this] { begin(); });
 }
 
 void shared_read::begin()
 {
-    m_begun = core::runtime_clock::now();
-    m_read([this, served = std::exchange(m_waiting, {})](bool is_read) {
+    const core::time_point begun = core::runtime_clock::now();
+    m_read([this, begun, served = std::exchange(m_waiting, {})](bool is_read) {
         m_is_due = false;
+        m_next = begun + (is_read ? m_settings.m_interval : m_settings.m_interval_after_failure);
         for (const handler& each : served)
         {
             each(is_read);
--- a/tarragontrail/relay/shared_read.hpp
+++ b/tarragontrail/relay/shared_read.hpp
@@ -10,6 +10,15 @@
 
 namespace tarragontrail::relay {
 
+/// Settings of shared_read.
+struct shared_read_settings
+{
+    /// Least time from the begin of one read to that of the next.
+    std::chrono::milliseconds m_interval{100};
+    /// Same after a read that failed.
+    std::chrono::milliseconds m_interval_after_failure{400};
+};
+
 /// One read for all that ask while it is due: whoever asks gets a read that begins afterwards.
 class shared_read
 {
@@ -17,10 +26,10 @@
     /// Told whether what was read is known here now.
     using handler = std::function<void(bool is_read)>;
 
-    /// `read` makes one read. Reads begin at least `interval` apart.
-    shared_read(boost::asio::io_context& context, std::chrono::milliseconds interval,
+    /// `read` makes one read.
+    shared_read(boost::asio::io_context& context, shared_read_settings settings,
                 std::function<void(handler)> read)
-        : m_interval(interval), m_read(std::move(read)), m_timer(context)
+        : m_settings(settings), m_read(std::move(read)), m_timer(context)
     {}
 
     /// Asks for a read that begins now or later.
@@ -30,11 +39,11 @@
     void schedule();
     void begin();
 
-    std::chrono::milliseconds m_interval;
+    shared_read_settings m_settings;
     std::function<void(handler)> m_read;
     net::timer m_timer;
     std::vector<handler> m_waiting; ///< For the next read.
-    core::time_point m_begun{};     ///< Last read.
+    core::time_point m_next{};      ///< Earliest begin of the next read.
     bool m_is_due = false;          ///< A read is scheduled or under way.
 };
 
--- a/tarragontrail/relay/table_follower.cpp
+++ b/tarragontrail/relay/table_follower.cpp
@@ -343,7 +343,8 @@
                            return;
                        }
                        note_store_time(*changed);
-                       handler(take_changes(*changed));
+                       // The copy may have gone on to a newer era meanwhile.
+                       handler(after.m_era == m_mirror.era() && take_changes(*changed));
                    });
 }
 
@@ -357,10 +358,11 @@
             return;
         }
         note_store_time(*whole);
-        handler(run_guarded("whole_table", [this, whole] {
-            apply_whole(whole->m_rows, whole->m_version, row_source::store);
-            confirm(*whole);
-        }));
+        handler(whole->m_version.m_era >= m_mirror.era() &&
+                run_guarded("whole_table", [this, whole] {
+                    apply_whole(whole->m_rows, whole->m_version, row_source::store);
+                    confirm(*whole);
+                }));
     });
 }
 
--- a/unit_tests/platform/software_versions_test.cpp
+++ b/unit_tests/platform/software_versions_test.cpp
@@ -140,10 +140,7 @@
 
     void take_up_goes_on_where_instances_confirm_the_plan_since_it_came()
     {
-        m_plans.m_on_read = [this] {
-            m_state->m_stream_versions.on_contact(core::runtime_clock::now());
-            return false;
-        };
+        m_plans.m_confirms = true;
         m_state->m_plan_source = &m_plans;
         CPPUNIT_ASSERT_EQUAL(200U, status_of_take_up_after(0s));
     }
@@ -167,7 +164,10 @@
             handler(m_on_read && m_on_read());
         }
 
+        bool do_all_confirm(core::time_point /*since*/) const override { return m_confirms; }
+
         std::function<bool()> m_on_read;
+        bool m_confirms = false;
         int m_reads = 0;
     };
 
