Events of a resumable stream wait until the start of their upstream is proven

Callers saw streams joined of two software versions at an engine that had begun again under its id at another version.

Cause: the version of a stream's events was taken from the row of the engine at an address. An instance that stood still, or reads rows late, sends to the successor under the same id and takes its events for those of the version in the row: streams that are taken up go on at another version, and new ones begin at another one than the plan tells.

Change: events are forwarded once a connection that was opened before a proof of the start is seen alive: each connection of the start that is alive proves it anew, else the upstream's report is asked, once for all connections that are open then. Another start, or silence that lasts, breaks the attempt off.

unproven_end_test: an engine is there when its events begin and ends later, so its stand-in says so to the first question; each bound and expectation is as it was.

--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -120,6 +120,11 @@
     void on_first_byte();
     void record_weights_version(const response_metadata& metadata);
     void forward_events();
+    void note_start_seen();
+    bool is_start_proven() const;
+    void prove_start();
+    void on_start_checked(process_presence presence, core::time_point asked_at);
+    upstream_record asked_record() const;
     void release_upstream(attempt_outcome outcome);
     void record_response_end(const char* cause);
     const char* framing_name() const noexcept;
@@ -161,11 +166,16 @@
     bool m_is_passing = false;                  ///< The current attempt is at one of them.
     selection m_selection; ///< Upstream of the current attempt, or of the one before.
     std::shared_ptr<net::http_call> m_call;
-    std::uint64_t m_attempt = 0;          ///< Number of the current attempt.
-    core::incarnation m_asked_start{};    ///< Start of its upstream as the record told it.
-    std::uint64_t m_connect_failures = 0; ///< Attempts whose connection could not be made.
-    std::uint64_t m_sends = 0;            ///< Attempts that sent the request.
-    std::uint64_t m_end_checks = 0; ///< Questions about the end of the current attempt's answer.
+    std::uint64_t m_attempt = 0;            ///< Number of the current attempt.
+    core::incarnation m_asked_start{};      ///< Start of its upstream as the record told it.
+    std::uint64_t m_connect_failures = 0;   ///< Attempts whose connection could not be made.
+    std::uint64_t m_sends = 0;              ///< Attempts that sent the request.
+    core::time_point m_connection_opened{}; ///< That of the current attempt.
+    bool m_is_start_proven = false;    ///< The response comes from the start that was asked for.
+    bool m_is_start_asked = false;     ///< The upstream is being asked for it.
+    bool m_ended_before_proof = false; ///< The response was whole before the start was proven.
+    std::uint64_t m_start_checks = 0;  ///< Questions for the start of the current attempt.
+    std::uint64_t m_end_checks = 0;    ///< Questions about the end of the current attempt's answer.
     std::uint64_t m_possible_executions = 0; ///< Sent attempts that may have executed the request.
     std::vector<core::upstream_id> m_tried;  ///< Upstreams of all attempts so far.
     core::time_point m_attempt_started{};    ///< Start of the current attempt.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -27,6 +27,7 @@
         return;
     }
     m_state.m_reach.on_response(m_service);
+    note_start_seen();
     const response_metadata metadata =
         m_state.m_codec.parse_head(head, m_request, m_selection.m_upstream->m_record);
     record_weights_version(metadata);
@@ -125,7 +126,15 @@
     {
     case response_mode::events:
         m_framer.feed(chunk);
-        forward_events();
+        note_start_seen();
+        if (is_start_proven())
+        {
+            forward_events();
+        }
+        else
+        {
+            prove_start();
+        }
         if (!m_ended &&
             m_framer.remainder().size() > m_state.m_session_settings.m_event_limit_bytes)
         {
@@ -168,6 +177,99 @@
     m_exchange->begin_stream(std::move(head));
 }
 
+/// Record of the attempt's upstream as it was when the request was sent.
+upstream_record relay_session::asked_record() const
+{
+    upstream_record asked = m_selection.m_upstream->m_record;
+    asked.m_started = m_asked_start;
+    return asked;
+}
+
+/// Bytes on a connection that leads to the start of the record show that this is there.
+void relay_session::note_start_seen()
+{
+    const core::time_point now = core::runtime_clock::now();
+    if (m_connection_opened == core::time_point{})
+    {
+        m_connection_opened = now - m_call->use().m_age;
+    }
+    upstream& current = *m_selection.m_upstream;
+    if (current.m_record.m_started != m_asked_start ||
+        !current.is_start_behind(m_connection_opened))
+    {
+        return;
+    }
+    m_is_start_proven = true;
+    current.on_start_seen(now);
+}
+
+/// Whether the events of a resumable stream surely come from the software version that they must
+/// come from: another start, of another version, may have taken the upstream's place and id.
+bool relay_session::is_start_proven() const
+{
+    return m_is_start_proven || !m_software || m_state.m_engines == nullptr;
+}
+
+/// Asks the upstream for its start. Events are not forwarded before the answer.
+void relay_session::prove_start()
+{
+    if (m_is_start_asked)
+    {
+        return;
+    }
+    m_is_start_asked = true;
+    m_state.m_engines->check_presence(
+        asked_record(), [weak = weak_from_this(), attempt = m_attempt,
+                         asked_at = core::runtime_clock::now()](process_presence presence) {
+            const auto self = weak.lock();
+            if (self && !self->m_ended && attempt == self->m_attempt && self->m_counted_as_load)
+            {
+                self->run_guarded("start", [&] { self->on_start_checked(presence, asked_at); });
+            }
+        });
+}
+
+void relay_session::on_start_checked(process_presence presence, core::time_point asked_at)
+{
+    m_is_start_asked = false;
+    if (is_start_proven())
+    {
+        return;
+    }
+    const bool may_ask_again = presence == process_presence::silent &&
+                               ++m_start_checks < m_state.m_session_settings.m_max_end_checks;
+    if (may_ask_again)
+    {
+        prove_start();
+        return;
+    }
+    upstream& current = *m_selection.m_upstream;
+    if (presence != process_presence::same)
+    {
+        observe::log("start_unproven", {{"request", m_request.m_id},
+                                        {"upstream", current.m_record.m_name},
+                                        {"software", m_software->m_name},
+                                        {"replaced", presence == process_presence::another}});
+        current.doubt(core::runtime_clock::now());
+        if (m_call)
+        {
+            m_call->cancel();
+        }
+        on_connection_lost("start_unproven");
+        return;
+    }
+    m_is_start_proven = true;
+    if (current.m_record.m_started == m_asked_start)
+    {
+        current.on_start_seen(asked_at);
+    }
+    forward_events();
+    if (m_ended_before_proof && !m_ended)
+    {
+        on_complete(m_attempt);
+    }
+}
+
 /// Forwards complete events; skips those that a resumed run sends again.
 void relay_session::forward_events()
 {
@@ -212,6 +314,12 @@
         on_passed_complete();
         return;
     }
+    if (m_mode == response_mode::events && !is_start_proven())
+    {
+        m_ended_before_proof = true;
+        prove_start();
+        return;
+    }
     const bool is_closed = m_framing == net::body_framing::until_close;
     if (is_closed)
     {
@@ -240,8 +348,7 @@
 /// the end of an answer only while the process that gave it is there.
 void relay_session::confirm_upstream_is_there()
 {
-    upstream_record asked = m_selection.m_upstream->m_record;
-    asked.m_started = m_asked_start;
+    const upstream_record asked = asked_record();
     if (m_state.m_engines == nullptr)
     {
         probe_end(true);
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -233,6 +233,11 @@
     m_body.clear();
     m_framer.clear();
     m_end_checks = 0;
+    m_start_checks = 0;
+    m_connection_opened = {};
+    m_is_start_proven = false;
+    m_is_start_asked = false;
+    m_ended_before_proof = false;
     return ++m_attempt;
 }
 
--- a/tarragontrail/relay/upstream_table.cpp
+++ b/tarragontrail/relay/upstream_table.cpp
@@ -71,6 +71,7 @@
     {
         known.m_health.reset();
         known.m_doubted_since.reset();
+        known.m_start_seen_at = {};
         known.m_terms = {};
         known.m_turns.reset();
     }
--- a/tarragontrail/relay/upstream_table.hpp
+++ b/tarragontrail/relay/upstream_table.hpp
@@ -31,6 +31,8 @@
     /// Last sign that its process may have ended since its row was read: what starts under its id
     /// and address may be of another version. Reset once it is known to be the same.
     std::optional<core::time_point> m_doubted_since;
+    /// Last moment at which the start of the record is known to have been there.
+    core::time_point m_start_seen_at{};
     /// What it said of itself in its answers since its start.
     upstream_terms m_terms;
     /// Turns of this instance, while it names a limit.
@@ -48,7 +50,18 @@
     std::optional<placement::weights_version> version_of(std::string_view model) const;
 
     /// Its process may have ended.
-    void doubt(core::time_point now) { m_doubted_since = now; }
+    void doubt(core::time_point now)
+    {
+        m_doubted_since = now;
+        m_start_seen_at = {};
+    }
+
+    /// Whether a connection that was opened at this time and is still open leads to the start of
+    /// the record: a process that ends closes its connections.
+    bool is_start_behind(core::time_point opened) const { return m_start_seen_at >= opened; }
+
+    /// The start of the record was there at this time.
+    void on_start_seen(core::time_point at) { m_start_seen_at = std::max(m_start_seen_at, at); }
 
     /// Whether its process is known to run this software.
     bool surely_runs(const software_version& software) const
--- a/unit_tests/platform/unproven_end_test.cpp
+++ b/unit_tests/platform/unproven_end_test.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestAssert.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <deque>
+
 using namespace tarragontrail;
 using namespace tarragontrail::test;
 
@@ -23,26 +25,43 @@
            text;
 }
 
-/// What is found at the address of each upstream is the same.
+/// What is found at the address of the first upstream; the others are there all the while.
 class present_engines : public silent_engines
 {
 public:
     explicit present_engines(boost::asio::io_context& context) : m_context(context) {}
 
-    void check_presence(const upstream_record& /*asked*/,
+    void check_presence(const upstream_record& asked,
                         std::function<void(process_presence)> handler) override
     {
-        if (m_silent_answers && (*m_silent_answers)-- == 0)
-        {
-            m_presence = process_presence::same;
-        }
-        boost::asio::post(m_context, [this, handler = std::move(handler)] { handler(m_presence); });
+        boost::asio::post(m_context, [handler = std::move(handler),
+                                      presence = asked.m_name == "u1" ? next_presence()
+                                                                      : process_presence::same] {
+            handler(presence);
+        });
     }
 
     process_presence m_presence = process_presence::same;
     std::optional<int> m_silent_answers; ///< Until one is the same again; empty for ever.
+    /// At the first questions; a resumable stream asks one ahead of its first event.
+    std::deque<process_presence> m_first_presences;
 
 private:
+    process_presence next_presence()
+    {
+        if (!m_first_presences.empty())
+        {
+            const process_presence first = m_first_presences.front();
+            m_first_presences.pop_front();
+            return first;
+        }
+        if (m_silent_answers && (*m_silent_answers)-- == 0)
+        {
+            m_presence = process_presence::same;
+        }
+        return m_presence;
+    }
+
     boost::asio::io_context& m_context;
 };
 
@@ -60,6 +79,10 @@
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_does_not_respond_goes_on_elsewhere);
     CPPUNIT_TEST(unframed_stream_of_an_engine_that_is_silent_for_a_while_is_whole);
     CPPUNIT_TEST(long_unframed_answer_of_an_upstream_that_left_is_not_joined);
+    CPPUNIT_TEST(events_of_another_start_under_the_same_id_are_not_passed_on);
+    CPPUNIT_TEST(events_of_a_start_that_is_silent_for_a_while_are_passed_on);
+    CPPUNIT_TEST(stream_that_ends_before_its_start_is_proven_is_whole);
+    CPPUNIT_TEST(start_is_asked_for_once_on_a_kept_connection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,7 +156,48 @@
         CPPUNIT_ASSERT(m_upstreams[1]->m_requests.empty());
     }
 
+    /// It may run another software version than the row tells.
+    void events_of_another_start_under_the_same_id_are_not_passed_on()
+    {
+        configure_engines(process_presence::another);
+        m_engines.m_first_presences.clear();
+        add_upstream([](const std::string&) { return reply{events(1, 2) + end_of_chunks}; });
+        add_upstream([](const std::string&) { return reply{events(1, 3) + end_of_chunks}; });
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 3), text_of(send(request())));
+        const auto replaced = m_state->m_upstreams.find(core::id_of<core::upstream_id>("u1"));
+        CPPUNIT_ASSERT(replaced->m_doubted_since.has_value());
+    }
+
+    void events_of_a_start_that_is_silent_for_a_while_are_passed_on()
+    {
+        configure_engines(process_presence::silent);
+        m_engines.m_first_presences.clear();
+        m_engines.m_silent_answers = 2;
+        add_upstream([](const std::string&) { return reply{events(1, 2) + end_of_chunks}; });
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), text_of(send(request())));
+    }
+
+    void stream_that_ends_before_its_start_is_proven_is_whole()
+    {
+        configure_engines(process_presence::same);
+        add_upstream([](const std::string&) { return reply{unframed_events(1, 2), true}; });
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), ask()->body());
+    }
+
+    void start_is_asked_for_once_on_a_kept_connection()
+    {
+        configure_engines(process_presence::another);
+        add_upstream([](const std::string&) { return reply{events(1, 2) + end_of_chunks}; });
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), text_of(send(request())));
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 2), text_of(send(request())));
+    }
+
 private:
+    static std::string text_of(const net::http_client::fetch_result& result)
+    {
+        return result.m_response.body();
+    }
+
     present_engines m_engines{m_loop.m_context};
 
     /// Resumable streams, at engines of which this is found at the end of an answer.
@@ -141,6 +205,7 @@
     {
         configure(relay::request_kind::stream, true);
         m_engines.m_presence = presence;
+        m_engines.m_first_presences = {process_presence::same};
         m_state->m_engines = &m_engines;
     }
 
