Soak: faults that part instances in what they know, for the joins of streams

New kinds, off unless named, each from a random source of its own: store-parts (503, resets or silence for some instances), silent-store, many-starts (together, at times in the moment of the store's return), fast-releases (software and weights, every 0.5 to 2 s), clock-steps (time of day alone, by a small preloaded library that cc builds; no clock of the machine changes). They are in fleet_faults.py.

What disturbs a link, and what takes the store down, now holds a lock, since two of them may meet; no other kind of one run did, so existing schedules stay. lose() takes the instances' locks in the order of kill_all(): two that took them in other orders could wait for each other for good.

Each join that is counted as versions_same_id has a line in schedule.txt with its request. The bound of two stays, and so do all other checks.

A step of the time of day excuses nothing. An instance's offset outlives its process, as a machine's clock does. The program waits by monotonic clocks only (no timed wait on the time of day among its imported symbols), so that a preloaded offset is the same to it as a step of the machine's clock, but for times that it compares with files or peers on the real one.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -182,6 +182,11 @@
             out.write("\n".join(lines) + "\n")
         print("\n".join(lines), flush=True)
 
+    def note(self, text):
+        """Keeps what the schedule did, and what is only counted, beside the logs."""
+        with open(self.run.folder / "schedule.txt", "a") as out:
+            out.write(f"{time.monotonic():.3f} {text}\n")
+
     def order_finding(self, kind, text, request):
         """A finding about an answer's events or end; those of streams count together as `order`."""
         self.counts["order"] += len(request.plan) == 3
@@ -393,6 +398,9 @@
         # Nothing tells at once that an engine has begun again under its id with another version.
         if any(one.since_other_version < APPLY_S for one in self.arrivals[request.id]):
             self.counts["versions_same_id"] += 1
+            self.note(f"versions_same_id number={self.counts['versions_same_id']} request={request.id} "
+                      f"began_as={request.stream.first_id} instance={request.instance.name} "
+                      f"versions={','.join(versions)} engines={[str(one) for one in self.arrivals[request.id]]}")
             if self.counts["versions_same_id"] <= SAME_ID_STREAMS:
                 return
         where = "over its tries" if request.resumes else "in one answer"
--- a/tools/soak/checks_test.py
+++ b/tools/soak/checks_test.py
@@ -8,6 +8,8 @@
 import os
 import pathlib
 import random
+import subprocess
+import sys
 import tempfile
 import time
 import types
@@ -15,9 +17,11 @@
 
 import callers
 import checks
+import clocks
 import cuts
 import engines
 import faults
+import fleet_faults
 import odd
 import proxy
 import store
@@ -491,6 +495,104 @@
             return answer[0], [(row["key"], row["ver"]) for row in rows["rows"]], kept.era
         self.assertEqual(asyncio.run(play()), (410, [("a", 1), ("c", 2)], 2))
 
+    async def ask_store(self, port, wait_s=0.3):
+        """Status of a store's answer to a call on a new connection; nothing while it is silent."""
+        reader, writer = await asyncio.open_connection("127.15.0.4", port)
+        try:
+            writer.write(wire.message("GET /-/rows-get?table=op HTTP/1.1", {"Host": "store"}))
+            line, _ = await asyncio.wait_for(wire.read_head(reader), wait_s)
+            return line.split(" ")[1]
+        except asyncio.TimeoutError:
+            return None
+        except OSError:
+            return "reset"
+        finally:
+            writer.close()
+
+    def test_store_turns_the_instances_of_some_links_away(self):
+        async def play():
+            kept = store.Store(None)
+            await kept.start("127.15.0.3", 8601)
+            links = [proxy.Link(f"link:store:r{number:02d}", ("127.15.0.4", 8700 + number), ("127.15.0.3", 8601))
+                     for number in range(2)]
+            for link in links:
+                await link.start()
+            self.run_under_test.store = kept
+            schedule = types.SimpleNamespace(run=self.run_under_test, log=self.checks.faults)
+            away = fleet_faults.FleetFaults(schedule)
+            for how, answer in (("503", "503"), ("reset", "reset"), ("silence", None)):
+                task = asyncio.ensure_future(away.turn_away(links[0], how, 0.6))
+                await asyncio.sleep(0.05)
+                found = [await self.ask_store(8700), await self.ask_store(8701)]
+                self.assertEqual(found, [answer, "200"], how)
+                now = time.monotonic()
+                self.assertTrue(self.checks.faults.during(["link:store:r00"], now, now))
+                self.assertFalse(self.checks.faults.during(["link:store:r01"], now, now))
+                await task
+                self.assertEqual(await self.ask_store(8700), "200", how)
+            for link in links:
+                link.stop_listening()
+                link.reset_all()
+            kept.server.close()
+        asyncio.run(play())
+
+    def test_silent_store_answers_nothing_and_keeps_connections(self):
+        async def play():
+            kept = store.Store(None)
+            await kept.start("127.15.0.4", 8601)
+            for performs in (True, False):
+                kept.silence(0.4, performs)
+                reader, writer = await asyncio.open_connection("127.15.0.4", 8601)
+                call = json.dumps({"expected": [], "set-keys": [{"table": "fleet", "key": f"{performs}", "value": ""}],
+                                   "remove": []}).encode()
+                writer.write(wire.message("POST /-/rows-tx HTTP/1.1", {}, call))
+                await asyncio.sleep(0.2)
+                self.assertEqual(("fleet", f"{performs}") in kept.rows, performs)
+                self.assertFalse(reader.at_eof())
+                self.assertIsNone(await self.ask_store(8601, 0.05))
+                line, _ = await asyncio.wait_for(wire.read_head(reader), 1)
+                self.assertEqual(line.split(" ")[1], "200")
+                self.assertIn(("fleet", f"{performs}"), kept.rows)
+                writer.close()
+            self.assertEqual(await self.ask_store(8601), "200")
+            kept.server.close()
+        asyncio.run(play())
+
+    def test_step_moves_the_time_of_day_of_one_process_and_no_other_clock(self):
+        folder = self.run_under_test.folder
+        clock = clocks.Clock(folder, "r00", clocks.build_library(folder))
+        script = "import time; print(time.time(), time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME))"
+        for step, total in ((-15.5, -15.5), (20.0, 4.5)):
+            clock.step(step)
+            made = subprocess.run([sys.executable, "-c", script], env=clock.environment(), check=True, capture_output=True)
+            here = (time.time(), time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME))
+            differences = [float(there) - own for there, own in zip(made.stdout.split(), here)]
+            for difference, expected in zip(differences, (total, 0.0, 0.0)):
+                self.assertAlmostEqual(difference, expected, delta=2.0)
+
+    def test_several_instances_start_together_in_the_moment_of_the_return(self):
+        did = []
+        kept = types.SimpleNamespace(era=2, fault=None, reset_connections=lambda: None,
+                                     come_back=lambda lost_s: did.append(("back", time.monotonic())))
+        self.run_under_test.store = kept
+        made = [types.SimpleNamespace(name=f"r{number:02d}", kill=lambda: did.append(("kill", time.monotonic())),
+                                      start=lambda: did.append(("start", time.monotonic()))) for number in range(3)]
+        schedule = types.SimpleNamespace(run=self.run_under_test, log=self.checks.faults, note=self.checks.note)
+        asyncio.run(fleet_faults.FleetFaults(schedule).kill_and_start(made, (0.1, 2.0), 0.2))
+        self.assertEqual([what for what, _ in did], ["kill"] * 3 + ["back"] + ["start"] * 3)
+        self.assertLess(did[-1][1] - did[3][1], fleet_faults.START_AFTER_RETURN_S + 0.3)
+        self.assertLess(did[-1][1] - did[4][1], 0.1)
+        self.assertIsNone(kept.fault)
+
+    def test_kinds_of_the_fleet_run_only_when_they_are_named(self):
+        run = types.SimpleNamespace(kinds={"store", "versions"}, rng=random.Random)
+        schedule = types.SimpleNamespace(run=run, log=None)
+        self.assertEqual(list(fleet_faults.FleetFaults(schedule).loops()), [])
+        run.kinds.add("many-starts")
+        loops = list(fleet_faults.FleetFaults(schedule).loops())
+        self.assertEqual(len(loops), 1)
+        loops[0].close()
+
     def read(self, request, headers, body):
         async def read():
             reader = asyncio.StreamReader()
@@ -617,6 +719,10 @@
             self.checks.arrived(self.arrival(joined.id, version="v2", other_version_at=time.monotonic() - 1))
             self.checks.judge_versions(joined)
             self.assertEqual(self.checks.findings["VERSIONS"], max(0, number - checks.SAME_ID_STREAMS))
+            # Each is named, also where it is only counted.
+            lines = (self.run_under_test.folder / "schedule.txt").read_text().splitlines()
+            self.assertEqual(len(lines), number)
+            self.assertIn(f"versions_same_id number={number} request=x-{number} began_as=x-{number}", lines[-1])
         late = self.attempt(9, [(1, "v1"), (2, "v2")])
         self.checks.arrived(self.arrival(late.id, version="v2", other_version_at=time.monotonic() - checks.APPLY_S - 1))
         self.checks.findings.clear()
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -124,7 +124,7 @@
 
     def renew_row(self):
         """What an engine writes at each heartbeat."""
-        if self.server is None or self.run.store.fault == "down":
+        if self.server is None or self.run.store.fault == "down" or self.run.store.is_silent():
             return
         if self.row_is_odd:
             self.register()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,6 +8,7 @@
 
 import checks
 import engines
+import fleet_faults
 import odd
 
 IDLE_TIMEOUTS_S = (0.3, 0.45, 0.7, 1.0, 1.5, 2.0)
@@ -92,6 +93,9 @@
         self.version = 1
         self.newest_software = 1
         self.newest_weights = 1
+        # Held by what takes the store down.
+        self.store_turn = asyncio.Lock()
+        self.fleet = fleet_faults.FleetFaults(self)
 
     def loops(self):
         """Coroutines of the schedule, one for each thing that fails by itself."""
@@ -116,6 +120,7 @@
         yield self.end_processes(run.rng("ends"))
         yield self.silence_engines(run.rng("silence"))
         yield self.write_odd_rows(run.rng("odd-rows"))
+        yield from self.fleet.loops()
 
     async def trouble_instance(self, instance, rng):
         # Streams are taken up after kills, and pauses hide whether they could have gone on.
@@ -347,6 +352,8 @@
         while True:
             await asyncio.sleep(rng.uniform(4, 8))
             lost = rng.sample(self.run.instances, rng.randint(1, len(self.run.instances) // 2))
+            # All that hold several take them in one order, or they would wait for each other.
+            lost.sort(key=self.run.instances.index)
             self.run.checks.counts["fault_lose_some"] += 1
             self.run.spawn(self.lose(lost, rng.uniform(1, 3)))
             for _ in range(3):
@@ -400,8 +407,7 @@
 
     def note(self, text):
         """Keeps what the schedule did beside the logs."""
-        with open(self.run.folder / "schedule.txt", "a") as out:
-            out.write(f"{time.monotonic():.3f} {text}\n")
+        self.run.checks.note(text)
 
     async def trouble_link(self, link, rng):
         if "links" not in self.run.kinds:
@@ -411,15 +417,16 @@
             # Connections of callers that are silent for good would only show their own patience.
             is_muted = "mute" in self.run.kinds and not link.name.startswith("link:r") and rng.random() < 0.4
             kind = "mute" if is_muted else rng.choice(("delay", "silence", "cut", "reset", "refuse"))
-            entry = self.log.begin(link.name, kind)
-            self.run.checks.counts["fault_link"] += 1
-            await link.apply(kind, rng)
-            if kind == "mute":
-                await asyncio.sleep(MUTE_S)
-            else:
-                await asyncio.sleep(0 if kind == "reset" else rng.uniform(0.1, 2.5))
-            await link.clear()
-            self.log.end(entry)
+            async with link.turn:
+                entry = self.log.begin(link.name, kind)
+                self.run.checks.counts["fault_link"] += 1
+                await link.apply(kind, rng)
+                if kind == "mute":
+                    await asyncio.sleep(MUTE_S)
+                else:
+                    await asyncio.sleep(0 if kind == "reset" else rng.uniform(0.1, 2.5))
+                await link.clear()
+                self.log.end(entry)
 
     async def trouble_store(self, rng):
         kinds = ["down", "slow", "lose", "reset", "history"] if "store" in self.run.kinds else []
@@ -431,19 +438,20 @@
         while kinds:
             await asyncio.sleep(rng.uniform(5, 16) * self.run.calm)
             kind = rng.choice(kinds)
-            entry = self.log.begin("store", kind)
-            self.run.checks.counts["fault_store"] += 1
-            if kind == "return":
-                await self.return_from_copies(store, rng)
-            elif kind == "reset":
-                store.reset_connections()
-            elif kind == "history":
-                store.discard_history()
-            else:
-                store.fault = kind
-                await asyncio.sleep(rng.uniform(0.5, 5))
-                store.fault = None
-            self.log.end(entry)
+            async with self.store_turn:
+                entry = self.log.begin("store", kind)
+                self.run.checks.counts["fault_store"] += 1
+                if kind == "return":
+                    await self.return_from_copies(store, rng)
+                elif kind == "reset":
+                    store.reset_connections()
+                elif kind == "history":
+                    store.discard_history()
+                else:
+                    store.fault = kind
+                    await asyncio.sleep(rng.uniform(0.5, 5))
+                    store.fault = None
+                self.log.end(entry)
 
     async def renew_rows(self):
         while True:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -18,6 +18,10 @@
         self.cuts = None
         self.server = None
         self.target_down = False
+        # Whether each connection is reset when bytes come.
+        self.resets = False
+        # Held by what breaks it for a while.
+        self.turn = asyncio.Lock()
         # A fault that ends and an engine that starts open the link at the same time.
         self.opening = asyncio.Lock()
 
@@ -44,6 +48,11 @@
         for pipe in list(self.pipes):
             pipe.reset()
 
+    def holds(self, address):
+        """Whether one of its connections reaches its target from this address."""
+        return any(pipe.direction == "down" and pipe.transport is not None
+                   and pipe.transport.get_extra_info("sockname") == address for pipe in self.pipes)
+
     async def apply(self, fault, rng):
         """Starts a fault; `clear` ends it."""
         if fault == "delay":
@@ -119,7 +128,7 @@
         return opener.cut is not None and self.direction in opener.cut
 
     def take(self, data):
-        if self.is_cut_off() and (self if self.direction == "up" else self.other).resets:
+        if self.link.resets or self.is_cut_off() and (self if self.direction == "up" else self.other).resets:
             self.reset()
             return
         if self.direction in self.link.cut:
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -27,6 +27,10 @@
         self.era = 1
         self.copies = collections.deque([(time.monotonic(), {}, 0)])
         self.fault = None
+        # Links to instances that get 503.
+        self.turned_away = set()
+        # Until when it answers nothing, and whether it carries out meanwhile what it is sent.
+        self.silent_until, self.performs = 0.0, True
         self.changed = asyncio.Event()
         self.connections = set()
         self.calls = 0
@@ -80,6 +84,20 @@
         """Later calls for older changes get 410."""
         self.history_from = self.version
 
+    def silence(self, seconds, performs):
+        self.silent_until, self.performs = time.monotonic() + seconds, performs
+
+    def is_silent(self):
+        return time.monotonic() < self.silent_until
+
+    async def until_heard(self):
+        while self.is_silent():
+            await asyncio.sleep(self.silent_until - time.monotonic())
+
+    def turns_away(self, writer):
+        address = writer.get_extra_info("peername") if self.turned_away else None
+        return any(link.holds(address) for link in self.turned_away)
+
     def reset_connections(self):
         for transport in list(self.connections):
             wire.reset(transport)
@@ -102,12 +120,18 @@
     async def answer(self, line, body, writer):
         """Answers one call; False when the connection ends."""
         method, target, _ = line.split(" ", 2)
-        if self.fault == "down":
+        if not self.performs:
+            await self.until_heard()
+        if self.fault == "down" or self.turns_away(writer):
             status, document = 503, {}
         else:
             if self.fault == "slow":
                 await asyncio.sleep(self.rng.uniform(0.1, 1.2))
             status, document = await self.perform(method, target, body)
+            # A call that waited for changes does not get them past the refusal.
+            if method == "GET" and self.turns_away(writer):
+                status, document = 503, {}
+        await self.until_heard()
         if self.fault == "lose" and self.rng.random() < 0.6:
             wire.reset(writer.transport)
             return False
