A stream that is taken up keeps its age when it is passed on

Callers saw: nothing that was traced to it. By test, a take-up that one instance passes on to another goes on at the version of a plan that is younger than the stream, so that its events may be those of two versions (ORDER).

Cause: the instance that takes the request over counted its age from its own reading. It was not told how long the first instance had held the request or had stood still before it read it, nor how long callers of the route wait: the time it was handed is what is left of the route's, however much the caller named. What was not sent counted as zero.

Evidence: four tests failed before, each with 200 where 503 is right (passed_on_test: take_up_that_waited_at_a_stopped_instance_is_old, take_up_of_a_patient_caller_is_old, take_up_where_callers_are_patient_is_old, take_up_of_an_older_build_is_old).

Change: requests that are passed on carry both times. Tests of the ends and of resumed runs over two instances found no fault.

--- a/tarragontrail/relay/caller_request.hpp
+++ b/tarragontrail/relay/caller_request.hpp
@@ -42,15 +42,18 @@
     std::string m_key;  ///< Key; empty when there is none.
     /// Time that the caller waits for a response; empty when it sets none.
     std::optional<std::chrono::milliseconds> m_deadline;
+    /// What another instance that passed it on left of that; empty when none did.
+    std::optional<std::chrono::milliseconds> m_time_left;
     std::optional<prompt_description> m_prompt; ///< Set for a request to a model.
     /// Tokens charged to the workspace; empty when the caller states none.
     std::optional<std::uint64_t> m_charged_tokens;
     /// Set when the caller takes up a stream whose connection broke.
     std::optional<taken_up_stream> m_taken_up;
-    bool m_passed_on = false;         ///< Another instance received it and passed it on.
-    std::uint64_t m_earlier_runs = 0; ///< Attempts there that may have executed it.
-    std::uint64_t m_fingerprint = 0;  ///< Equal for repeats of a request by the same caller.
-    net::http_request m_message;      ///< Method, target, headers to forward, and body.
+    bool m_passed_on = false;                   ///< Another instance received it and passed it on.
+    std::uint64_t m_earlier_runs = 0;           ///< Attempts there that may have executed it.
+    std::chrono::milliseconds m_earlier_wait{}; ///< Longest time that it may have waited there.
+    std::uint64_t m_fingerprint = 0; ///< Equal for repeats of a request by the same caller.
+    net::http_request m_message;     ///< Method, target, headers to forward, and body.
 };
 
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -10,6 +10,16 @@
 
 namespace tarragontrail::relay {
 
+/// What an instance tells of a request that it passes on to another one.
+struct passed_request_metadata
+{
+    std::chrono::milliseconds m_time_left{};    ///< Time until the caller stops waiting.
+    std::uint64_t m_earlier_runs = 0;           ///< Attempts that may have executed it.
+    std::chrono::milliseconds m_earlier_wait{}; ///< Longest time that it may have waited here.
+    /// Longest time for which callers of its route were seen to wait; empty when none was.
+    std::optional<std::chrono::milliseconds> m_longest_wait;
+};
+
 /// Metadata that this project adds to a request before it is sent to an upstream.
 struct upstream_request_metadata
 {
@@ -111,11 +121,10 @@
     virtual net::http_request encode(const caller_request& request,
                                      const upstream_request_metadata& metadata) const = 0;
 
-    /// Builds the request that is passed on to another instance, as its caller sent it, with the
-    /// number of attempts that may have executed it.
+    /// Builds the request that is passed on to another instance, as its caller sent it, with what
+    /// is known of it here.
     virtual net::http_request encode_for_peer(const caller_request& request,
-                                              std::chrono::milliseconds time_left,
-                                              std::uint64_t earlier_runs) const = 0;
+                                              const passed_request_metadata& metadata) const = 0;
 
     /// Parses the head of an upstream's response.
     virtual response_metadata parse_head(const net::http_response& head,
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -14,7 +14,8 @@
                              caller_request request)
     : m_state(state), m_exchange(std::move(exchange)), m_request(std::move(request)),
       m_arrival(core::runtime_clock::now()),
-      m_unread_time(state.m_standstill.unread_time(core::suspension_counting_now())),
+      m_unread_time(state.m_standstill.unread_time(core::suspension_counting_now()) +
+                    m_request.m_earlier_wait),
       m_possible_executions(m_request.m_earlier_runs), m_deadline_timer(state.m_context),
       m_overdue_timer(state.m_context), m_retry_timer(state.m_context)
 {}
@@ -46,8 +47,9 @@
     {
         return;
     }
+    const auto named = m_request.m_time_left ? m_request.m_time_left : m_request.m_deadline;
     const std::chrono::milliseconds caller_timeout =
-        m_request.m_deadline.value_or(m_state.m_session_settings.m_default_deadline);
+        named.value_or(m_state.m_session_settings.m_default_deadline);
     const std::chrono::milliseconds timeout = m_route->m_timeout.count() > 0
                                                   ? std::min(caller_timeout, m_route->m_timeout)
                                                   : caller_timeout;
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -78,6 +78,7 @@
     std::uint64_t begin_attempt();
     void send(const selection& chosen);
     bool pass_on();
+    passed_request_metadata make_passed_metadata() const;
     void on_passed_head(const net::http_response& head, net::body_framing framing);
     void on_passed_complete();
     void on_passed_failed(const net::call_failure& failure);
--- a/tarragontrail/relay/relay_session_pass.cpp
+++ b/tarragontrail/relay/relay_session_pass.cpp
@@ -71,11 +71,29 @@
     timing.m_reuse_limit = m_state.m_session_settings.m_unrepeatable_reuse_limit;
     m_is_outcome_open = true;
     m_call = m_state.m_client.start(
-        peer->m_endpoint, m_state.m_codec.encode_for_peer(m_request, left, m_possible_executions),
+        peer->m_endpoint, m_state.m_codec.encode_for_peer(m_request, make_passed_metadata()),
         timing, std::make_shared<attempt_listener>(shared_from_this(), attempt));
     return true;
 }
 
+/// What the other instance cannot see: what was done here, and how long it took.
+passed_request_metadata relay_session::make_passed_metadata() const
+{
+    passed_request_metadata metadata;
+    metadata.m_time_left = whole_milliseconds(remaining_time());
+    metadata.m_earlier_runs = m_possible_executions;
+    metadata.m_earlier_wait = std::chrono::ceil<std::chrono::milliseconds>(
+        m_unread_time + (core::runtime_clock::now() - m_arrival));
+    metadata.m_longest_wait = m_request.m_deadline;
+    const auto seen = m_state.m_longest_deadlines.find(m_route->m_name);
+    if (seen != m_state.m_longest_deadlines.end())
+    {
+        metadata.m_longest_wait =
+            std::max(metadata.m_longest_wait.value_or(seen->second), seen->second);
+    }
+    return metadata;
+}
+
 void relay_session::on_passed_head(const net::http_response& head, net::body_framing framing)
 {
     m_head = head;
--- a/unit_tests/platform/passed_on_test.cpp
+++ b/unit_tests/platform/passed_on_test.cpp
@@ -21,6 +21,13 @@
     CPPUNIT_TEST(refusal_is_no_promise_for_an_earlier_attempt);
     CPPUNIT_TEST(earlier_attempt_counts_at_the_other_instance);
     CPPUNIT_TEST(leave_of_the_caller_reaches_the_upstream);
+    CPPUNIT_TEST(no_end_claims_more_than_the_upstream_proved);
+    CPPUNIT_TEST(events_of_a_resumed_run_arrive_once);
+    CPPUNIT_TEST(taken_up_stream_is_told_by_the_plan_of_the_other_instance);
+    CPPUNIT_TEST(take_up_that_waited_at_a_stopped_instance_is_old);
+    CPPUNIT_TEST(take_up_of_a_patient_caller_is_old);
+    CPPUNIT_TEST(take_up_where_callers_are_patient_is_old);
+    CPPUNIT_TEST(take_up_of_an_older_build_is_old);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,15 +201,191 @@
         CPPUNIT_ASSERT_EQUAL(1, m_upstreams.back()->m_closed_by_client);
     }
 
+    /// Streams that may not be resumed, and long answers, over two instances.
+    void no_end_claims_more_than_the_upstream_proved()
+    {
+        const std::string head = "HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n";
+        const std::string stream = head + "Content-Type: text/event-stream\r\n";
+        const std::string two = event_text(1, 2);
+        const std::string half = two + "id: 3\ndata";
+        const std::string big(500'000, 'x');
+        const std::string length = "Content-Length: ";
+        for (const auto& [answer, claim] : std::vector<std::pair<reply, end_claim>>{
+                 {{stream + length + std::to_string(two.size()) + "\r\n\r\n" + two},
+                  end_claim::complete},
+                 {{stream + length + "99\r\n\r\n" + two, true}, end_claim::broken},
+                 {{stream + length + std::to_string(half.size()) + "\r\n\r\n" + half},
+                  end_claim::broken},
+                 {{events(1, 2) + end_of_chunks}, end_claim::complete},
+                 {{events(1, 2), true}, end_claim::broken},
+                 {{events(1, 2) + "0\r\n", true}, end_claim::broken},
+                 {{events(1, 2) + "0", true}, end_claim::broken},
+                 {{events(1, 2, "id: 3\ndata") + end_of_chunks}, end_claim::broken},
+                 {{events(1, 2), false, false, true}, end_claim::broken},
+                 {{stream + "\r\n" + two, true}, end_claim::closed},
+                 {{stream + "\r\n" + half, true}, end_claim::broken},
+                 {{stream + "\r\n" + two, false, false, true}, end_claim::broken},
+                 {{head + length + "500000\r\n\r\n" + big}, end_claim::complete},
+                 {{head + length + "500001\r\n\r\n" + big, true}, end_claim::broken},
+                 {{head + "\r\n" + big, true}, end_claim::closed},
+                 {{head + "\r\n" + big, false, false, true}, end_claim::broken},
+             })
+        {
+            configure_both(relay::request_kind::stream);
+            forget_upstreams();
+            answer_once(answer);
+            const raw_caller* caller = ask();
+            const std::string which = answer.m_bytes.substr(head.size(), 120);
+            // An instance's own refusal is whole.
+            const bool is_refused = claim == end_claim::broken && caller->status() == 502;
+            CPPUNIT_ASSERT_MESSAGE(which, caller->claim() == claim || is_refused);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(which, std::size_t{1},
+                                         m_upstreams.back()->m_requests.size());
+        }
+    }
+
+    void events_of_a_resumed_run_arrive_once()
+    {
+        configure_both(relay::request_kind::stream, 0, true);
+        m_other_state->m_budget_settings = m_state->m_budget_settings;
+        m_other_state->budget_of("s").on_request();
+        answer_once({events(1, 2, "id: 3\nda"), true});
+        answer_once({events(2, 4) + end_of_chunks});
+        answer_once({events(2, 4) + end_of_chunks});
+        const raw_caller* caller = ask();
+        CPPUNIT_ASSERT_EQUAL(event_text(1, 4), caller->body());
+        CPPUNIT_ASSERT(caller->claim() == end_claim::complete);
+    }
+
+    void taken_up_stream_is_told_by_the_plan_of_the_other_instance()
+    {
+        CPPUNIT_ASSERT_EQUAL(200U, status_of_take_up());
+    }
+
+    /// Its stream may have begun before the plan changed.
+    void take_up_that_waited_at_a_stopped_instance_is_old()
+    {
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up(std::chrono::seconds(20)));
+    }
+
+    /// The other instance is told what is left of the route's time.
+    void take_up_of_a_patient_caller_is_old()
+    {
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up({}, "30000"));
+    }
+
+    void take_up_where_callers_are_patient_is_old()
+    {
+        m_state->m_longest_deadlines["route"] = std::chrono::seconds(30);
+        CPPUNIT_ASSERT_EQUAL(503U, status_of_take_up());
+    }
+
+    /// It does not tell how long it has held the request.
+    void take_up_of_an_older_build_is_old()
+    {
+        configure_take_up();
+        net::http_request message = take_up();
+        message.set("Tarragontrail-Earlier-Runs", "0");
+        m_port = m_peer_port;
+        CPPUNIT_ASSERT_EQUAL(503U, send(message).m_response.result_int());
+    }
+
 private:
+    static std::string event_text(int first, int last)
+    {
+        std::string text;
+        for (int id = first; id <= last; ++id)
+        {
+            text += fmt::format("id: {}\ndata: t{}\n\n", id, id);
+        }
+        return text;
+    }
+
+    std::vector<std::unique_ptr<raw_caller>> m_callers; ///< Their reads outlive the cases.
+
+    const raw_caller* ask()
+    {
+        cut_off();
+        m_callers.push_back(std::make_unique<raw_caller>(
+            m_loop.m_context, m_port,
+            "POST /a/b HTTP/1.1\r\nHost: one.example\r\nX-Request-Id: r1\r\n"
+            "X-Request-Deadline-Ms: 3000\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n"));
+        const raw_caller* caller = m_callers.back().get();
+        m_loop.run_until([caller] { return caller->is_over(); });
+        return caller;
+    }
+
+    /// Forgets the upstreams that the other instance knows.
+    void forget_upstreams()
+    {
+        const core::time_point now = core::runtime_clock::now();
+        for (std::size_t i = 1; i <= m_upstreams.size(); ++i)
+        {
+            m_other_state->m_upstreams.remove(
+                core::id_of<core::upstream_id>(fmt::format("far{}", i)), now);
+        }
+        m_other_state->m_upstreams.remove_departed({}, now);
+    }
+
+    void answer_once(const reply& wanted)
+    {
+        answer([wanted](const std::string&) { return wanted; });
+    }
+
+    static net::http_request take_up(const std::string& deadline = "3000")
+    {
+        net::http_request message = request();
+        message.set("X-Request-Id", "r2");
+        message.set("X-Request-Deadline-Ms", deadline);
+        message.set("Resumes", "r1");
+        message.set("Last-Event-Id", "2");
+        return message;
+    }
+
+    /// All slots have moved to the only version that is left 15 s ago.
+    void configure_take_up()
+    {
+        using namespace std::chrono_literals;
+        configure_both(relay::request_kind::stream, 0, true);
+        std::string rest = events(3, 4) + end_of_chunks;
+        rest.replace(rest.find("r1"), 2, "r2");
+        answer_once({rest});
+        relay::upstream_record record =
+            m_other_state->m_upstreams.find(core::id_of<core::upstream_id>(std::string("far1")))
+                ->m_record;
+        record.m_software = {"v2"};
+        const core::time_point now = core::runtime_clock::now();
+        m_other_state->m_upstreams.apply(record, now);
+        constexpr relay::store_time store_now = 1'000s;
+        relay::stream_versions& versions = m_other_state->m_stream_versions;
+        versions.set_store_time(store_now, now);
+        std::vector<relay::version_plan::assignment> assignments;
+        for (std::uint64_t slot = 0; slot < relay::version_plan::slot_count; ++slot)
+        {
+            assignments.push_back({slot, {"v1"}, relay::store_time::zero()});
+            assignments.push_back({slot, {"v2"}, store_now - 15s});
+        }
+        versions.set_plan("s", relay::version_plan(2, assignments), now);
+        versions.on_contact(now);
+        cut_off();
+    }
+
+    /// Of a take-up that an instance passes on after it has stood still.
+    unsigned status_of_take_up(core::duration standstill = {}, const std::string& deadline = "3000")
+    {
+        configure_take_up();
+        m_state->m_standstill.on_check(core::suspension_counting_now() - standstill);
+        return send(take_up(deadline)).m_response.result_int();
+    }
+
     std::unique_ptr<relay::relay_state> m_other_state;
     std::unique_ptr<relay::relay_service> m_other;
     std::uint16_t m_peer_port = 0; ///< Where the request is passed on to.
     int m_asked = 0;               ///< Times that an instance was asked for.
 
-    void configure_both(relay::request_kind kind, std::uint64_t rate = 0)
+    void configure_both(relay::request_kind kind, std::uint64_t rate = 0, bool resumable = false)
     {
-        configure(kind);
+        configure(kind, resumable);
         relay::relay_config config = m_state->m_routes->config();
         config.m_workspaces.front().m_rate = rate;
         config.m_workspaces.front().m_burst = rate;
