Every event of one run reaches the caller, whatever its id

Callers saw: nothing that was traced to it; events of engines have rising ids by their protocol. By test, an event whose id does not rise is left out of an answer that ends as complete (ORDER: a piece is missing), on streams that may not be resumed as well.

Cause: the rule that leaves out events which a resumed run sends again was applied to every run, and so to the first.

Evidence: event_ids_test::events_with_equal_ids_of_one_run_all_arrive failed before: one of three events arrived.

Change: only ids up to the event behind which the current attempt goes on are left out. The tests beside it (ids in other forms, comments, half events, a run that begins anew, streams that may not be resumed and break off anywhere) passed before as well.

--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -169,6 +169,8 @@
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
     bool m_ends_with_close = false; ///< The response to the caller ends with its connection.
     std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event forwarded.
+    /// Event behind which the current attempt goes on; empty when it begins with the first one.
+    std::optional<std::uint64_t> m_resumed_after;
     core::duration m_time_to_first_byte{}; ///< From arrival until the first byte is forwarded.
     core::time_point m_last_event_time{};  ///< When the last event was forwarded.
     core::duration m_max_event_gap{};      ///< Longest time between two forwarded events.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -175,7 +175,7 @@
     {
         on_first_byte();
         const std::optional<std::uint64_t> id = parse_event_id(*event);
-        if (id && m_last_event_id && *id <= *m_last_event_id)
+        if (id && m_resumed_after && *id <= *m_resumed_after)
         {
             continue;
         }
--- a/tarragontrail/relay/relay_session_send.cpp
+++ b/tarragontrail/relay/relay_session_send.cpp
@@ -231,6 +231,7 @@
     m_first_byte_received = false;
     m_body.clear();
     m_framer.clear();
+    m_resumed_after = m_last_event_id;
     m_end_checks = 0;
     return ++m_attempt;
 }
