A stream goes on elsewhere only behind an event that an engine can be told

Callers saw: nothing that was traced to it; engines number their events by their protocol. By test, a resumable stream whose last event has no id, or one that is no number or does not rise, gets that event a second time when its engine breaks off, and one without any id begins anew behind what has arrived (ORDER: a piece comes twice).

Cause: a run is resumed behind the last id, and whatever followed that event was forgotten; without an id nothing was named to the next engine, which then runs the request from its beginning. The beginning of an id counted as a number.

Evidence: event_ids_test: event_without_an_id_does_not_come_twice, stream_without_ids_does_not_begin_anew, event_with_an_odd_id_does_not_come_twice and stream_whose_ids_go_back_is_not_resumed failed before.

Change: the answer is broken off where the last event that tells anything has no id above all others. Its caller takes it up where it can. Comments and other fields without data count as nothing.

--- a/tarragontrail/relay/event_framer.cpp
+++ b/tarragontrail/relay/event_framer.cpp
@@ -1,7 +1,8 @@
 #include "tarragontrail/relay/event_framer.hpp"
 
+#include "tarragontrail/core/parse_number.hpp"
+
 #include <algorithm>
-#include <charconv>
 
 namespace tarragontrail::relay {
 
@@ -52,9 +53,8 @@
         {
             line.remove_prefix(1);
         }
-        std::uint64_t id = 0;
-        const auto [last, failure] = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (failure == std::errc())
+        line = line.substr(0, line.find_last_not_of("\r ") + 1);
+        if (const auto id = core::parse_number(line))
         {
             return id;
         }
@@ -62,4 +62,10 @@
     return std::nullopt;
 }
 
+bool has_data(std::string_view event)
+{
+    constexpr std::string_view name = "data";
+    return event.starts_with(name) || event.find("\ndata") != std::string_view::npos;
+}
+
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/event_framer.hpp
+++ b/tarragontrail/relay/event_framer.hpp
@@ -46,4 +46,7 @@
 /// Parses the id line of an event; nothing when there is no numeric id.
 std::optional<std::uint64_t> parse_event_id(std::string_view event);
 
+/// Whether an event tells its reader anything; one of comments or other fields alone does not.
+bool has_data(std::string_view event);
+
 } // namespace tarragontrail::relay
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -110,6 +110,7 @@
     void on_first_byte();
     void record_weights_version(const response_metadata& metadata);
     void forward_events();
+    void note_position(std::string_view event, const std::optional<std::uint64_t>& id);
     void release_upstream(attempt_outcome outcome);
     void record_response_end(const char* cause);
     const char* framing_name() const noexcept;
@@ -168,7 +169,8 @@
     event_framer m_framer;                      ///< Splits the current attempt's event stream.
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
     bool m_ends_with_close = false; ///< The response to the caller ends with its connection.
-    std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event forwarded.
+    std::optional<std::uint64_t> m_last_event_id; ///< Highest id of an event forwarded.
+    bool m_is_position_known = true;              ///< All that was forwarded lies up to that event.
     /// Event behind which the current attempt goes on; empty when it begins with the first one.
     std::optional<std::uint64_t> m_resumed_after;
     core::duration m_time_to_first_byte{}; ///< From arrival until the first byte is forwarded.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -194,11 +194,20 @@
         m_last_event_time = now;
         m_bytes_sent += event->size();
         m_exchange->write(*event);
-        if (id)
-        {
-            m_last_event_id = id;
-        }
+        note_position(*event, id);
+    }
+}
+
+/// An engine goes on exactly behind an event only if that has a higher id than all before it.
+void relay_session::note_position(std::string_view event, const std::optional<std::uint64_t>& id)
+{
+    if (id && (!m_last_event_id || *id > *m_last_event_id))
+    {
+        m_last_event_id = id;
+        m_is_position_known = true;
+        return;
     }
+    m_is_position_known = m_is_position_known && !has_data(event);
 }
 
 void relay_session::on_complete(std::uint64_t attempt)
--- a/tarragontrail/relay/relay_session_end.cpp
+++ b/tarragontrail/relay/relay_session_end.cpp
@@ -173,7 +173,9 @@
 /// as a stream that may be resumed.
 void relay_session::retry_unless_begun(const char* cause)
 {
-    if (m_response_started && !(m_mode == response_mode::events && is_resumable_stream()))
+    const bool may_go_on =
+        m_mode == response_mode::events && is_resumable_stream() && m_is_position_known;
+    if (m_response_started && !may_go_on)
     {
         abort_stream(cause);
         return;
--- a/unit_tests/platform/event_ids_test.cpp
+++ b/unit_tests/platform/event_ids_test.cpp
@@ -11,6 +11,10 @@
 class event_ids_test : public relay_fixture
 {
     CPPUNIT_TEST_SUITE(event_ids_test);
+    CPPUNIT_TEST(event_without_an_id_does_not_come_twice);
+    CPPUNIT_TEST(stream_without_ids_does_not_begin_anew);
+    CPPUNIT_TEST(event_with_an_odd_id_does_not_come_twice);
+    CPPUNIT_TEST(stream_whose_ids_go_back_is_not_resumed);
     CPPUNIT_TEST(stream_goes_on_behind_a_numbered_event);
     CPPUNIT_TEST(comment_is_no_event);
     CPPUNIT_TEST(events_with_equal_ids_of_one_run_all_arrive);
@@ -65,7 +69,34 @@
         return ask();
     }
 
+    /// The stream is broken off behind what its first run brought.
+    void check_is_not_resumed(const std::string& first)
+    {
+        const raw_caller* caller = break_off(first, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+        CPPUNIT_ASSERT_EQUAL(first, caller->body());
+        CPPUNIT_ASSERT(caller->claim() == end_claim::broken);
+        CPPUNIT_ASSERT(m_upstreams.back()->m_requests.empty());
+    }
+
 public:
+    void event_without_an_id_does_not_come_twice()
+    {
+        check_is_not_resumed("id: 1\ndata: t1\n\ndata: t2\n\n");
+    }
+
+    void stream_without_ids_does_not_begin_anew() { check_is_not_resumed("data: t1\n\n"); }
+
+    void event_with_an_odd_id_does_not_come_twice()
+    {
+        check_is_not_resumed("id: 1\ndata: t1\n\nid: 2b\ndata: t2\n\n");
+    }
+
+    /// Nothing tells which of its events an engine would leave out.
+    void stream_whose_ids_go_back_is_not_resumed()
+    {
+        check_is_not_resumed("id: 2\ndata: t1\n\nid: 1\ndata: t2\n\n");
+    }
+
     void stream_goes_on_behind_a_numbered_event()
     {
         const std::string first = "id: 1\ndata: t1\n\ndata: x\n\nid: 2\ndata: t2\n\n";
