--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -89,6 +89,7 @@
     std::uint64_t begin_attempt();
     void send(const selection& chosen);
     bool pass_on();
+    passed_request_metadata make_passed_metadata() const;
     void on_passed_head(const net::http_response& head, net::body_framing framing);
     void on_passed_complete();
     void on_passed_failed(const net::call_failure& failure);
@@ -125,6 +126,7 @@
     void prove_start();
     void on_start_checked(process_presence presence, core::time_point asked_at);
     upstream_record asked_record() const;
+    void note_position(std::string_view event, const std::optional<std::uint64_t>& id);
     void release_upstream(attempt_outcome outcome);
     void record_response_end(const char* cause);
     const char* framing_name() const noexcept;
@@ -191,7 +193,10 @@
     event_framer m_framer;                      ///< Splits the current attempt's event stream.
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
     bool m_ends_with_close = false; ///< The response to the caller ends with its connection.
-    std::optional<std::uint64_t> m_last_event_id; ///< Id of the last event forwarded.
+    std::optional<std::uint64_t> m_last_event_id; ///< Highest id of an event forwarded.
+    bool m_is_position_known = true;              ///< All that was forwarded lies up to that event.
+    /// Event behind which the current attempt goes on; empty when it begins with the first one.
+    std::optional<std::uint64_t> m_resumed_after;
     core::duration m_time_to_first_byte{}; ///< From arrival until the first byte is forwarded.
     core::time_point m_last_event_time{};  ///< When the last event was forwarded.
     core::duration m_max_event_gap{};      ///< Longest time between two forwarded events.
