A take-up brings no event that its caller has

Callers saw: nothing that was traced to it. By test, a caller that takes a stream up with Last-Event-Id at an engine that does not heed it gets all events again (ORDER: a piece comes twice); the same engine is corrected where a stream is resumed within one answer.

Cause: the relay passed the caller's Last-Event-Id on without reading it.

Evidence: event_ids_test::taken_up_run_that_begins_anew_brings_no_event_twice failed before: events 1 to 3 arrived where 3 alone is right.

Change: on routes whose streams may be resumed, events up to that id are left out. An id that is no number is passed on as before.

--- a/tarragontrail/relay/caller_request.hpp
+++ b/tarragontrail/relay/caller_request.hpp
@@ -31,6 +31,7 @@
 {
     /// Id of the attempt that brought its first event; empty when the caller does not name it.
     std::string m_first_attempt;
+    std::optional<std::uint64_t> m_last_event; ///< Id of the last event that the caller has.
 };
 
 /// Request of a caller, decoded from HTTP.
--- a/tarragontrail/relay/relay_session.cpp
+++ b/tarragontrail/relay/relay_session.cpp
@@ -86,6 +86,10 @@
     {
         m_stream = core::id_of<stream_id>(taken_up ? taken_up->m_first_attempt : m_request.m_id);
     }
+    if (m_route->is_resumable_stream() && taken_up)
+    {
+        m_last_event_id = taken_up->m_last_event;
+    }
     const std::uint64_t draw = m_stream ? core::value_of(*m_stream) : m_state.m_random();
     m_service = choose_target(*m_route, draw).m_service;
     if (!taken_up && m_request.m_deadline)
--- a/tarragontrail/relay/relay_session.hpp
+++ b/tarragontrail/relay/relay_session.hpp
@@ -169,7 +169,7 @@
     event_framer m_framer;                      ///< Splits the current attempt's event stream.
     bool m_response_started = false;            ///< Part of a response has been sent to the caller.
     bool m_ends_with_close = false; ///< The response to the caller ends with its connection.
-    std::optional<std::uint64_t> m_last_event_id; ///< Highest id of an event forwarded.
+    std::optional<std::uint64_t> m_last_event_id; ///< Highest id of the events that the caller has.
     bool m_is_position_known = true;              ///< All that was forwarded lies up to that event.
     /// Event behind which the current attempt goes on; empty when it begins with the first one.
     std::optional<std::uint64_t> m_resumed_after;
--- a/unit_tests/platform/event_ids_test.cpp
+++ b/unit_tests/platform/event_ids_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(ids_in_every_form_are_read);
     CPPUNIT_TEST(half_event_is_not_joined_to_the_next_run);
     CPPUNIT_TEST(run_that_begins_anew_brings_no_event_twice);
+    CPPUNIT_TEST(taken_up_run_that_begins_anew_brings_no_event_twice);
     CPPUNIT_TEST(stream_that_may_not_be_resumed_is_sent_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -158,6 +159,22 @@
         CPPUNIT_ASSERT_EQUAL(first + next, break_off(first, first + next)->body());
     }
 
+    /// The caller has the first two events from another answer.
+    void taken_up_run_that_begins_anew_brings_no_event_twice()
+    {
+        configure(relay::request_kind::stream, true);
+        const std::string next = "id: 3\ndata: t3\n\n";
+        add_upstream([next](const std::string&) {
+            return reply{stream_of("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n" + next, "r2") +
+                         end_of_chunks};
+        });
+        m_state->m_stream_versions.on_begun("s", core::id_of<relay::stream_id>(std::string("r1")),
+                                            {}, core::runtime_clock::now());
+        const raw_caller* caller = ask("X-Request-Id: r2\r\nResumes: r1\r\nLast-Event-Id: 2\r\n");
+        CPPUNIT_ASSERT_EQUAL(next, caller->body());
+        CPPUNIT_ASSERT(caller->claim() == end_claim::complete);
+    }
+
     /// However its first run breaks off: before its head, behind it, inside an event or behind one.
     void stream_that_may_not_be_resumed_is_sent_once()
     {
