Soak: the time of day is not stepped

The kind clock-steps preloaded a library into the relay's processes that shared a file with the soak.

How the program takes steps of the time of day is only covered by its use of clocks that do not step.

--- a/tools/soak/fleet_faults.py
+++ b/tools/soak/fleet_faults.py
@@ -1,4 +1,4 @@
-"""Faults that part instances from each other in what they know: of the store, of releases, of starts and of the time of day."""
+"""Faults that part instances from each other in what they know: of the store, of releases and of starts."""
 import asyncio
 import contextlib
 import time
@@ -9,8 +9,6 @@
 START_AFTER_RETURN_S = 0.3
 # Releases of a series follow each other within this time, in seconds.
 RELEASE_GAP_S = (0.5, 2.0)
-# A step of the time of day, in seconds either way.
-CLOCK_STEP_S = 20.0
 
 
 class FleetFaults:
@@ -22,7 +20,7 @@
     def loops(self):
         run = self.run
         each = {"store-parts": self.turn_parts_away, "silent-store": self.silence_store, "many-starts": self.start_many,
-                "fast-releases": self.release_fast, "clock-steps": self.step_clocks}
+                "fast-releases": self.release_fast}
         for kind, loop in each.items():
             if kind in run.kinds:
                 yield loop(run.rng(kind))
@@ -129,12 +127,3 @@
                         self.run.spawn(self.schedule.replace(engine, draws[engine.name]))
                 self.schedule.note(f"fast release of {what}: software v{self.schedule.newest_software}, "
                                    f"weights {self.schedule.newest_weights}")
-
-    async def step_clocks(self, rng):
-        """The time of day jumps at some instances; that is no fault and excuses nothing."""
-        while True:
-            await asyncio.sleep(rng.uniform(1, 5) * self.run.calm)
-            for instance in rng.sample(self.run.instances, rng.randint(1, max(1, len(self.run.instances) // 2))):
-                instance.clock.step(rng.uniform(-CLOCK_STEP_S, CLOCK_STEP_S))
-                self.run.checks.counts["clock_steps"] += 1
-                self.schedule.note(f"clock of {instance.name} is now {instance.clock.offset_s:+.3f} s off")
--- a/tools/soak/instances.py
+++ b/tools/soak/instances.py
@@ -28,8 +28,6 @@
         # Name of its zone.
         self.place = sorted(run.regions)[number % len(run.regions)][-1]
         self.process = None
-        # Time of day of its machine, where that is stepped.
-        self.clock = None
         self.paused = False
         self.draining = False
         self.held_for_check = False
@@ -57,7 +55,6 @@
         command = [str(self.run.binary), *(f"--{name}={value}" for name, value in flags.items())]
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                            env=self.clock.environment() if self.clock else None,
                                             preexec_fn=die_with_parent)
         self.paused = self.draining = self.killed = False
 
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -17,7 +17,6 @@
 
 import callers
 import checks
-import clocks
 import cuts
 import engines
 import faults
@@ -37,7 +36,7 @@
 ALL_KINDS = "process,links,engines,store,returns,repeats,silent,configurations"
 # Kinds that run only when they are named.
 OTHER_KINDS = "odd-rows,versions,leaving,large,limits,deadly,weights,regions,mute,real-ends,cuts,\
-store-parts,silent-store,many-starts,fast-releases,clock-steps"
+store-parts,silent-store,many-starts,fast-releases"
 # What "real-ends" stands for; each of them may be named alone.
 REAL_ENDS = {"exits", "late-listeners", "address-reuse", "drips", "fresh-deadlines", "early-take-ups"}
 # Networks of loopback addresses that runs side by side choose from: 127.16.0 to 127.126.255.
@@ -134,12 +133,9 @@
             self.engines.append(engine)
         self.trap = odd.Trap((f"{self.network}.9", 8080), self)
         await self.trap.start()
-        library = clocks.build_library(self.folder) if "clock-steps" in self.kinds else None
         for number in range(self.options.instances):
             away = (f"{self.network}.2", 8700 + number)
             instance = instances.Instance(number, f"{self.network}.{100 + number}", away, self)
-            if library is not None:
-                instance.clock = clocks.Clock(self.folder, instance.name, library)
             await self.add_link(f"link:store:{instance.name}", away, (f"{self.network}.1", STORE_PORT))
             shown = (f"{self.network}.{170 + number}", 8606)
             instance.link = await self.add_link(f"link:{instance.name}", shown, instance.front)
