--- a/unit_tests/platform/passed_on_test.cpp
+++ b/unit_tests/platform/passed_on_test.cpp
@@ -209,26 +209,30 @@
         const std::string two = event_text(1, 2);
         const std::string half = two + "id: 3\ndata";
         const std::string big(500'000, 'x');
-        const std::string length = "Content-Length: ";
+        const auto unframed = [](const std::string& start, const std::string& body) {
+            return fmt::format("{}\r\n{}", start, body);
+        };
+        const auto framed = [](const std::string& start, std::size_t length,
+                               const std::string& body) {
+            return fmt::format("{}Content-Length: {}\r\n\r\n{}", start, length, body);
+        };
         for (const auto& [answer, claim] : std::vector<std::pair<reply, end_claim>>{
-                 {{stream + length + std::to_string(two.size()) + "\r\n\r\n" + two},
-                  end_claim::complete},
-                 {{stream + length + "99\r\n\r\n" + two, true}, end_claim::broken},
-                 {{stream + length + std::to_string(half.size()) + "\r\n\r\n" + half},
-                  end_claim::broken},
+                 {{framed(stream, two.size(), two)}, end_claim::complete},
+                 {{framed(stream, 99, two), true}, end_claim::broken},
+                 {{framed(stream, half.size(), half)}, end_claim::broken},
                  {{events(1, 2) + end_of_chunks}, end_claim::complete},
                  {{events(1, 2), true}, end_claim::broken},
                  {{events(1, 2) + "0\r\n", true}, end_claim::broken},
                  {{events(1, 2) + "0", true}, end_claim::broken},
                  {{events(1, 2, "id: 3\ndata") + end_of_chunks}, end_claim::broken},
                  {{events(1, 2), false, false, true}, end_claim::broken},
-                 {{stream + "\r\n" + two, true}, end_claim::closed},
-                 {{stream + "\r\n" + half, true}, end_claim::broken},
-                 {{stream + "\r\n" + two, false, false, true}, end_claim::broken},
-                 {{head + length + "500000\r\n\r\n" + big}, end_claim::complete},
-                 {{head + length + "500001\r\n\r\n" + big, true}, end_claim::broken},
-                 {{head + "\r\n" + big, true}, end_claim::closed},
-                 {{head + "\r\n" + big, false, false, true}, end_claim::broken},
+                 {{unframed(stream, two), true}, end_claim::closed},
+                 {{unframed(stream, half), true}, end_claim::broken},
+                 {{unframed(stream, two), false, false, true}, end_claim::broken},
+                 {{framed(head, 500'000, big)}, end_claim::complete},
+                 {{framed(head, 500'001, big), true}, end_claim::broken},
+                 {{unframed(head, big), true}, end_claim::closed},
+                 {{unframed(head, big), false, false, true}, end_claim::broken},
              })
         {
             configure_both(relay::request_kind::stream);
