--- a/review/rig/servers.py
+++ b/review/rig/servers.py
@@ -5,7 +5,7 @@
 import wire
 
 BODY = b"x" * 800
-WORK_S = 0.02
+WORK_S = 0.03
 KEEP_ALIVE_S = 20
 
 
