--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -187,6 +188,10 @@
                 relay.process.wait()
         for task in list(self.tasks):
             task.cancel()
+        if "KEEP_LOGS" in os.environ:
+            self.record(f"logs of the relays are in {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def get(address, target, headers=None):
