--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import ast
 import pathlib
 
-files = [*pathlib.Path("review/rig").glob("*.py"), *pathlib.Path("review").glob("*/case.py"),
+files = [pathlib.Path("review/rig.py"), pathlib.Path("review/servers.py"), *pathlib.Path("review").glob("*/case.py"),
          pathlib.Path("tools/soak/store.py"), pathlib.Path("tools/soak/wire.py")]
 for file in files:
     ast.parse(file.read_text(encoding="utf-8"), str(file))
--- a/review/rig.py
+++ b/review/rig.py
@@ -14,7 +14,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tools" / "soak"))
 
 import store  # noqa: E402  The soak's stand-in of the platform's store.
