--- a/unit_tests/processes/process_fleet.hpp
+++ b/unit_tests/processes/process_fleet.hpp
@@ -55,6 +55,9 @@
     std::size_t engines() const { return list("TT_ENGINES").size(); }
     std::size_t services() const { return list("TT_SERVICES").size(); }
 
+    /// Id of a process of the deployment by its name.
+    pid_t process_id(const std::string& name) const;
+
     /// Sends a signal to a process of the deployment by its name.
     void signal(const std::string& name, int number) const;
 
@@ -94,7 +97,6 @@
 
 private:
     std::vector<std::string> list(const std::string& name) const;
-    pid_t process_id(const std::string& name) const;
     /// Threads of a process, as the kernel lists them.
     std::filesystem::directory_iterator threads(const std::string& name) const;
 
