A last chunk that arrives in pieces ends no process

What callers saw: one chunked request without a body, whose "0 CRLF" arrives ahead of the empty line, ended the process of every listener of both programs.

Cause: Beast's parser asserts that the beginning of a last chunk, given to it again, has five bytes. A read of three bytes and one of one byte meet that assertion, which is on in release builds.

Change: request_reader reads requests from the bytes of a connection without sockets; the server reads them itself, through one buffer of the listener, and no longer by Beast's composed reads. A chunked body goes to the parser only once the least bytes that can end it are there. A read deadline first takes what has arrived in time.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "tarragontrail/net/http_server.hpp"
 
+#include "tarragontrail/net/request_reader.hpp"
 #include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
@@ -7,9 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
@@ -40,6 +38,7 @@
     bool m_is_server_gone = false;              ///< The handlers must not be called any more.
     std::set<server_connection*> m_connections; ///< Open connections.
     std::size_t m_busy = 0; ///< Connections with a request or a response under way.
+    std::array<char, std::size_t{64} * 1024> m_input{}; ///< Room for one read of any connection.
 };
 
 namespace {
@@ -61,6 +60,8 @@
     {
         m_shared->m_connections.insert(this);
         prepare_socket(m_socket);
+        error_code ignored;
+        m_socket.non_blocking(true, ignored);
     }
 
     ~server_connection()
@@ -75,13 +76,13 @@
     void read_request()
     {
         m_reading = true;
-        m_timed_out = false;
-        if (m_buffer.size() == 0)
+        if (m_reader.unread_bytes() == 0)
         {
             wait_for_request();
             return;
         }
-        read_head();
+        begin_request();
+        read_on();
     }
 
     /// Whether a request's response is under way; `number` counts the connection's requests.
@@ -188,8 +189,7 @@
         {
             return false;
         }
-        error_code ignored;
-        return m_writing || m_has_begun || m_socket.available(ignored) > 0;
+        return m_writing || m_has_begun || can_read();
     }
 
     void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
@@ -242,82 +242,114 @@
             m_idle_since = core::runtime_clock::now();
             arm_idle_timer();
         }
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-            self->m_idle = false;
+        wait_for_bytes(&server_connection::on_first_bytes);
+    }
+
+    /// Calls a handler once bytes can be read, unless the request is over by then.
+    void wait_for_bytes(void (server_connection::*on_readable)())
+    {
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), wait = ++m_wait,
+                                                     on_readable](error_code error) {
+            if (!self->m_reading || self->m_wait != wait)
+            {
+                return;
+            }
             if (error)
             {
-                self->on_read_error(error);
+                self->on_read_error();
                 return;
             }
-            self->read_head();
+            (self.get()->*on_readable)();
         });
     }
 
+    void on_first_bytes()
+    {
+        m_idle = false;
+        begin_request();
+        receive();
+    }
+
     /// The limits of a request are those in force at its first byte.
-    void read_head()
+    void begin_request()
     {
-        m_timed_out = false;
         m_has_begun = true;
-        m_parser.emplace();
-        m_parser->header_limit(m_shared->m_settings.m_header_limit_bytes);
-        m_parser->body_limit(m_shared->m_settings.m_body_limit_bytes);
-        arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
-        http::async_read_header(
-            m_socket, m_buffer, *m_parser,
-            [self = shared_from_this()](error_code error, std::size_t) { self->on_head(error); });
+        const http_server_settings& bounds = m_shared->m_settings;
+        m_reader.begin({bounds.m_header_limit_bytes, bounds.m_body_limit_bytes});
+        arm_timer(bounds.m_read_timeout, &server_connection::on_read_timeout);
     }
 
-    void on_head(error_code error)
+    /// Takes what the client has sent of the current request.
+    void receive()
     {
-        if (error)
+        error_code error;
+        const std::size_t size = m_socket.receive(
+            boost::asio::buffer(m_shared->m_input.data(),
+                                std::min(m_shared->m_input.size(), m_reader.wanted_bytes())),
+            0, error);
+        if (error == boost::asio::error::would_block)
         {
-            on_read_error(error);
+            wait_for_bytes(&server_connection::receive);
             return;
         }
-        if (!is_unambiguous(m_parser->get()))
+        if (error)
         {
-            m_timer.cancel();
-            refuse(request_fault::malformed);
+            on_read_error();
             return;
         }
-        m_timed_out = false;
-        arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
-        if (m_parser->get()[http::field::expect] == "100-continue")
-        {
-            enqueue("HTTP/1.1 100 Continue\r\n\r\n");
-        }
-        http::async_read(m_socket, m_buffer, *m_parser,
-                         [self = shared_from_this()](error_code failure, std::size_t) {
-                             self->on_body(failure);
-                         });
+        m_reader.add({m_shared->m_input.data(), size});
+        read_on();
     }
 
-    void on_body(error_code error);
-
-    void on_read_error(error_code error)
+    void read_on()
     {
-        m_timer.cancel();
-        if (m_timed_out)
+        switch (m_reader.read_on())
         {
-            refuse(request_fault::too_slow);
+        case request_reader::progress::head:
+            if (on_head())
+            {
+                read_on();
+            }
             return;
-        }
-        if (error == http::error::header_limit)
-        {
+        case request_reader::progress::incomplete:
+            wait_for_bytes(&server_connection::receive);
+            return;
+        case request_reader::progress::whole:
+            on_request();
+            return;
+        case request_reader::progress::head_too_large:
             refuse(request_fault::head_too_large);
             return;
-        }
-        if (error == http::error::body_limit)
-        {
+        case request_reader::progress::body_too_large:
             refuse(request_fault::body_too_large);
             return;
+        case request_reader::progress::malformed:
+            refuse(request_fault::malformed);
+            return;
         }
-        if (error.category() == http::make_error_code(http::error::bad_method).category() &&
-            error != http::error::end_of_stream && error != http::error::partial_message)
+    }
+
+    /// Whether the request may go on.
+    bool on_head()
+    {
+        if (!is_unambiguous(m_reader.head()))
         {
             refuse(request_fault::malformed);
-            return;
+            return false;
         }
+        arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
+        if (m_reader.head()[boost::beast::http::field::expect] == "100-continue")
+        {
+            enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        return true;
+    }
+
+    void on_request();
+
+    void on_read_error()
+    {
+        m_timer.cancel();
         close(close_cause::client_closed);
     }
 
@@ -330,8 +362,10 @@
                                            {"body_limit", bounds.m_body_limit_bytes},
                                            {"read_timeout_ms", bounds.m_read_timeout.count()},
                                            {"timer_late_ms", m_timer_lateness.count()}});
+        m_timer.cancel();
         m_reading = false;
         m_has_begun = false;
+        m_reader.clear();
         m_keep_alive = false;
         m_answered = false;
         m_complete = false;
@@ -339,11 +373,7 @@
     }
 
     /// Whether bytes of a request behind the current one have arrived.
-    bool has_next_request() const
-    {
-        error_code ignored;
-        return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
-    }
+    bool has_next_request() const { return m_reader.unread_bytes() > 0 || can_read(); }
 
     void finish_head(http_response& response)
     {
@@ -359,6 +389,7 @@
     void arm_timer(core::duration timeout, void (server_connection::*on_expiry)())
     {
         const core::time_point due = core::runtime_clock::now() + timeout;
+        m_due = due;
         m_timer.run_at(due, [weak = weak_from_this(), due, on_expiry] {
             if (const auto self = weak.lock())
             {
@@ -378,8 +409,7 @@
 
     void on_idle_timeout()
     {
-        error_code ignored;
-        if (m_socket.available(ignored) > 0)
+        if (can_read())
         {
             // A request has arrived, and the handler that reads it is due.
             return;
@@ -390,13 +420,32 @@
         close(close_cause::idle_timeout);
     }
 
+    /// Bytes that arrived in time may end the request although this process is late to read them.
     void on_read_timeout()
     {
-        m_timed_out = true;
+        const core::time_point due = m_due;
+        for (std::size_t i = 0; i < late_reads && can_read(); ++i)
+        {
+            if (m_has_begun)
+            {
+                receive();
+            }
+            else
+            {
+                on_first_bytes();
+            }
+            if (!m_reading || m_due != due)
+            {
+                return;
+            }
+        }
+        refuse(request_fault::too_slow);
+    }
+
+    bool can_read() const
+    {
         error_code ignored;
-        m_socket.cancel(ignored);
-        // A piece that has been read and not handled yet is followed by another read.
-        arm_timer(cancel_interval, &server_connection::on_read_timeout);
+        return m_socket.available(ignored) > 0;
     }
 
     void on_write_timeout() { drop(close_cause::write_timeout); }
@@ -407,7 +456,7 @@
     /// before is kept for the next request, so that the end behind it is seen.
     void watch_for_close()
     {
-        if (m_buffer.size() >= read_ahead_limit_bytes)
+        if (m_reader.unread_bytes() >= read_ahead_limit_bytes)
         {
             return;
         }
@@ -427,9 +476,9 @@
             return;
         }
         error_code error;
-        m_socket.non_blocking(true, error);
-        const auto space = m_buffer.prepare(read_ahead_limit_bytes);
-        m_buffer.commit(m_socket.receive(space, 0, error));
+        const std::size_t size = m_socket.receive(
+            boost::asio::buffer(m_shared->m_input.data(), read_ahead_limit_bytes), 0, error);
+        m_reader.add({m_shared->m_input.data(), size});
         if (error && error != boost::asio::error::would_block)
         {
             close(close_cause::client_closed);
@@ -502,6 +551,7 @@
                 set_reset_on_close(false);
             }
             // Only our side closes first, so that the client reads the whole answer.
+            m_reader.clear();
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
             arm_timer(linger_timeout, &server_connection::on_linger_timeout);
@@ -516,7 +566,7 @@
     /// Reads until the client closes or the linger timeout is over, however much the client sends.
     void discard_input()
     {
-        m_socket.async_read_some(boost::asio::buffer(m_discard),
+        m_socket.async_read_some(boost::asio::buffer(m_shared->m_input),
                                  [self = shared_from_this()](error_code error, std::size_t) {
                                      if (error)
                                      {
@@ -582,23 +632,23 @@
 
     static constexpr std::chrono::milliseconds linger_timeout{500};
 
-    /// Time between attempts to end the reading of a request that is too slow.
-    static constexpr std::chrono::milliseconds cancel_interval{10};
+    /// Reads of bytes that had arrived when the read deadline passed.
+    static constexpr std::size_t late_reads = 16;
 
     /// Bytes of the next request from which on no more is read while one is under way.
     static constexpr std::size_t read_ahead_limit_bytes = std::size_t{16} * 1024;
 
-    tcp::socket m_socket;                    ///< Connection to the client.
-    timer m_timer;                           ///< Read, write or idle deadline.
-    std::shared_ptr<server_shared> m_shared; ///< Settings and handlers.
-    boost::beast::flat_buffer m_buffer;      ///< Bytes read and not parsed.
-    std::optional<http::request_parser<http::string_body>> m_parser; ///< Current request's parser.
+    tcp::socket m_socket;                         ///< Connection to the client.
+    timer m_timer;                                ///< Read, write or idle deadline.
+    std::shared_ptr<server_shared> m_shared;      ///< Settings and handlers.
+    request_reader m_reader;                      ///< Requests and the bytes behind them.
+    std::uint64_t m_wait = 0;                     ///< Number of the latest wait for bytes.
     http_exchange::close_handler m_on_gone;       ///< Told when the connection closes too soon.
     std::string m_pending;                        ///< Bytes to write next.
     std::string m_in_flight;                      ///< Bytes being written.
     std::size_t m_backlog_bytes = 0;              ///< Unsent bytes.
+    core::time_point m_due{};                     ///< Latest deadline that was set.
     std::chrono::milliseconds m_timer_lateness{}; ///< Of the last deadline that passed.
-    std::array<char, 4096> m_discard{};           ///< Bytes read while lingering.
     std::uint64_t m_requests = 0;                 ///< Requests taken on this connection.
     core::time_point m_idle_since{};              ///< Start of the wait for the next request.
     std::chrono::milliseconds m_idle_limit{};     ///< Longest wait since then.
@@ -612,7 +662,6 @@
     bool m_answered = false;                      ///< Response has begun.
     bool m_until_close = false;                   ///< The end of the connection ends the response.
     bool m_complete = false;                      ///< Response is whole.
-    bool m_timed_out = false;                     ///< Read deadline has passed.
 };
 
 /// One request of a connection. Calls that come when its response is over do nothing, as the
@@ -706,18 +755,14 @@
     http_request m_request;                          ///< Request.
 };
 
-void server_connection::on_body(error_code error)
+void server_connection::on_request()
 {
-    if (error)
-    {
-        on_read_error(error);
-        return;
-    }
     m_reading = false;
     m_has_begun = false;
     m_timer.cancel();
     ++m_requests;
-    http_request request = m_parser->release();
+    http_request request = m_reader.take();
+    m_reader.release_spare_memory();
     m_keep_alive = request.keep_alive();
     m_client_reads_chunks = request.version() >= 11;
     m_answered = false;
