Trailers and chunk lines are bounded like a head

What callers saw: 40 clients whose trailers have no end took over 300 MB within a second, at every HTTP listener of both programs.

Cause: the parser bounds heads and bodies alone. It waits for the end of a trailer, and of the line before a chunk, while the buffer of the connection grows.

Change: bytes behind a head that the parser cannot use are at most as many as a head may have; more are refused with 431, as an oversized head is.

--- a/tarragontrail/net/request_reader.cpp
+++ b/tarragontrail/net/request_reader.cpp
@@ -78,7 +78,9 @@
         }
         if (error)
         {
-            return progress::incomplete;
+            // The parser has no bound of its own for trailers and for the lines between chunks.
+            return m_buffer.size() > m_limits.m_header_bytes ? progress::head_too_large
+                                                             : progress::incomplete;
         }
     }
     m_field_bytes = memory_of_fields(m_parser->get());
--- a/unit_tests/net/request_reader_test.cpp
+++ b/unit_tests/net/request_reader_test.cpp
@@ -73,6 +73,9 @@
     CPPUNIT_TEST(chunked_request_with_a_trailer_is_whole);
     CPPUNIT_TEST(bytes_behind_a_request_are_the_next_one);
     CPPUNIT_TEST(head_without_end_is_too_large);
+    CPPUNIT_TEST(trailer_without_end_is_too_large);
+    CPPUNIT_TEST(trailer_line_without_end_is_too_large);
+    CPPUNIT_TEST(chunk_extension_without_end_is_too_large);
     CPPUNIT_TEST(chunks_beyond_the_body_limit_are_too_large);
     CPPUNIT_TEST(cleared_reader_holds_nothing);
     CPPUNIT_TEST(small_fields_count_with_the_memory_that_they_take);
@@ -129,6 +132,21 @@
         expect_too_large("GET /a HTTP/1.1\r\nHost: h\r\nX-More: ", "x", progress::head_too_large);
     }
 
+    void trailer_without_end_is_too_large()
+    {
+        expect_too_large(chunked_head + "0\r\n", "X-More: y\r\n", progress::head_too_large);
+    }
+
+    void trailer_line_without_end_is_too_large()
+    {
+        expect_too_large(chunked_head + "0\r\nX-More: ", "y", progress::head_too_large);
+    }
+
+    void chunk_extension_without_end_is_too_large()
+    {
+        expect_too_large(chunked_head + "1;x=", "y", progress::head_too_large);
+    }
+
     void chunks_beyond_the_body_limit_are_too_large()
     {
         expect_too_large(chunked_head, "1\r\nx\r\n", progress::body_too_large);
