What clients hold is claimed from one account of the machine's memory

What callers saw: 160 to 600 clients with bodies of legal size, whole, in pieces or in chunks, most a byte short and kept open, took 263 to 322 MB and ended the process of a machine of 260 MB; so did 1,400 heads of many small fields.

Cause: each connection had bounds of its own, and nothing bounded their sum.

Change: memory_account bounds the sum of all claims: bytes of requests that are arriving, with their fields and buffers, requests that are handled, with their copies, and responses that are not taken. When there is no room, the claim with the largest product of size and age yields, if nothing but bytes of its client is lost: a request that is arriving is refused with 503 and Retry-After, as it was not handed on, and a response that the client does not take is broken off. A refused request's memory is given back at once, not after the linger.

A refusal to another instance carries the proof that instances ask for.

--- a/tarragontrail/config/generated_entry_settings.cpp
+++ b/tarragontrail/config/generated_entry_settings.cpp
@@ -46,11 +46,14 @@
 DEFINE_double(read_timeout, 10000, "Longest arrival of a caller's request.");
 DEFINE_uint64(max_output_tokens, 8192, "Largest output that a caller may ask for.");
 DEFINE_uint64(session_limit, 2048, "Callers' requests served at once.");
+DEFINE_uint64(
+    memory_mb, 260,
+    "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
 
 namespace tarragontrail::config {
 namespace {
 
-constexpr std::array<setting_description, 30> descriptions{{
+constexpr std::array<setting_description, 31> descriptions{{
     {"name", "string", "entry-1", "text that matches ^[a-z0-9-]{1,64}$",
      "Name of this instance, unique in the fleet."},
     {"region", "string", "region-1", "text that matches ^[a-z0-9-]{1,64}$",
@@ -117,6 +120,8 @@
      "Largest output that a caller may ask for."},
     {"session_limit", "integer", "2048", "a whole number between 1 and 100000",
      "Callers' requests served at once."},
+    {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
+     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
 }};
 
 } // namespace
@@ -192,6 +197,8 @@
     settings.m_max_output_tokens = FLAGS_max_output_tokens;
     check_range("session_limit", static_cast<double>(FLAGS_session_limit), 1, 100000);
     settings.m_session_limit = FLAGS_session_limit;
+    check_range("memory_mb", static_cast<double>(FLAGS_memory_mb), 40, 1000000);
+    settings.m_memory_mb = FLAGS_memory_mb;
     return settings;
 }
 
--- a/tarragontrail/config/generated_relay_settings.cpp
+++ b/tarragontrail/config/generated_relay_settings.cpp
@@ -29,11 +29,14 @@
 DEFINE_uint64(connection_limit, 1500, "Callers' connections at most.");
 DEFINE_uint64(log_bytes_per_second, 200000,
               "Log bytes written at most; further lines are dropped and counted.");
+DEFINE_uint64(
+    memory_mb, 260,
+    "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
 
 namespace tarragontrail::config {
 namespace {
 
-constexpr std::array<setting_description, 23> descriptions{{
+constexpr std::array<setting_description, 24> descriptions{{
     {"name", "string", "relay-1", "text that matches ^[A-Za-z0-9._-]{1,64}$",
      "Name of this instance, unique in the fleet."},
     {"region", "string", "region-1", "text that matches ^[A-Za-z0-9._-]{1,64}$",
@@ -81,6 +84,8 @@
      "Callers' connections at most."},
     {"log_bytes_per_second", "integer", "200000", "a whole number between 1000 and 1000000000",
      "Log bytes written at most; further lines are dropped and counted."},
+    {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
+     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
 }};
 
 } // namespace
@@ -139,6 +144,8 @@
     check_range("log_bytes_per_second", static_cast<double>(FLAGS_log_bytes_per_second), 1000,
                 1000000000);
     settings.m_log_bytes_per_second = FLAGS_log_bytes_per_second;
+    check_range("memory_mb", static_cast<double>(FLAGS_memory_mb), 40, 1000000);
+    settings.m_memory_mb = FLAGS_memory_mb;
     return settings;
 }
 
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -84,15 +84,21 @@
     return told;
 }
 
-net::http_server_settings server_settings()
+net::http_server_settings server_settings(std::size_t memory_bytes)
 {
     net::http_server_settings settings;
+    settings.m_memory = std::make_shared<net::memory_account>(memory_bytes);
     settings.m_body_limit_bytes = bundle_limit_bytes;
     return settings;
 }
 
-problem bad_input(net::request_fault /*fault*/)
+problem bad_input(net::request_fault fault)
 {
+    if (fault == net::request_fault::no_memory)
+    {
+        return {problem_kind::overloaded, core::execution::not_run,
+                "the memory for requests is used up", std::chrono::milliseconds(1000)};
+    }
     return {problem_kind::malformed_request, core::execution::not_run, "not a usable request", {}};
 }
 
@@ -129,12 +135,14 @@
 }
 
 admin_server::admin_server(net::duty& admin, control_port& control, control_plane& plane,
-                           const caller_server& callers, operator_directory operators)
+                           const caller_server& callers, operator_directory operators,
+                           std::size_t memory_bytes)
     : m_admin(admin), m_control(control), m_plane(plane), m_callers(callers),
       m_operators(std::move(operators)),
       m_server(
           admin.context(), net::make_endpoint(plane.self().m_address, plane.self().m_ports.m_admin),
-          server_settings(), [this](const exchange_pointer& exchange) { on_request(exchange); },
+          server_settings(memory_bytes),
+          [this](const exchange_pointer& exchange) { on_request(exchange); },
           [](net::request_fault fault) { return problem_response(bad_input(fault)); })
 {}
 
--- a/tarragontrail/entry/admin_server.hpp
+++ b/tarragontrail/entry/admin_server.hpp
@@ -26,8 +26,10 @@
 class admin_server
 {
 public:
+    /// `memory_bytes` is what operators' connections hold at most.
     admin_server(net::duty& admin, control_port& control, control_plane& plane,
-                 const caller_server& callers, operator_directory operators);
+                 const caller_server& callers, operator_directory operators,
+                 std::size_t memory_bytes);
 
     /// From now on the instance reports that it is not ready for callers.
     void set_draining() noexcept { m_draining = true; }
--- a/tarragontrail/entry/caller_server.cpp
+++ b/tarragontrail/entry/caller_server.cpp
@@ -36,6 +36,9 @@
                 core::execution::unknown,
                 "the request was given up without an answer",
                 {}};
+    case net::request_fault::no_memory:
+        return {problem_kind::overloaded, core::execution::not_run,
+                "the memory for requests is used up", std::chrono::milliseconds(1000)};
     case net::request_fault::malformed:
         break;
     }
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -13,6 +13,16 @@
 
 constexpr std::chrono::milliseconds drain_poll{50};
 
+/// Parts of the process's memory that connections of callers and of operators hold at most.
+constexpr double caller_share_of_memory = 0.25;
+constexpr double operator_share_of_memory = 0.35;
+
+std::size_t share_of_memory(const config::entry_settings& settings, double share)
+{
+    constexpr double bytes_per_megabyte = 1e6;
+    return static_cast<std::size_t>(settings.m_memory_mb * bytes_per_megabyte * share);
+}
+
 std::uint64_t wall_nanoseconds()
 {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -75,6 +85,8 @@
         static_cast<std::uint32_t>(settings.m_header_limit_bytes);
     callers.m_server.m_body_limit_bytes = settings.m_body_limit_bytes;
     callers.m_server.m_read_timeout = settings.m_read_timeout;
+    callers.m_server.m_memory =
+        std::make_shared<net::memory_account>(share_of_memory(settings, caller_share_of_memory));
     callers.m_session.m_silence = settings.m_upstream_silence;
     callers.m_completion.m_max_output_tokens = settings.m_max_output_tokens;
     callers.m_session_limit = settings.m_session_limit;
@@ -95,7 +107,8 @@
       m_port(m_control, m_plane.completions(), m_plane.calls()),
       m_caller_server(m_callers, m_port, m_plane, caller_settings_of(settings), m_metrics),
       m_admin_server(m_admin, m_port, m_plane, m_caller_server,
-                     operator_directory(settings.m_operators)),
+                     operator_directory(settings.m_operators),
+                     share_of_memory(settings, operator_share_of_memory)),
       m_signals(m_main, SIGTERM, SIGINT), m_timer(m_main)
 {
     m_exposer.RegisterCollectable(m_metrics.registry());
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -51,12 +51,26 @@
            is_framing_unambiguous(request, request.version());
 }
 
+/// Memory of a connection that holds nothing for its client.
+constexpr std::size_t connection_bytes = 4'096;
+
+/// Copies of a request while it is handled: that of the server, that of its handler, and the one
+/// that is being sent on.
+constexpr std::size_t handled_copies = 3;
+
+std::size_t memory_of(const http_request& request)
+{
+    return handled_copies * (request.body().capacity() + memory_of_fields(request));
+}
+
 /// One accepted connection.
-class server_connection : public std::enable_shared_from_this<server_connection>
+class server_connection : public std::enable_shared_from_this<server_connection>,
+                          private memory_holder
 {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
-        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_shared(std::move(shared))
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
+          m_shared(std::move(shared)), m_claim(m_shared->m_settings.m_memory, this)
     {
         m_shared->m_connections.insert(this);
         prepare_socket(m_socket);
@@ -64,7 +78,7 @@
         m_socket.non_blocking(true, ignored);
     }
 
-    ~server_connection()
+    ~server_connection() override
     {
         // The destructor of a socket closes in the ordinary way, whatever was set for its close.
         error_code ignored;
@@ -73,6 +87,13 @@
         m_shared->m_connections.erase(this);
     }
 
+    /// Brings the claim up to date; returns false when there is no room for what is held.
+    bool claim_held_memory()
+    {
+        return m_claim.resize(connection_bytes + m_reader.held_bytes() + m_pending.capacity() +
+                              m_in_flight.capacity());
+    }
+
     void read_request()
     {
         m_reading = true;
@@ -274,6 +295,7 @@
     void begin_request()
     {
         m_has_begun = true;
+        m_claim.set_start(core::runtime_clock::now());
         const http_server_settings& bounds = m_shared->m_settings;
         m_reader.begin({bounds.m_header_limit_bytes, bounds.m_body_limit_bytes});
         arm_timer(bounds.m_read_timeout, &server_connection::on_read_timeout);
@@ -312,6 +334,11 @@
             }
             return;
         case request_reader::progress::incomplete:
+            if (!claim_held_memory())
+            {
+                refuse(request_fault::no_memory);
+                return;
+            }
             wait_for_bytes(&server_connection::receive);
             return;
         case request_reader::progress::whole:
@@ -479,12 +506,36 @@
         const std::size_t size = m_socket.receive(
             boost::asio::buffer(m_shared->m_input.data(), read_ahead_limit_bytes), 0, error);
         m_reader.add({m_shared->m_input.data(), size});
+        const bool has_room = claim_held_memory();
         if (error && error != boost::asio::error::would_block)
         {
             close(close_cause::client_closed);
             return;
         }
-        watch_for_close();
+        if (has_room)
+        {
+            watch_for_close();
+        }
+    }
+
+    /// A request that is arriving was not handed on, and a response is the client's to take.
+    bool may_release_memory() const override
+    {
+        return m_socket.is_open() && ((m_reading && m_has_begun) || (m_answered && m_writing));
+    }
+
+    void release_memory() override
+    {
+        if (m_reading)
+        {
+            refuse(request_fault::no_memory);
+            return;
+        }
+        // The write under way ends with the socket and tells the handler.
+        m_close_cause = close_cause::no_memory;
+        error_code ignored;
+        m_socket.close(ignored);
+        m_claim.resize(0);
     }
 
     void enqueue(std::string_view bytes)
@@ -495,6 +546,11 @@
         }
         m_backlog_bytes += bytes.size();
         m_pending += bytes;
+        if (!claim_held_memory())
+        {
+            drop(close_cause::no_memory);
+            return;
+        }
         if (!m_writing)
         {
             write_pending();
@@ -508,6 +564,7 @@
         m_in_flight.swap(m_pending);
         if (!m_reading)
         {
+            m_claim.set_start(core::runtime_clock::now());
             arm_timer(m_shared->m_settings.m_write_timeout, &server_connection::on_write_timeout);
         }
         boost::asio::async_write(m_socket, boost::asio::buffer(m_in_flight),
@@ -526,7 +583,7 @@
         }
         if (error)
         {
-            close(close_cause::client_closed);
+            close(m_close_cause);
             return;
         }
         if (!m_pending.empty())
@@ -534,12 +591,27 @@
             write_pending();
             return;
         }
+        release_spare_memory();
         if (m_complete && !m_reading)
         {
             on_response_sent();
         }
     }
 
+    /// Gives back the room of a response that was longer than most.
+    void release_spare_memory()
+    {
+        m_in_flight.clear();
+        for (std::string* each : {&m_pending, &m_in_flight})
+        {
+            if (each->capacity() > kept_buffer_bytes)
+            {
+                *each = {};
+            }
+        }
+        claim_held_memory();
+    }
+
     void on_response_sent()
     {
         m_on_gone = nullptr;
@@ -601,6 +673,8 @@
         set_busy(false);
         error_code ignored;
         m_socket.close(ignored);
+        m_reader.clear();
+        m_claim.resize(0);
         const auto handler = std::exchange(m_on_gone, nullptr);
         if (handler)
         {
@@ -632,6 +706,9 @@
 
     static constexpr std::chrono::milliseconds linger_timeout{500};
 
+    /// Largest empty buffer that is kept for the next response.
+    static constexpr std::size_t kept_buffer_bytes = std::size_t{4} * 1024;
+
     /// Reads of bytes that had arrived when the read deadline passed.
     static constexpr std::size_t late_reads = 16;
 
@@ -641,6 +718,7 @@
     tcp::socket m_socket;                         ///< Connection to the client.
     timer m_timer;                                ///< Read, write or idle deadline.
     std::shared_ptr<server_shared> m_shared;      ///< Settings and handlers.
+    memory_claim m_claim;                         ///< What this connection holds.
     request_reader m_reader;                      ///< Requests and the bytes behind them.
     std::uint64_t m_wait = 0;                     ///< Number of the latest wait for bytes.
     http_exchange::close_handler m_on_gone;       ///< Told when the connection closes too soon.
@@ -662,6 +740,7 @@
     bool m_answered = false;                      ///< Response has begun.
     bool m_until_close = false;                   ///< The end of the connection ends the response.
     bool m_complete = false;                      ///< Response is whole.
+    close_cause m_close_cause = close_cause::client_closed; ///< Why a write was ended.
 };
 
 /// One request of a connection. Calls that come when its response is over do nothing, as the
@@ -670,8 +749,9 @@
 {
 public:
     server_exchange(std::shared_ptr<server_connection> connection, std::uint64_t number,
-                    http_request request)
-        : m_connection(std::move(connection)), m_number(number), m_request(std::move(request))
+                    http_request request, std::unique_ptr<memory_claim> claim)
+        : m_connection(std::move(connection)), m_number(number), m_request(std::move(request)),
+          m_claim(std::move(claim))
     {}
 
     ~server_exchange() override
@@ -753,6 +833,7 @@
     std::shared_ptr<server_connection> m_connection; ///< Kept open while a request is handled.
     std::uint64_t m_number;                          ///< Count of the connection's requests.
     http_request m_request;                          ///< Request.
+    std::unique_ptr<memory_claim> m_claim;           ///< For the request while it is handled.
 };
 
 void server_connection::on_request()
@@ -760,9 +841,17 @@
     m_reading = false;
     m_has_begun = false;
     m_timer.cancel();
-    ++m_requests;
     http_request request = m_reader.take();
     m_reader.release_spare_memory();
+    auto claim = std::make_unique<memory_claim>(m_shared->m_settings.m_memory);
+    claim->set_start(m_claim.start());
+    claim_held_memory();
+    if (!claim->resize(memory_of(request)))
+    {
+        refuse(request_fault::no_memory);
+        return;
+    }
+    ++m_requests;
     m_keep_alive = request.keep_alive();
     m_client_reads_chunks = request.version() >= 11;
     m_answered = false;
@@ -770,8 +859,8 @@
     m_on_gone = nullptr;
     set_busy(true);
     watch_for_close();
-    m_shared->m_on_request(
-        std::make_shared<server_exchange>(shared_from_this(), m_requests, std::move(request)));
+    m_shared->m_on_request(std::make_shared<server_exchange>(shared_from_this(), m_requests,
+                                                             std::move(request), std::move(claim)));
 }
 
 } // namespace
@@ -825,7 +914,13 @@
             observe::log("connection_refused", {{"reason", "connection_limit"}});
             return;
         }
-        std::make_shared<server_connection>(std::move(socket), m_shared)->read_request();
+        const auto connection = std::make_shared<server_connection>(std::move(socket), m_shared);
+        if (!connection->claim_held_memory())
+        {
+            observe::log("connection_refused", {{"reason", "no_memory"}});
+            return;
+        }
+        connection->read_request();
     }
 
     static constexpr std::chrono::milliseconds accept_retry_delay{100};
@@ -927,6 +1022,8 @@
         return "too_slow";
     case request_fault::unanswered:
         return "unanswered";
+    case request_fault::no_memory:
+        return "no_memory";
     }
     return "unknown";
 }
@@ -947,6 +1044,8 @@
         return "aborted";
     case close_cause::finished:
         return "finished";
+    case close_cause::no_memory:
+        return "no_memory";
     }
     return "unknown";
 }
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragontrail/net/http_types.hpp"
+#include "tarragontrail/net/memory_account.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -21,6 +22,8 @@
     std::size_t m_connection_limit = 4096; ///< Most connections at once.
     std::size_t m_write_backlog_bytes =
         std::size_t{4} * 1024 * 1024; ///< Most unsent stream bytes kept.
+    /// Bounds what the connections of this and other listeners hold; not replaced by an update.
+    std::shared_ptr<memory_account> m_memory = memory_account::unlimited();
 };
 
 /// Why the server answers a request itself.
@@ -31,6 +34,7 @@
     body_too_large, ///< Body over its limit.
     too_slow,       ///< Not whole within the read timeout.
     unanswered,     ///< Its handler gave it up; it may have been executed.
+    no_memory,      ///< The memory for clients is used up; it was not handed on.
 };
 
 /// Name of a fault in logs.
@@ -45,6 +49,7 @@
     backlog_full,  ///< The client left too many bytes of a stream unread.
     aborted,       ///< The handler of the request dropped the connection.
     finished,      ///< The last response was sent.
+    no_memory,     ///< The memory for clients is used up, and this one held most for longest.
 };
 
 /// Name of a cause in logs and metrics.
--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -20,9 +20,15 @@
 /// Longer ones overflow the clock.
 constexpr std::chrono::milliseconds longest_timeout = std::chrono::hours(24 * 365);
 
-net::http_server_settings first_settings(std::size_t connection_limit)
+/// Retry delay reported when the memory for clients is used up: those that hold much for long give
+/// it back first.
+constexpr std::chrono::milliseconds no_memory_retry_after{500};
+
+net::http_server_settings first_settings(std::size_t connection_limit,
+                                         std::shared_ptr<net::memory_account> memory)
 {
     net::http_server_settings settings;
+    settings.m_memory = std::move(memory);
     settings.m_connection_limit = connection_limit;
     return settings;
 }
@@ -41,12 +47,20 @@
         return 408;
     case net::request_fault::unanswered:
         return 500;
+    case net::request_fault::no_memory:
+        return 503;
     }
     return 400;
 }
 
-net::http_response answer_fault(net::request_fault fault)
+/// `to_instance` is set for a request that another instance passes on.
+net::http_response answer_fault(const http_codec& codec, net::request_fault fault, bool to_instance)
 {
+    if (fault == net::request_fault::no_memory)
+    {
+        return codec.encode(
+            refusal{refusal_reason::overloaded, no_memory_retry_after, {}, to_instance});
+    }
     const unsigned status = status_of(fault);
     observe::log("request_refused", {{"status", status}});
     net::http_response answer;
@@ -58,14 +72,15 @@
 
 relay_service::relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
                              std::size_t connection_limit,
-                             const std::optional<net::tcp::endpoint>& peers)
-    : m_state(state), m_settings(first_settings(connection_limit)),
+                             const std::optional<net::tcp::endpoint>& peers,
+                             std::shared_ptr<net::memory_account> memory)
+    : m_state(state), m_settings(first_settings(connection_limit, std::move(memory))),
       m_server(
           state.m_context, endpoint, m_settings,
           [this](const std::shared_ptr<net::http_exchange>& exchange) {
               on_request(exchange, false);
           },
-          answer_fault)
+          [&state](net::request_fault fault) { return answer_fault(state.m_codec, fault, false); })
 {
     if (peers)
     {
@@ -74,7 +89,9 @@
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
                 on_request(exchange, true);
             },
-            answer_fault);
+            [this](net::request_fault fault) {
+                return answer_fault(m_state.m_codec, fault, true);
+            });
     }
     m_state.m_on_config = [this] { apply_limits(); };
 }
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -13,10 +13,12 @@
 {
 public:
     /// Binds at once; throws boost::system::system_error when the address is in use.
-    /// `peers` is where other instances pass requests on to this one.
+    /// `peers` is where other instances pass requests on to this one. `memory` bounds what
+    /// connections hold.
     relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
                   std::size_t connection_limit,
-                  const std::optional<net::tcp::endpoint>& peers = std::nullopt);
+                  const std::optional<net::tcp::endpoint>& peers = std::nullopt,
+                  std::shared_ptr<net::memory_account> memory = net::memory_account::unlimited());
     ~relay_service();
     relay_service(const relay_service&) = delete;
     relay_service& operator=(const relay_service&) = delete;
