A response's last chunk that arrives in pieces ends no process either

What callers saw: nothing yet; the same assertion of the parser as for requests ends an instance when an upstream, another instance or the store answers with an empty chunked body whose end is cut into a read of three bytes and one of one byte.

Change: http_client reads bodies itself, and gives a chunked one to the parser only once the least bytes that can end it are there.

--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/core/parse_number.hpp"
 #include "tarragontrail/net/head_buffer.hpp"
+#include "tarragontrail/net/parsed_bytes.hpp"
 #include "tarragontrail/net/socket_options.hpp"
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/observe/log.hpp"
@@ -345,10 +346,52 @@
         auto& body = m_parser->get().body();
         body.data = m_piece.data();
         body.size = m_piece.size();
-        http::async_read_some(m_connection->m_socket, m_connection->m_buffer, *m_parser,
-                              [self = this->shared_from_this()](error_code error, std::size_t) {
-                                  self->on_piece(error);
-                              });
+        read_piece();
+    }
+
+    void read_piece()
+    {
+        auto& buffer = m_connection->m_buffer;
+        error_code error = http::error::need_more;
+        if (buffer.size() >= least_parsed_bytes(*m_parser))
+        {
+            buffer.consume(m_parser->put(buffer.data(), error));
+        }
+        const std::size_t room = boost::beast::read_size(buffer, largest_read_bytes);
+        if (error == http::error::need_more && room > 0)
+        {
+            m_connection->m_socket.async_read_some(
+                buffer.prepare(room),
+                [self = this->shared_from_this()](error_code failure, std::size_t size) {
+                    self->on_bytes(failure, size);
+                });
+            return;
+        }
+        if (error == http::error::need_more)
+        {
+            error = http::error::buffer_overflow;
+        }
+        boost::asio::post(m_pool->m_context,
+                          [self = this->shared_from_this(), error] { self->on_piece(error); });
+    }
+
+    void on_bytes(error_code error, std::size_t size)
+    {
+        if (m_connection)
+        {
+            m_connection->m_buffer.commit(size);
+        }
+        if (!error && m_connection && m_listener)
+        {
+            read_piece();
+            return;
+        }
+        if (error == boost::asio::error::eof)
+        {
+            error = {};
+            m_parser->put_eof(error);
+        }
+        on_piece(error);
     }
 
     void on_piece(error_code error)
@@ -554,6 +597,9 @@
         return from_parser ? call_fault::malformed : call_fault::reset;
     }
 
+    /// Most bytes of a body that are read at once.
+    static constexpr std::size_t largest_read_bytes = 65'536;
+
     /// Statuses of HTTP.
     static constexpr unsigned lowest_status = 100;
     static constexpr unsigned highest_status = 599;
--- a/tarragontrail/net/request_reader.cpp
+++ b/tarragontrail/net/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "tarragontrail/net/request_reader.hpp"
 
+#include "tarragontrail/net/parsed_bytes.hpp"
+
 #include <algorithm>
 
 namespace tarragontrail::net {
@@ -15,10 +17,6 @@
 /// Same for a body of a known length.
 constexpr std::size_t body_piece_bytes = std::size_t{64} * 1024;
 
-/// Least bytes that a chunked body has left before its end. The parser ends the process by an
-/// assertion when it is given the beginning of a last chunk again that is shorter.
-constexpr std::size_t last_chunk_bytes = std::string_view("0\r\n\r\n").size();
-
 /// Links, lengths and allocation overhead of one header field.
 constexpr std::size_t field_overhead_bytes = 96;
 
@@ -59,8 +57,7 @@
         {
             m_parser->eager(true);
         }
-        const bool is_chunked = m_is_head_told && m_parser->chunked();
-        if (m_buffer.size() < (is_chunked ? last_chunk_bytes : 1))
+        if (m_buffer.size() < least_parsed_bytes(*m_parser))
         {
             return progress::incomplete;
         }
