A link to another instance is bounded before the other side has named itself

What callers saw: 200 connections at the port for other instances, each with one websocket message of 16 MB, took 285 MB (entry) and 341 MB (relay).

Cause: a link kept messages up to the codec's 32 MB whoever sent them, and there was no bound on links.

Change: a link takes 16 KiB before the other side has named itself, messages of 8 MiB after that, and claims what it holds of one that is not whole. Above the bound of links an unnamed one makes room. An accept that fails is tried again after a pause.

--- a/tarragontrail/net/peer_link.cpp
+++ b/tarragontrail/net/peer_link.cpp
@@ -12,10 +12,11 @@
 peer_link::peer_link(tcp::socket socket, wire::websocket_role role, const wire::hello& own_name,
                      const peer_link_settings& settings, peer_link_listener& listener,
                      peer_traffic& traffic)
-    : m_socket(std::move(socket)), m_codec(role, "peer"), m_own_name(own_name),
-      m_settings(settings), m_listener(&listener), m_traffic(&traffic),
+    : m_socket(std::move(socket)), m_codec(role, "peer", settings.m_message_limit_bytes),
+      m_own_name(own_name), m_settings(settings), m_listener(&listener), m_traffic(&traffic),
       m_timer(m_socket.get_executor()), m_opened(core::runtime_clock::now()),
-      m_last_heard(m_opened), m_last_used(m_opened)
+      m_last_heard(m_opened), m_last_used(m_opened),
+      m_is_accepted(role == wire::websocket_role::server), m_claim(settings.m_memory)
 {}
 
 void peer_link::connect(const tcp::endpoint& endpoint)
@@ -82,7 +83,17 @@
     m_traffic->m_bytes_received += size;
     m_codec.feed(m_input.data(), size);
     flush();
-    for (const std::string& bytes : m_codec.take_messages())
+    const std::vector<std::string> messages = m_codec.take_messages();
+    m_partial_bytes = messages.empty() ? m_partial_bytes + size : 0;
+    const bool is_unnamed = core::value_of(m_peer) == 0 && messages.empty();
+    if (!m_claim.resize(m_partial_bytes) ||
+        (is_unnamed && m_partial_bytes > m_settings.m_unnamed_limit_bytes))
+    {
+        observe::log("peer_link_refused", {{"bytes", m_partial_bytes}, {"named", !is_unnamed}});
+        close();
+        return;
+    }
+    for (const std::string& bytes : messages)
     {
         if (m_listener == nullptr)
         {
--- a/tarragontrail/net/peer_link.hpp
+++ b/tarragontrail/net/peer_link.hpp
@@ -2,6 +2,7 @@
 
 #include "tarragontrail/core/ids.hpp"
 #include "tarragontrail/net/http_types.hpp"
+#include "tarragontrail/net/memory_account.hpp"
 #include "tarragontrail/net/timer.hpp"
 #include "tarragontrail/wire/generated_messages.hpp"
 #include "tarragontrail/wire/websocket_codec.hpp"
@@ -26,6 +27,15 @@
     std::chrono::milliseconds m_idle_timeout{60'000}; ///< A link without messages this long closes.
     std::size_t m_queue_limit = 1'024;                ///< Most messages waiting for a handshake.
     std::size_t m_backlog_limit_bytes = 1'048'576;    ///< Most bytes waiting for the socket.
+    /// Largest message; no instance sends one beyond its backlog and one message more.
+    std::size_t m_message_limit_bytes = std::size_t{8} * 1024 * 1024;
+    /// Most bytes that a link takes before the peer has named itself.
+    std::size_t m_unnamed_limit_bytes = std::size_t{16} * 1024;
+    std::size_t m_accepted_limit = 4'096; ///< Most links that others opened.
+    /// Bounds what is held of messages that are not whole; size of the receive queues of links that
+    /// others opened, or zero for the system's.
+    std::shared_ptr<memory_account> m_memory = memory_account::unlimited();
+    int m_receive_buffer_bytes = 0;
 };
 
 class peer_link;
@@ -108,6 +118,9 @@
     /// Peer's identity once it has named itself; zero before.
     core::instance_id peer() const noexcept { return m_peer; }
 
+    /// Whether the other side opened it.
+    bool is_accepted() const noexcept { return m_is_accepted; }
+
 private:
     void read();
     void on_bytes(std::size_t size);
@@ -128,12 +141,15 @@
     std::string m_in_flight;                                ///< Bytes being written.
     std::string m_backlog;                                  ///< Bytes to write next.
     std::array<char, 8192> m_input{};                       ///< Room for one read.
-    core::instance_id m_peer{};    ///< Zero until the peer has named itself.
-    core::time_point m_opened;     ///< Start of the link.
-    core::time_point m_last_heard; ///< Last bytes read.
-    core::time_point m_last_used;  ///< Last message other than the link's own.
-    bool m_introduced = false;     ///< Own name is sent.
-    bool m_writing = false;        ///< A write is pending.
+    core::instance_id m_peer{};      ///< Zero until the peer has named itself.
+    core::time_point m_opened;       ///< Start of the link.
+    core::time_point m_last_heard;   ///< Last bytes read.
+    core::time_point m_last_used;    ///< Last message other than the link's own.
+    bool m_introduced = false;       ///< Own name is sent.
+    bool m_writing = false;          ///< A write is pending.
+    bool m_is_accepted = false;      ///< The other side opened it.
+    memory_claim m_claim;            ///< Bytes of a message that is not whole, and those to write.
+    std::size_t m_partial_bytes = 0; ///< Bytes read since the last whole message.
 };
 
 } // namespace tarragontrail::net
--- a/tarragontrail/net/peer_network.cpp
+++ b/tarragontrail/net/peer_network.cpp
@@ -1,5 +1,9 @@
 #include "tarragontrail/net/peer_network.hpp"
 
+#include "tarragontrail/observe/log.hpp"
+
+#include <algorithm>
+
 namespace tarragontrail::net {
 
 using boost::system::error_code;
@@ -7,11 +11,16 @@
 peer_network::peer_network(boost::asio::io_context& context, const tcp::endpoint& endpoint,
                            const wire::hello& own_name, const peer_link_settings& settings,
                            peer_network_listener& listener)
-    : m_context(context), m_acceptor(context), m_own_name(own_name), m_settings(settings),
-      m_listener(listener)
+    : m_context(context), m_acceptor(context), m_accept_timer(context), m_own_name(own_name),
+      m_settings(settings), m_listener(listener)
 {
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    if (settings.m_receive_buffer_bytes > 0)
+    {
+        m_acceptor.set_option(
+            boost::asio::socket_base::receive_buffer_size(settings.m_receive_buffer_bytes));
+    }
     m_acceptor.bind(endpoint);
     m_acceptor.listen();
     accept();
@@ -86,18 +95,46 @@
         {
             return;
         }
-        if (!error)
+        if (error)
         {
-            const auto link =
-                std::make_shared<peer_link>(std::move(socket), wire::websocket_role::server,
-                                            m_own_name, m_settings, *this, m_traffic);
-            m_links.insert(link);
-            link->serve();
+            // A connection that cannot be accepted stays in the queue, so a try at once fails too.
+            observe::log("accept_failed", {{"reason", error.message()}});
+            m_accept_timer.run_after(accept_retry_delay, [this] { accept(); });
+            return;
         }
+        take(std::move(socket));
         accept();
     });
 }
 
+void peer_network::take(tcp::socket socket)
+{
+    if (m_links.size() >= m_settings.m_accepted_limit && !close_unnamed_link())
+    {
+        observe::log("peer_link_refused", {{"links", m_links.size()}});
+        return;
+    }
+    const auto link = std::make_shared<peer_link>(std::move(socket), wire::websocket_role::server,
+                                                  m_own_name, m_settings, *this, m_traffic);
+    m_links.insert(link);
+    link->serve();
+}
+
+/// What connects without being an instance does not keep out the others.
+bool peer_network::close_unnamed_link()
+{
+    const auto unnamed = std::find_if(m_links.begin(), m_links.end(), [](const auto& link) {
+        return link->is_accepted() && core::value_of(link->peer()) == 0;
+    });
+    if (unnamed == m_links.end())
+    {
+        return false;
+    }
+    (*unnamed)->abandon();
+    m_links.erase(unnamed);
+    return true;
+}
+
 void peer_network::on_link_named(peer_link& link, core::instance_id peer)
 {
     // A sound route stays, so that messages to one peer keep their order.
--- a/tarragontrail/net/peer_network.hpp
+++ b/tarragontrail/net/peer_network.hpp
@@ -59,12 +59,17 @@
 
 private:
     void accept();
+    void take(tcp::socket socket);
+    bool close_unnamed_link();
     void on_link_named(peer_link& link, core::instance_id peer) override;
     void on_link_message(peer_link& link, const wire::message& message) override;
     void on_link_closed(peer_link& link) override;
 
+    static constexpr std::chrono::milliseconds accept_retry_delay{100};
+
     boost::asio::io_context& m_context;                 ///< Event loop.
     tcp::acceptor m_acceptor;                           ///< Listening socket.
+    timer m_accept_timer;                               ///< Next accept after one that failed.
     wire::hello m_own_name;                             ///< First message on each link.
     peer_link_settings m_settings;                      ///< For each link.
     peer_network_listener& m_listener;                  ///< Told of messages.
--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -8,9 +8,8 @@
 namespace tarragontrail::relay {
 namespace {
 
-net::peer_link_settings link_settings()
+net::peer_link_settings link_settings(net::peer_link_settings settings)
 {
-    net::peer_link_settings settings;
     settings.m_connect_timeout = std::chrono::milliseconds(500);
     settings.m_heartbeat_interval = std::chrono::milliseconds(1'000);
     // Relay and link heartbeats arrive at least once a second, so a link without any is dead.
@@ -27,8 +26,8 @@
                                fleet_exchange_listener& listener)
     : m_settings(settings), m_self(self), m_state(state), m_registry(registry),
       m_listener(listener),
-      m_network(context, endpoint, wire::hello{self.m_instance, self.m_started}, link_settings(),
-                *this),
+      m_network(context, endpoint, wire::hello{self.m_instance, self.m_started},
+                link_settings(settings.m_links), *this),
       m_heartbeat_timer(context), m_urgent_timer(context), m_digest_timer(context),
       m_cells(self.m_instance)
 {}
--- a/tarragontrail/relay/fleet_exchange.hpp
+++ b/tarragontrail/relay/fleet_exchange.hpp
@@ -14,6 +14,7 @@
 /// Settings of fleet_exchange.
 struct fleet_exchange_settings
 {
+    net::peer_link_settings m_links; ///< Bounds on what links hold; their times are set here.
     /// Heartbeat interval in a small cell.
     std::chrono::milliseconds m_min_heartbeat_interval{200};
     /// The interval grows by this much per instance of the cell.
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -40,6 +40,13 @@
     return settings;
 }
 
+fleet_exchange_settings exchange_settings(const fleet_service_settings& settings)
+{
+    fleet_exchange_settings exchange;
+    exchange.m_links = settings.m_links;
+    return exchange;
+}
+
 } // namespace
 
 fleet_service::fleet_service(boost::asio::io_context& context, fleet_service_settings settings,
@@ -49,7 +56,8 @@
                              const placement::duty_lease_settings& lease)
     : m_settings(settings), m_self(std::move(self)), m_state(state), m_store(store),
       m_document_applier(state, reader), m_registry(m_self),
-      m_exchange(context, {}, m_self, peer_endpoint, state, m_registry, *this),
+      m_exchange(context, exchange_settings(settings), m_self, peer_endpoint, state, m_registry,
+                 *this),
       m_rollout(context, {}, lease, state, m_registry, store, engines, *this, m_self,
                 [this](const table_row& row) { publish_own_row(row); }),
       m_cache_events(context, {}, state, m_registry, engines, m_self.m_instance),
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -45,6 +45,7 @@
     double m_link_mbps = 1'000;
     /// Changes of more bytes are not sent to every instance: each asks one that has them.
     std::size_t m_large_change_bytes = std::size_t{16} * 1024;
+    net::peer_link_settings m_links; ///< Bounds on what links to other instances hold.
 };
 
 /// Connects this instance to the fleet: registers it, follows the tables of the table store,
--- a/tarragontrail/wire/websocket_codec.cpp
+++ b/tarragontrail/wire/websocket_codec.cpp
@@ -73,17 +73,20 @@
     server_endpoint::connection_ptr m_server_side; ///< Set in the server role.
 };
 
-websocket_codec::websocket_codec(websocket_role role, const std::string& host)
+websocket_codec::websocket_codec(websocket_role role, const std::string& host,
+                                 std::size_t message_limit_bytes)
     : m_state(std::make_unique<state>())
 {
     if (role == websocket_role::server)
     {
         observe(m_state->m_server, m_state->m_events);
+        m_state->m_server.set_max_message_size(message_limit_bytes);
         m_state->m_server_side = m_state->m_server.get_connection();
         m_state->m_server_side->start();
         return;
     }
     observe(m_state->m_client, m_state->m_events);
+    m_state->m_client.set_max_message_size(message_limit_bytes);
     websocketpp::lib::error_code error;
     m_state->m_client_side = m_state->m_client.get_connection("ws://" + host + "/peer", error);
     if (error)
--- a/tarragontrail/wire/websocket_codec.hpp
+++ b/tarragontrail/wire/websocket_codec.hpp
@@ -20,8 +20,10 @@
 class websocket_codec
 {
 public:
-    /// Starts the opening handshake; a client has output to send at once.
-    websocket_codec(websocket_role role, const std::string& host);
+    /// Starts the opening handshake; a client has output to send at once. A longer message than
+    /// `message_limit_bytes` closes the connection.
+    websocket_codec(websocket_role role, const std::string& host,
+                    std::size_t message_limit_bytes = default_message_limit_bytes);
     ~websocket_codec();
     websocket_codec(const websocket_codec&) = delete;
     websocket_codec& operator=(const websocket_codec&) = delete;
@@ -47,6 +49,8 @@
     /// True after a failed handshake or a close from either side.
     bool is_closed() const;
 
+    static constexpr std::size_t default_message_limit_bytes = 32'000'000;
+
 private:
     struct state;
     std::unique_ptr<state> m_state; ///< websocketpp endpoint and connection.
