Connections, their receive queues and answers that nobody takes are bounded by the machine

What callers saw: 800 answers of 3 MB that nobody reads took 279 MB, 800 clients with pipelined requests 274 MB, of it 105 MB not read, several kinds at once 302 MB; 9,600 idle connections took 7,025 descriptors of 4,100 (relay) and 4,856 (entry).

Causes: receive queues grow by themselves; every listener had a bound of its own, and their sum was over the machine's descriptors; a session kept up to 256 KiB of an answer beside all bounds; a request was held three times; what a client did not take was written as one block that could not be dropped.

Change: client_bounds derives the bounds of all listeners from memory_mb and descriptors. Receive queues have a size; at the bound of connections the one that was idle longest makes room. A handler counts what it holds of an answer and passes it on when there is no room to keep it. It takes the request over instead of copying it. Bytes to write go out in slices, and what waits behind a slice is dropped with its claim; the write timeout holds for all that waited when it began.

With the system's receive queues towards upstreams one of them had taken 95 MB.

--- a/tarragontrail/config/generated_entry_settings.cpp
+++ b/tarragontrail/config/generated_entry_settings.cpp
@@ -49,11 +49,14 @@
 DEFINE_uint64(
     memory_mb, 260,
     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
+DEFINE_uint64(descriptors, 4100,
+              "Files and sockets that this process may have open; its shares for clients are in "
+              "docs/OPERATIONS.md.");
 
 namespace tarragontrail::config {
 namespace {
 
-constexpr std::array<setting_description, 31> descriptions{{
+constexpr std::array<setting_description, 32> descriptions{{
     {"name", "string", "entry-1", "text that matches ^[a-z0-9-]{1,64}$",
      "Name of this instance, unique in the fleet."},
     {"region", "string", "region-1", "text that matches ^[a-z0-9-]{1,64}$",
@@ -122,6 +125,9 @@
      "Callers' requests served at once."},
     {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
      "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
+    {"descriptors", "integer", "4100", "a whole number between 400 and 10000000",
+     "Files and sockets that this process may have open; its shares for clients are in "
+     "docs/OPERATIONS.md."},
 }};
 
 } // namespace
@@ -199,6 +205,8 @@
     settings.m_session_limit = FLAGS_session_limit;
     check_range("memory_mb", static_cast<double>(FLAGS_memory_mb), 40, 1000000);
     settings.m_memory_mb = FLAGS_memory_mb;
+    check_range("descriptors", static_cast<double>(FLAGS_descriptors), 400, 10000000);
+    settings.m_descriptors = FLAGS_descriptors;
     return settings;
 }
 
--- a/tarragontrail/config/generated_relay_settings.cpp
+++ b/tarragontrail/config/generated_relay_settings.cpp
@@ -32,11 +32,14 @@
 DEFINE_uint64(
     memory_mb, 260,
     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
+DEFINE_uint64(descriptors, 4100,
+              "Files and sockets that this process may have open; its shares for clients are in "
+              "docs/OPERATIONS.md.");
 
 namespace tarragontrail::config {
 namespace {
 
-constexpr std::array<setting_description, 24> descriptions{{
+constexpr std::array<setting_description, 25> descriptions{{
     {"name", "string", "relay-1", "text that matches ^[A-Za-z0-9._-]{1,64}$",
      "Name of this instance, unique in the fleet."},
     {"region", "string", "region-1", "text that matches ^[A-Za-z0-9._-]{1,64}$",
@@ -86,6 +89,9 @@
      "Log bytes written at most; further lines are dropped and counted."},
     {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
      "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
+    {"descriptors", "integer", "4100", "a whole number between 400 and 10000000",
+     "Files and sockets that this process may have open; its shares for clients are in "
+     "docs/OPERATIONS.md."},
 }};
 
 } // namespace
@@ -146,6 +152,8 @@
     settings.m_log_bytes_per_second = FLAGS_log_bytes_per_second;
     check_range("memory_mb", static_cast<double>(FLAGS_memory_mb), 40, 1000000);
     settings.m_memory_mb = FLAGS_memory_mb;
+    check_range("descriptors", static_cast<double>(FLAGS_descriptors), 400, 10000000);
+    settings.m_descriptors = FLAGS_descriptors;
     return settings;
 }
 
--- a/tarragontrail/entry/admin_server.cpp
+++ b/tarragontrail/entry/admin_server.cpp
@@ -84,10 +84,9 @@
     return told;
 }
 
-net::http_server_settings server_settings(std::size_t memory_bytes)
+net::http_server_settings server_settings(const net::http_server_settings& bounds)
 {
-    net::http_server_settings settings;
-    settings.m_memory = std::make_shared<net::memory_account>(memory_bytes);
+    net::http_server_settings settings = bounds;
     settings.m_body_limit_bytes = bundle_limit_bytes;
     return settings;
 }
@@ -136,12 +135,12 @@
 
 admin_server::admin_server(net::duty& admin, control_port& control, control_plane& plane,
                            const caller_server& callers, operator_directory operators,
-                           std::size_t memory_bytes)
+                           const net::http_server_settings& bounds)
     : m_admin(admin), m_control(control), m_plane(plane), m_callers(callers),
       m_operators(std::move(operators)),
       m_server(
           admin.context(), net::make_endpoint(plane.self().m_address, plane.self().m_ports.m_admin),
-          server_settings(memory_bytes),
+          server_settings(bounds),
           [this](const exchange_pointer& exchange) { on_request(exchange); },
           [](net::request_fault fault) { return problem_response(bad_input(fault)); })
 {}
--- a/tarragontrail/entry/admin_server.hpp
+++ b/tarragontrail/entry/admin_server.hpp
@@ -26,10 +26,10 @@
 class admin_server
 {
 public:
-    /// `memory_bytes` is what operators' connections hold at most.
+    /// `bounds` are those on what operators' connections hold.
     admin_server(net::duty& admin, control_port& control, control_plane& plane,
                  const caller_server& callers, operator_directory operators,
-                 std::size_t memory_bytes);
+                 const net::http_server_settings& bounds);
 
     /// From now on the instance reports that it is not ready for callers.
     void set_draining() noexcept { m_draining = true; }
--- a/tarragontrail/entry/caller_server.cpp
+++ b/tarragontrail/entry/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "tarragontrail/entry/caller_server.hpp"
 
 #include "tarragontrail/core/hash.hpp"
+#include "tarragontrail/net/client_bounds.hpp"
 #include "tarragontrail/observe/log.hpp"
 
 #include <nlohmann/json.hpp>
@@ -78,7 +79,9 @@
               m_metrics.count_request("bad_input");
               return problem_response(fault_problem(fault));
           })
-{}
+{
+    m_client.set_receive_buffer(net::client_bounds::upstream_receive_buffer_bytes);
+}
 
 void caller_server::stop_accepting()
 {
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -1,7 +1,9 @@
 #include "tarragontrail/entry/entry_process.hpp"
 
+#include "tarragontrail/net/client_bounds.hpp"
 #include "tarragontrail/observe/log.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 
@@ -13,14 +15,28 @@
 
 constexpr std::chrono::milliseconds drain_poll{50};
 
-/// Parts of the process's memory that connections of callers and of operators hold at most.
-constexpr double caller_share_of_memory = 0.25;
+constexpr std::size_t bytes_per_megabyte = 1'000'000;
+
+/// Parts of the process's memory that connections of callers and of operators, and links of other
+/// instances, hold at most.
+constexpr double caller_share_of_memory = 0.2;
 constexpr double operator_share_of_memory = 0.35;
+constexpr double peer_share_of_memory = 0.05;
+
+/// Parts of all connections that each listener takes; the rest is for metrics.
+constexpr double caller_part = 0.6;
+constexpr double peer_part = 0.25;
+constexpr double operator_part = 0.1;
 
 std::size_t share_of_memory(const config::entry_settings& settings, double share)
 {
-    constexpr double bytes_per_megabyte = 1e6;
-    return static_cast<std::size_t>(settings.m_memory_mb * bytes_per_megabyte * share);
+    return static_cast<std::size_t>(static_cast<double>(settings.m_memory_mb * bytes_per_megabyte) *
+                                    share);
+}
+
+net::client_bounds bounds_of(const config::entry_settings& settings)
+{
+    return {settings.m_memory_mb * bytes_per_megabyte, settings.m_descriptors};
 }
 
 std::uint64_t wall_nanoseconds()
@@ -75,6 +91,10 @@
     router.m_anchor.m_default_depth = settings.m_anchor_depth;
     router.m_region_link_bytes_per_second = settings.m_region_link_bytes_per_s;
     control.m_queue.m_in_flight_tokens = settings.m_engine_in_flight_tokens;
+    control.m_links.m_accepted_limit = bounds_of(settings).connections(peer_part);
+    control.m_links.m_memory =
+        std::make_shared<net::memory_account>(share_of_memory(settings, peer_share_of_memory));
+    control.m_links.m_receive_buffer_bytes = net::client_bounds::receive_buffer_bytes;
     return control;
 }
 
@@ -93,6 +113,16 @@
     return callers;
 }
 
+net::http_server_settings operator_bounds_of(const config::entry_settings& settings)
+{
+    net::http_server_settings bounds;
+    bounds.m_memory =
+        std::make_shared<net::memory_account>(share_of_memory(settings, operator_share_of_memory));
+    bounds.m_connection_limit = bounds_of(settings).connections(operator_part);
+    bounds.m_receive_buffer_bytes = net::client_bounds::receive_buffer_bytes;
+    return bounds;
+}
+
 } // namespace
 
 entry_process::entry_process(const config::entry_settings& settings)
@@ -107,8 +137,7 @@
       m_port(m_control, m_plane.completions(), m_plane.calls()),
       m_caller_server(m_callers, m_port, m_plane, caller_settings_of(settings), m_metrics),
       m_admin_server(m_admin, m_port, m_plane, m_caller_server,
-                     operator_directory(settings.m_operators),
-                     share_of_memory(settings, operator_share_of_memory)),
+                     operator_directory(settings.m_operators), operator_bounds_of(settings)),
       m_signals(m_main, SIGTERM, SIGINT), m_timer(m_main)
 {
     m_exposer.RegisterCollectable(m_metrics.registry());
--- a/tarragontrail/net/http_client.cpp
+++ b/tarragontrail/net/http_client.cpp
@@ -124,6 +124,7 @@
 
     boost::asio::io_context& m_context; ///< Event loop.
     std::size_t m_idle_limit;           ///< Most idle connections kept per endpoint.
+    int m_receive_buffer_bytes = 0;     ///< Zero leaves it to the system.
     std::uint64_t m_opened = 0;         ///< Connections opened.
     std::map<tcp::endpoint, std::deque<std::unique_ptr<client_connection>>> m_idle; ///< Idle ones.
 };
@@ -237,6 +238,16 @@
         ++m_pool->m_opened;
         m_connection = std::make_unique<client_connection>(m_pool->m_context);
         arm(m_settings.m_connect_timeout);
+        if (m_pool->m_receive_buffer_bytes > 0)
+        {
+            // The window of the connection is chosen when it is made. On failure the system's
+            // holds.
+            error_code ignored;
+            m_connection->m_socket.open(m_endpoint.protocol(), ignored);
+            m_connection->m_socket.set_option(
+                boost::asio::socket_base::receive_buffer_size(m_pool->m_receive_buffer_bytes),
+                ignored);
+        }
         m_connection->m_socket.async_connect(m_endpoint,
                                              [self = this->shared_from_this()](error_code error) {
                                                  if (error)
@@ -693,6 +704,11 @@
                  std::make_shared<gathering_listener>(std::move(on_result)));
 }
 
+void http_client::set_receive_buffer(int bytes)
+{
+    m_pool->m_receive_buffer_bytes = bytes;
+}
+
 std::uint64_t http_client::opened_count() const noexcept
 {
     return m_pool->m_opened;
--- a/tarragontrail/net/http_client.hpp
+++ b/tarragontrail/net/http_client.hpp
@@ -127,6 +127,10 @@
 public:
     /// `idle_limit` is the most idle connections kept per endpoint.
     explicit http_client(boost::asio::io_context& context, std::size_t idle_limit = 16);
+
+    /// Size of the receive queue of connections that are opened from now on, of which the system
+    /// allows twice as much; zero leaves it to the system.
+    void set_receive_buffer(int bytes);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -38,7 +38,10 @@
     bool m_is_server_gone = false;              ///< The handlers must not be called any more.
     std::set<server_connection*> m_connections; ///< Open connections.
     std::size_t m_busy = 0; ///< Connections with a request or a response under way.
-    std::array<char, std::size_t{64} * 1024> m_input{}; ///< Room for one read of any connection.
+    /// Room for one read of any connection.
+    std::unique_ptr<char[]> m_input = std::make_unique_for_overwrite<char[]>(input_bytes);
+
+    static constexpr std::size_t input_bytes = std::size_t{64} * 1024;
 };
 
 namespace {
@@ -54,13 +57,15 @@
 /// Memory of a connection that holds nothing for its client.
 constexpr std::size_t connection_bytes = 4'096;
 
-/// Copies of a request while it is handled: that of the server, that of its handler, and the one
-/// that is being sent on.
-constexpr std::size_t handled_copies = 3;
+/// Copies of a request while it is handled: that of its handler, and the one that is being sent on.
+constexpr std::size_t handled_copies = 2;
+
+/// Memory of a handled request beside that: its handler, and the call that sends it on.
+constexpr std::size_t handler_bytes = std::size_t{32} * 1024;
 
 std::size_t memory_of(const http_request& request)
 {
-    return handled_copies * (request.body().capacity() + memory_of_fields(request));
+    return handler_bytes + handled_copies * (request.body().capacity() + memory_of_fields(request));
 }
 
 /// One accepted connection.
@@ -213,6 +218,22 @@
         return m_writing || m_has_begun || can_read();
     }
 
+    /// Whether no byte of a request has been read.
+    bool is_idle() const { return m_reading && !m_has_begun && m_socket.is_open(); }
+
+    core::time_point idle_since() const noexcept { return m_idle_since; }
+
+    /// Closes an idle connection for another one, unless a request has arrived on it.
+    bool make_room()
+    {
+        if (can_read())
+        {
+            return false;
+        }
+        close(close_cause::making_room);
+        return true;
+    }
+
     void on_client_gone(http_exchange::close_handler handler) { m_on_gone = std::move(handler); }
 
     /// A client may use an idle connection for as long as the longest limit since its last answer.
@@ -253,6 +274,7 @@
     /// one.
     void wait_for_request()
     {
+        m_idle_since = core::runtime_clock::now();
         if (m_requests == 0)
         {
             arm_timer(m_shared->m_settings.m_read_timeout, &server_connection::on_read_timeout);
@@ -260,7 +282,6 @@
         else
         {
             m_idle = true;
-            m_idle_since = core::runtime_clock::now();
             arm_idle_timer();
         }
         wait_for_bytes(&server_connection::on_first_bytes);
@@ -306,8 +327,8 @@
     {
         error_code error;
         const std::size_t size = m_socket.receive(
-            boost::asio::buffer(m_shared->m_input.data(),
-                                std::min(m_shared->m_input.size(), m_reader.wanted_bytes())),
+            boost::asio::buffer(m_shared->m_input.get(),
+                                std::min(server_shared::input_bytes, m_reader.wanted_bytes())),
             0, error);
         if (error == boost::asio::error::would_block)
         {
@@ -319,7 +340,7 @@
             on_read_error();
             return;
         }
-        m_reader.add({m_shared->m_input.data(), size});
+        m_reader.add({m_shared->m_input.get(), size});
         read_on();
     }
 
@@ -504,8 +525,8 @@
         }
         error_code error;
         const std::size_t size = m_socket.receive(
-            boost::asio::buffer(m_shared->m_input.data(), read_ahead_limit_bytes), 0, error);
-        m_reader.add({m_shared->m_input.data(), size});
+            boost::asio::buffer(m_shared->m_input.get(), read_ahead_limit_bytes), 0, error);
+        m_reader.add({m_shared->m_input.get(), size});
         const bool has_room = claim_held_memory();
         if (error && error != boost::asio::error::would_block)
         {
@@ -535,6 +556,8 @@
         m_close_cause = close_cause::no_memory;
         error_code ignored;
         m_socket.close(ignored);
+        m_pending = {};
+        m_pending_begin = 0;
         m_claim.resize(0);
     }
 
@@ -557,27 +580,52 @@
         }
     }
 
+    /// Bytes that wait are written in slices, so that they can be dropped while one is written. The
+    /// client has the write timeout for all that wait when the first one is.
     void write_pending()
     {
         m_writing = true;
-        m_in_flight.clear();
-        m_in_flight.swap(m_pending);
-        if (!m_reading)
+        if (m_batch_bytes == 0)
         {
-            m_claim.set_start(core::runtime_clock::now());
-            arm_timer(m_shared->m_settings.m_write_timeout, &server_connection::on_write_timeout);
+            m_batch_bytes = m_pending.size() - m_pending_begin;
+            if (!m_reading)
+            {
+                m_claim.set_start(core::runtime_clock::now());
+                arm_timer(m_shared->m_settings.m_write_timeout,
+                          &server_connection::on_write_timeout);
+            }
         }
+        take_slice();
+        m_batch_bytes -= std::min(m_batch_bytes, m_in_flight.size());
         boost::asio::async_write(m_socket, boost::asio::buffer(m_in_flight),
                                  [self = shared_from_this()](error_code error, std::size_t) {
                                      self->on_written(error);
                                  });
     }
 
+    void take_slice()
+    {
+        if (m_pending_begin == 0 && m_pending.size() <= slice_bytes)
+        {
+            m_in_flight.clear();
+            m_in_flight.swap(m_pending);
+            return;
+        }
+        m_in_flight.assign(m_pending, m_pending_begin, slice_bytes);
+        m_pending_begin += m_in_flight.size();
+        if (m_pending_begin >= m_pending.size() / 2)
+        {
+            m_pending.erase(0, m_pending_begin);
+            m_pending.shrink_to_fit();
+            m_pending_begin = 0;
+        }
+    }
+
     void on_written(error_code error)
     {
         m_writing = false;
         m_backlog_bytes -= std::min(m_backlog_bytes, m_in_flight.size());
-        if (!m_reading)
+        if (!m_reading && m_batch_bytes == 0)
         {
             m_timer.cancel();
         }
@@ -586,7 +634,7 @@
             close(m_close_cause);
             return;
         }
-        if (!m_pending.empty())
+        if (m_pending.size() > m_pending_begin)
         {
             write_pending();
             return;
@@ -638,15 +686,16 @@
     /// Reads until the client closes or the linger timeout is over, however much the client sends.
     void discard_input()
     {
-        m_socket.async_read_some(boost::asio::buffer(m_shared->m_input),
-                                 [self = shared_from_this()](error_code error, std::size_t) {
-                                     if (error)
-                                     {
-                                         self->close(close_cause::finished);
-                                         return;
-                                     }
-                                     self->discard_input();
-                                 });
+        m_socket.async_read_some(
+            boost::asio::buffer(m_shared->m_input.get(), server_shared::input_bytes),
+            [self = shared_from_this()](error_code error, std::size_t) {
+                if (error)
+                {
+                    self->close(close_cause::finished);
+                    return;
+                }
+                self->discard_input();
+            });
     }
 
     /// Closes the connection before its response is complete.
@@ -706,6 +755,9 @@
 
     static constexpr std::chrono::milliseconds linger_timeout{500};
 
+    /// Most bytes that are written at once.
+    static constexpr std::size_t slice_bytes = std::size_t{64} * 1024;
+
     /// Largest empty buffer that is kept for the next response.
     static constexpr std::size_t kept_buffer_bytes = std::size_t{4} * 1024;
 
@@ -723,6 +775,8 @@
     std::uint64_t m_wait = 0;                     ///< Number of the latest wait for bytes.
     http_exchange::close_handler m_on_gone;       ///< Told when the connection closes too soon.
     std::string m_pending;                        ///< Bytes to write next.
+    std::size_t m_pending_begin = 0;              ///< Those before were written.
+    std::size_t m_batch_bytes = 0;                ///< Bytes to write within the write timeout.
     std::string m_in_flight;                      ///< Bytes being written.
     std::size_t m_backlog_bytes = 0;              ///< Unsent bytes.
     core::time_point m_due{};                     ///< Latest deadline that was set.
@@ -766,6 +820,18 @@
 
     const http_request& request() const override { return m_request; }
 
+    http_request take_request() override { return std::move(m_request); }
+
+    bool hold(std::size_t bytes) override
+    {
+        if (!m_claim->resize(m_claim->bytes() - m_held_bytes + bytes))
+        {
+            return false;
+        }
+        m_held_bytes = bytes;
+        return true;
+    }
+
     void respond(http_response response) override
     {
         if (is_current())
@@ -834,6 +900,7 @@
     std::uint64_t m_number;                          ///< Count of the connection's requests.
     http_request m_request;                          ///< Request.
     std::unique_ptr<memory_claim> m_claim;           ///< For the request while it is handled.
+    std::size_t m_held_bytes = 0;                    ///< Part of it that the handler asked for.
 };
 
 void server_connection::on_request()
@@ -868,11 +935,18 @@
 /// Accepts connections until told to stop.
 struct http_server::listener : std::enable_shared_from_this<http_server::listener>
 {
-    listener(boost::asio::io_context& context, const tcp::endpoint& endpoint)
+    listener(boost::asio::io_context& context, const tcp::endpoint& endpoint,
+             int receive_buffer_bytes)
         : m_acceptor(context), m_retry_timer(context), m_shared(std::make_shared<server_shared>())
     {
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (receive_buffer_bytes > 0)
+        {
+            // Connections inherit it.
+            m_acceptor.set_option(
+                boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+        }
         m_acceptor.bind(endpoint);
         m_acceptor.listen();
     }
@@ -909,7 +983,8 @@
 
     void take(tcp::socket socket)
     {
-        if (m_shared->m_connections.size() >= m_shared->m_settings.m_connection_limit)
+        if (m_shared->m_connections.size() >= m_shared->m_settings.m_connection_limit &&
+            !close_longest_idle())
         {
             observe::log("connection_refused", {{"reason", "connection_limit"}});
             return;
@@ -923,6 +998,21 @@
         connection->read_request();
     }
 
+    /// Clients that keep connections without using them do not keep out others.
+    bool close_longest_idle() const
+    {
+        server_connection* longest = nullptr;
+        for (server_connection* each : m_shared->m_connections)
+        {
+            if (each->is_idle() &&
+                (longest == nullptr || each->idle_since() < longest->idle_since()))
+            {
+                longest = each;
+            }
+        }
+        return longest != nullptr && longest->make_room();
+    }
+
     static constexpr std::chrono::milliseconds accept_retry_delay{100};
 
     tcp::acceptor m_acceptor;                ///< Listening socket.
@@ -933,7 +1023,7 @@
 http_server::http_server(boost::asio::io_context& context, const tcp::endpoint& endpoint,
                          const http_server_settings& settings, request_handler on_request,
                          fault_handler on_fault)
-    : m_listener(std::make_shared<listener>(context, endpoint))
+    : m_listener(std::make_shared<listener>(context, endpoint, settings.m_receive_buffer_bytes))
 {
     m_listener->m_shared->m_settings = settings;
     m_listener->m_shared->m_on_request = std::move(on_request);
@@ -1046,6 +1136,8 @@
         return "finished";
     case close_cause::no_memory:
         return "no_memory";
+    case close_cause::making_room:
+        return "making_room";
     }
     return "unknown";
 }
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -24,6 +24,9 @@
         std::size_t{4} * 1024 * 1024; ///< Most unsent stream bytes kept.
     /// Bounds what the connections of this and other listeners hold; not replaced by an update.
     std::shared_ptr<memory_account> m_memory = memory_account::unlimited();
+    /// Size of each connection's receive queue, of which the system allows twice as much; zero
+    /// leaves it to the system. Not replaced by an update.
+    int m_receive_buffer_bytes = 0;
 };
 
 /// Why the server answers a request itself.
@@ -49,6 +52,7 @@
     backlog_full,  ///< The client left too many bytes of a stream unread.
     aborted,       ///< The handler of the request dropped the connection.
     finished,      ///< The last response was sent.
+    making_room,   ///< It was idle for longest, and another client came.
     no_memory,     ///< The memory for clients is used up, and this one held most for longest.
 };
 
@@ -67,6 +71,13 @@
     /// The request; its body is whole.
     virtual const http_request& request() const = 0;
 
+    /// Hands the request out, so that it is not held twice; request() is empty afterwards.
+    virtual http_request take_request() = 0;
+
+    /// Counts memory that the handler holds for the response; returns false, with what was counted
+    /// before unchanged, when there is no room for it.
+    virtual bool hold(std::size_t bytes) = 0;
+
     /// Sends a whole response; the last call on this exchange.
     virtual void respond(http_response response) = 0;
 
--- a/tarragontrail/relay/http_codec.hpp
+++ b/tarragontrail/relay/http_codec.hpp
@@ -117,10 +117,10 @@
     virtual ~http_codec() = default;
 
     /// Parses a caller's request; throws request_error.
-    virtual caller_request decode(const net::http_request& message) const = 0;
+    virtual caller_request decode(net::http_request message) const = 0;
 
     /// Parses a request that another instance passes on; throws request_error.
-    virtual caller_request decode_passed_on(const net::http_request& message) const = 0;
+    virtual caller_request decode_passed_on(net::http_request message) const = 0;
 
     /// Builds the request that is sent to an upstream.
     virtual net::http_request encode(const caller_request& request,
--- a/tarragontrail/relay/relay_service.cpp
+++ b/tarragontrail/relay/relay_service.cpp
@@ -24,12 +24,12 @@
 /// it back first.
 constexpr std::chrono::milliseconds no_memory_retry_after{500};
 
-net::http_server_settings first_settings(std::size_t connection_limit,
-                                         std::shared_ptr<net::memory_account> memory)
+net::http_server_settings first_settings(const listener_bounds& bounds)
 {
     net::http_server_settings settings;
-    settings.m_memory = std::move(memory);
-    settings.m_connection_limit = connection_limit;
+    settings.m_connection_limit = bounds.m_connections;
+    settings.m_memory = bounds.m_memory;
+    settings.m_receive_buffer_bytes = bounds.m_receive_buffer_bytes;
     return settings;
 }
 
@@ -71,10 +71,9 @@
 } // namespace
 
 relay_service::relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
-                             std::size_t connection_limit,
-                             const std::optional<net::tcp::endpoint>& peers,
-                             std::shared_ptr<net::memory_account> memory)
-    : m_state(state), m_settings(first_settings(connection_limit, std::move(memory))),
+                             const listener_bounds& bounds,
+                             const std::optional<net::tcp::endpoint>& peers)
+    : m_state(state), m_bounds(bounds), m_settings(first_settings(bounds)),
       m_server(
           state.m_context, endpoint, m_settings,
           [this](const std::shared_ptr<net::http_exchange>& exchange) {
@@ -85,7 +84,7 @@
     if (peers)
     {
         m_peer_server = std::make_unique<net::http_server>(
-            m_state.m_context, *peers, m_settings,
+            m_state.m_context, *peers, passed_on_settings(),
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
                 on_request(exchange, true);
             },
@@ -114,13 +113,7 @@
     m_server.update(m_settings);
     if (m_peer_server)
     {
-        net::http_server_settings settings = m_settings;
-        settings.m_header_limit_bytes +=
-            std::min(peer_header_bytes,
-                     std::numeric_limits<std::uint32_t>::max() - settings.m_header_limit_bytes);
-        settings.m_keep_alive_timeout =
-            std::max(settings.m_keep_alive_timeout, peer_keep_alive_timeout);
-        m_peer_server->update(settings);
+        m_peer_server->update(passed_on_settings());
     }
     observe::log("limits_in_force", {{"config", m_state.m_routes->config().m_version},
                                      {"head_bytes", m_settings.m_header_limit_bytes},
@@ -129,6 +122,19 @@
                                      {"idle_timeout_ms", m_settings.m_keep_alive_timeout.count()}});
 }
 
+/// Those of callers, with room for what an instance adds.
+net::http_server_settings relay_service::passed_on_settings() const
+{
+    net::http_server_settings settings = m_settings;
+    settings.m_connection_limit = m_bounds.m_passed_on_connections;
+    settings.m_header_limit_bytes +=
+        std::min(peer_header_bytes,
+                 std::numeric_limits<std::uint32_t>::max() - settings.m_header_limit_bytes);
+    settings.m_keep_alive_timeout =
+        std::max(settings.m_keep_alive_timeout, peer_keep_alive_timeout);
+    return settings;
+}
+
 void relay_service::give_up_requests()
 {
     // A session leaves the set when it ends.
@@ -175,8 +181,8 @@
     try
     {
         caller_request request = is_passed_on
-                                     ? m_state.m_codec.decode_passed_on(exchange->request())
-                                     : m_state.m_codec.decode(exchange->request());
+                                     ? m_state.m_codec.decode_passed_on(exchange->take_request())
+                                     : m_state.m_codec.decode(exchange->take_request());
         session = std::make_shared<relay_session>(m_state, exchange, std::move(request));
         session->start();
     }
--- a/tarragontrail/relay/relay_service.hpp
+++ b/tarragontrail/relay/relay_service.hpp
@@ -8,17 +8,25 @@
 
 namespace tarragontrail::relay {
 
+/// Bounds on what callers make the relay hold.
+struct listener_bounds
+{
+    std::size_t m_connections = 1'500;           ///< Callers' connections at most.
+    std::size_t m_passed_on_connections = 1'500; ///< Those of other instances.
+    /// Bounds what all these connections hold.
+    std::shared_ptr<net::memory_account> m_memory = net::memory_account::unlimited();
+    int m_receive_buffer_bytes = 0; ///< See net::http_server_settings.
+};
+
 /// Listens for callers and creates a session for each request.
 class relay_service
 {
 public:
     /// Binds at once; throws boost::system::system_error when the address is in use.
-    /// `peers` is where other instances pass requests on to this one. `memory` bounds what
-    /// connections hold.
+    /// `peers` is where other instances pass requests on to this one.
     relay_service(relay_state& state, const net::tcp::endpoint& endpoint,
-                  std::size_t connection_limit,
-                  const std::optional<net::tcp::endpoint>& peers = std::nullopt,
-                  std::shared_ptr<net::memory_account> memory = net::memory_account::unlimited());
+                  const listener_bounds& bounds,
+                  const std::optional<net::tcp::endpoint>& peers = std::nullopt);
     ~relay_service();
     relay_service(const relay_service&) = delete;
     relay_service& operator=(const relay_service&) = delete;
@@ -57,9 +65,11 @@
 
 private:
     void on_request(const std::shared_ptr<net::http_exchange>& exchange, bool is_passed_on);
+    net::http_server_settings passed_on_settings() const;
     std::size_t busy_count() const;
 
     relay_state& m_state;
+    listener_bounds m_bounds;
     net::http_server_settings m_settings;
     net::http_server m_server;
     std::unique_ptr<net::http_server> m_peer_server; ///< Null when no peers pass requests on.
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -160,13 +160,15 @@
         return;
     case response_mode::buffered:
         m_body.append(chunk);
-        if (m_body.size() > m_state.m_session_settings.m_buffer_limit_bytes)
+        if (m_body.size() > m_state.m_session_settings.m_buffer_limit_bytes ||
+            !m_exchange->hold(m_body.capacity()))
         {
             m_mode = response_mode::piped;
             begin_response();
             m_exchange->write(m_body);
             m_bytes_sent += m_body.size();
-            m_body.clear();
+            m_body = {};
+            m_exchange->hold(0);
         }
         return;
     case response_mode::piped:
--- a/unit_tests/crowds/crowd_fixture.cpp
+++ b/unit_tests/crowds/crowd_fixture.cpp
@@ -41,9 +41,9 @@
 
 void crowd_fixture::expect_survival(crowd& clients)
 {
-    const auto is_within_machine = [](const process_usage& usage) {
-        return usage.memory_bytes() <= machine_memory_bytes &&
-               usage.m_peak_bytes <= machine_memory_bytes &&
+    const auto is_within_machine = [this](const process_usage& usage) {
+        return usage.memory_bytes() <= m_machine_memory_bytes &&
+               usage.m_peak_bytes <= m_machine_memory_bytes &&
                usage.m_descriptors <= machine_descriptors;
     };
     process_usage most;
--- a/unit_tests/crowds/crowd_fixture.hpp
+++ b/unit_tests/crowds/crowd_fixture.hpp
@@ -16,7 +16,7 @@
 
 protected:
     /// What the platform gives a process: memory in bytes and descriptors.
-    static constexpr std::size_t machine_memory_bytes = 260'000'000;
+    std::size_t m_machine_memory_bytes = 260'000'000;
     static constexpr std::size_t machine_descriptors = 4'100;
 
     virtual pid_t process() const = 0;
--- a/unit_tests/crowds/relay_crowd_test.cpp
+++ b/unit_tests/crowds/relay_crowd_test.cpp
@@ -31,6 +31,10 @@
     CPPUNIT_TEST(large_bodies_at_the_port_of_other_instances);
     CPPUNIT_TEST(websocket_messages_without_end_at_the_peers_port);
     CPPUNIT_TEST(idle_connections_at_every_port);
+    CPPUNIT_TEST(several_kinds_at_a_small_machine);
+    CPPUNIT_TEST(answers_that_nobody_reads_at_a_small_machine);
+    CPPUNIT_TEST(heads_of_many_small_fields_at_a_small_machine);
+    CPPUNIT_TEST(largest_request_is_served_at_a_small_machine);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<relay_machine> m_machine;
@@ -106,15 +110,37 @@
     void several_kinds_at_once()
     {
         crowd all;
-        all.add(m_machine->callers(), 40, m_posts.endless_trailer());
-        all.add(m_machine->callers(), 80, m_posts.large_body());
-        all.add(m_machine->callers(), 80, m_posts.slow_body());
-        all.add(m_machine->callers(), 80, m_posts.large_chunks());
-        all.add(m_machine->callers(), 200, m_posts.tiny_chunks());
-        all.add(m_machine->callers(), 200, m_large_answers.unread_answer());
+        add_several_kinds(all);
         expect_survival(all);
     }
 
+    void several_kinds_at_a_small_machine()
+    {
+        begin_small_machine();
+        crowd all;
+        add_several_kinds(all);
+        expect_survival(all);
+    }
+
+    void answers_that_nobody_reads_at_a_small_machine()
+    {
+        begin_small_machine();
+        expect_survival(m_machine->callers(), 400, m_large_answers.unread_answer());
+    }
+
+    void heads_of_many_small_fields_at_a_small_machine()
+    {
+        begin_small_machine();
+        expect_survival(m_machine->callers(), 1'400, m_posts.many_small_fields());
+    }
+
+    void largest_request_is_served_at_a_small_machine()
+    {
+        begin_small_machine();
+        constexpr std::size_t longest_body_bytes = std::size_t{4} * 1024 * 1024;
+        CPPUNIT_ASSERT(m_machine->answers_request(std::string(longest_body_bytes, 'x')));
+    }
+
     void second_crowd_after_the_first()
     {
         expect_survival(m_machine->callers(), 100, m_posts.large_chunks());
@@ -164,6 +190,26 @@
         expect_survival(all);
     }
 
+private:
+    /// The smallest machine of the deployments.
+    void begin_small_machine()
+    {
+        m_machine.reset();
+        m_machine_memory_bytes = 88'000'000;
+        m_machine = std::make_unique<relay_machine>(caller_bounds{},
+                                                    std::vector<std::string>{"--memory_mb=88"});
+    }
+
+    void add_several_kinds(crowd& all) const
+    {
+        all.add(m_machine->callers(), 40, m_posts.endless_trailer());
+        all.add(m_machine->callers(), 80, m_posts.large_body());
+        all.add(m_machine->callers(), 80, m_posts.slow_body());
+        all.add(m_machine->callers(), 80, m_posts.large_chunks());
+        all.add(m_machine->callers(), 200, m_posts.tiny_chunks());
+        all.add(m_machine->callers(), 200, m_large_answers.unread_answer());
+    }
+
 protected:
     pid_t process() const override { return m_machine->process(); }
     bool answers_request() override { return m_machine->answers_request(); }
--- a/unit_tests/crowds/relay_machine.cpp
+++ b/unit_tests/crowds/relay_machine.cpp
@@ -123,7 +123,7 @@
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     const int result =
         posix_spawn(&m_process, words.front().c_str(), &files, nullptr, arguments.data(), environ);
--- a/unit_tests/platform/passed_on_test.cpp
+++ b/unit_tests/platform/passed_on_test.cpp
@@ -40,7 +40,8 @@
             m_loop.m_context, m_codec, relay::upstream_selector_settings{},
             relay::locality{"here", "r"}, core::instance_id{2}, 2);
         const net::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-        m_other = std::make_unique<relay::relay_service>(*m_other_state, any, 100, any);
+        m_other = std::make_unique<relay::relay_service>(*m_other_state, any,
+                                                         relay::listener_bounds{100, 100}, any);
         m_peer_port = m_other->peer_port();
         m_state->m_peers = this;
         m_other_state->m_peers = this;
--- a/unit_tests/platform/relay_fixture.hpp
+++ b/unit_tests/platform/relay_fixture.hpp
@@ -58,7 +58,8 @@
         m_state->m_budget_settings.m_ratio = 1.0;
         m_state->m_budget_settings.m_fleet_floor_per_second = 1'000;
         const net::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-        m_relay = std::make_unique<relay::relay_service>(*m_state, any, 100);
+        m_relay =
+            std::make_unique<relay::relay_service>(*m_state, any, relay::listener_bounds{100});
         m_port = m_relay->port();
     }
 
--- a/unit_tests/relay/configuration_age_test.cpp
+++ b/unit_tests/relay/configuration_age_test.cpp
@@ -104,7 +104,7 @@
         {
             m_relays.push_back(std::make_unique<relay_service>(
                 instance.m_state, net::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0),
-                100));
+                listener_bounds{100}));
         }
         net::http_request message = net::make_request(boost::beast::http::verb::get, "/new/x");
         message.set("Host", "one.example");
