Connections that wait for their client make room, and buffers give their room back

What callers saw: 2,000 connections that send one byte, or take no answer, would keep others out until their time-outs, as only idle connections made room.

Cause: a connection at the bound counted as busy while its client was stalled. An empty string keeps its room when it is assigned to; found by bounded_connections_test.

Change: besides idle and lingering connections, those make room whose client has sent or taken nothing, or too little, for 2 s; one whose request is handled never does. Buffers are swapped out.

--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -218,15 +218,29 @@
         return m_writing || m_has_begun || can_read();
     }
 
-    /// Whether no byte of a request has been read.
-    bool is_idle() const { return m_reading && !m_has_begun && m_socket.is_open(); }
-
-    core::time_point idle_since() const noexcept { return m_idle_since; }
+    /// Since when the connection may be closed for another one, as it waits for its client: for a
+    /// request, or to close; or, for a while, for the rest of a request or to take a response.
+    /// Nothing while a request is handled.
+    std::optional<core::time_point> waits_since() const
+    {
+        if (!m_socket.is_open())
+        {
+            return std::nullopt;
+        }
+        if (m_reading && !m_has_begun)
+        {
+            return m_idle_since;
+        }
+        const core::time_point start = m_claim.start();
+        const bool is_stalled =
+            may_release_memory() && core::runtime_clock::now() - start >= stalled_after;
+        return m_is_lingering || is_stalled ? std::make_optional(start) : std::nullopt;
+    }
 
-    /// Closes an idle connection for another one, unless a request has arrived on it.
+    /// Closes the connection for another one; not when the request that it waits for has arrived.
     bool make_room()
     {
-        if (can_read())
+        if (m_reading && !m_has_begun && can_read())
         {
             return false;
         }
@@ -556,7 +570,7 @@
         m_close_cause = close_cause::no_memory;
         error_code ignored;
         m_socket.close(ignored);
-        m_pending = {};
+        std::string().swap(m_pending);
         m_pending_begin = 0;
         m_claim.resize(0);
     }
@@ -654,7 +668,8 @@
         {
             if (each->capacity() > kept_buffer_bytes)
             {
-                *each = {};
+                // An assignment would keep the room.
+                std::string().swap(*each);
             }
         }
         claim_held_memory();
@@ -671,6 +686,8 @@
                 set_reset_on_close(false);
             }
             // Only our side closes first, so that the client reads the whole answer.
+            m_is_lingering = true;
+            m_claim.set_start(core::runtime_clock::now());
             m_reader.clear();
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -761,6 +778,9 @@
     /// Largest empty buffer that is kept for the next response.
     static constexpr std::size_t kept_buffer_bytes = std::size_t{4} * 1024;
 
+    /// Time after which a client counts as stalled that sends or takes no more, or too slowly.
+    static constexpr std::chrono::milliseconds stalled_after{2'000};
+
     /// Reads of bytes that had arrived when the read deadline passed.
     static constexpr std::size_t late_reads = 16;
 
@@ -789,6 +809,7 @@
     bool m_reading = false;                       ///< A request is arriving.
     bool m_has_begun = false;                     ///< Its first byte has arrived.
     bool m_writing = false;                       ///< A write is pending.
+    bool m_is_lingering = false;                  ///< The last response was sent.
     bool m_keep_alive = false;                    ///< Connection serves another request.
     bool m_client_reads_chunks = true;            ///< False for HTTP/1.0.
     bool m_answered = false;                      ///< Response has begun.
@@ -984,7 +1005,7 @@
     void take(tcp::socket socket)
     {
         if (m_shared->m_connections.size() >= m_shared->m_settings.m_connection_limit &&
-            !close_longest_idle())
+            !close_longest_waiting())
         {
             observe::log("connection_refused", {{"reason", "connection_limit"}});
             return;
@@ -999,15 +1020,17 @@
     }
 
     /// Clients that keep connections without using them do not keep out others.
-    bool close_longest_idle() const
+    bool close_longest_waiting() const
     {
         server_connection* longest = nullptr;
+        std::optional<core::time_point> since;
         for (server_connection* each : m_shared->m_connections)
         {
-            if (each->is_idle() &&
-                (longest == nullptr || each->idle_since() < longest->idle_since()))
+            const auto waits_since = each->waits_since();
+            if (waits_since && (!since || *waits_since < *since))
             {
                 longest = each;
+                since = waits_since;
             }
         }
         return longest != nullptr && longest->make_room();
--- a/tarragontrail/net/http_server.hpp
+++ b/tarragontrail/net/http_server.hpp
@@ -52,7 +52,7 @@
     backlog_full,  ///< The client left too many bytes of a stream unread.
     aborted,       ///< The handler of the request dropped the connection.
     finished,      ///< The last response was sent.
-    making_room,   ///< It was idle for longest, and another client came.
+    making_room,   ///< Its client kept it waiting for longest, and another one came.
     no_memory,     ///< The memory for clients is used up, and this one held most for longest.
 };
 
--- a/tarragontrail/net/memory_account.cpp
+++ b/tarragontrail/net/memory_account.cpp
@@ -28,16 +28,16 @@
         ++m_refused;
         return false;
     }
-    m_held_bytes = m_held_bytes - claim.m_bytes + bytes;
-    claim.m_bytes = bytes;
-    if (bytes == 0)
+    if (claim.m_bytes == 0 && bytes > 0)
     {
-        m_claims.erase(&claim);
+        m_claims.insert(&claim);
     }
-    else
+    if (claim.m_bytes > 0 && bytes == 0)
     {
-        m_claims.insert(&claim);
+        m_claims.erase(&claim);
     }
+    m_held_bytes = m_held_bytes - claim.m_bytes + bytes;
+    claim.m_bytes = bytes;
     return true;
 }
 
--- a/tarragontrail/relay/relay_session_answer.cpp
+++ b/tarragontrail/relay/relay_session_answer.cpp
@@ -167,7 +167,7 @@
             begin_response();
             m_exchange->write(m_body);
             m_bytes_sent += m_body.size();
-            m_body = {};
+            std::string().swap(m_body);
             m_exchange->hold(0);
         }
         return;
--- a/unit_tests/crowds/crowd_scripts.cpp
+++ b/unit_tests/crowds/crowd_scripts.cpp
@@ -181,6 +181,15 @@
     return [](std::size_t) { return crowd_script(); };
 }
 
+crowd::script_maker crowd_scripts::first_byte()
+{
+    return [](std::size_t) {
+        crowd_script script;
+        script.m_opening = "P";
+        return script;
+    };
+}
+
 crowd::script_maker crowd_scripts::large_websocket_message()
 {
     return [](std::size_t) {
--- a/unit_tests/crowds/crowd_scripts.hpp
+++ b/unit_tests/crowds/crowd_scripts.hpp
@@ -53,6 +53,9 @@
     /// Connection on which nothing is sent.
     static crowd::script_maker idle_connection();
 
+    /// First byte of a request.
+    static crowd::script_maker first_byte();
+
     /// Handshake of a websocket and one message of 16 MB.
     static crowd::script_maker large_websocket_message();
 
--- a/unit_tests/crowds/relay_crowd_test.cpp
+++ b/unit_tests/crowds/relay_crowd_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(large_bodies_at_the_port_of_other_instances);
     CPPUNIT_TEST(websocket_messages_without_end_at_the_peers_port);
     CPPUNIT_TEST(idle_connections_at_every_port);
+    CPPUNIT_TEST(connections_that_send_one_byte);
+    CPPUNIT_TEST(unread_answers_on_every_connection);
     CPPUNIT_TEST(several_kinds_at_a_small_machine);
     CPPUNIT_TEST(answers_that_nobody_reads_at_a_small_machine);
     CPPUNIT_TEST(heads_of_many_small_fields_at_a_small_machine);
@@ -114,6 +116,16 @@
         expect_survival(all);
     }
 
+    void connections_that_send_one_byte()
+    {
+        expect_survival(m_machine->callers(), 2'000, crowd_scripts::first_byte());
+    }
+
+    void unread_answers_on_every_connection()
+    {
+        expect_survival(m_machine->callers(), 2'000, m_large_answers.unread_answer());
+    }
+
     void several_kinds_at_a_small_machine()
     {
         begin_small_machine();
