--- a/tarragontrail/relay/fleet_exchange.cpp
+++ b/tarragontrail/relay/fleet_exchange.cpp
@@ -20,10 +20,10 @@
 
 } // namespace
 
-fleet_exchange::fleet_exchange(boost::asio::io_context& context, fleet_exchange_settings settings,
-                               const fleet_member& self, const net::tcp::endpoint& endpoint,
-                               relay_state& state, instance_registry& registry,
-                               fleet_exchange_listener& listener)
+fleet_exchange::fleet_exchange(boost::asio::io_context& context,
+                               const fleet_exchange_settings& settings, const fleet_member& self,
+                               const net::tcp::endpoint& endpoint, relay_state& state,
+                               instance_registry& registry, fleet_exchange_listener& listener)
     : m_settings(settings), m_self(self), m_state(state), m_registry(registry),
       m_listener(listener),
       m_network(context, endpoint, wire::hello{self.m_instance, self.m_started},
--- a/tarragontrail/relay/fleet_exchange.hpp
+++ b/tarragontrail/relay/fleet_exchange.hpp
@@ -78,7 +78,7 @@
 class fleet_exchange : public net::peer_network_listener
 {
 public:
-    fleet_exchange(boost::asio::io_context& context, fleet_exchange_settings settings,
+    fleet_exchange(boost::asio::io_context& context, const fleet_exchange_settings& settings,
                    const fleet_member& self, const net::tcp::endpoint& endpoint, relay_state& state,
                    instance_registry& registry, fleet_exchange_listener& listener);
 
--- a/tarragontrail/relay/fleet_service.cpp
+++ b/tarragontrail/relay/fleet_service.cpp
@@ -49,9 +49,10 @@
 
 } // namespace
 
-fleet_service::fleet_service(boost::asio::io_context& context, fleet_service_settings settings,
-                             fleet_member self, const net::tcp::endpoint& peer_endpoint,
-                             relay_state& state, table_store& store, engine_control& engines,
+fleet_service::fleet_service(boost::asio::io_context& context,
+                             const fleet_service_settings& settings, fleet_member self,
+                             const net::tcp::endpoint& peer_endpoint, relay_state& state,
+                             table_store& store, engine_control& engines,
                              const document_reader& reader,
                              const placement::duty_lease_settings& lease)
     : m_settings(settings), m_self(std::move(self)), m_state(state), m_store(store),
--- a/tarragontrail/relay/fleet_service.hpp
+++ b/tarragontrail/relay/fleet_service.hpp
@@ -58,7 +58,7 @@
                       public weights_announcer
 {
 public:
-    fleet_service(boost::asio::io_context& context, fleet_service_settings settings,
+    fleet_service(boost::asio::io_context& context, const fleet_service_settings& settings,
                   fleet_member self, const net::tcp::endpoint& peer_endpoint, relay_state& state,
                   table_store& store, engine_control& engines, const document_reader& reader,
                   const placement::duty_lease_settings& lease);
--- a/unit_tests/crowds/relay_machine.cpp
+++ b/unit_tests/crowds/relay_machine.cpp
@@ -100,7 +100,8 @@
     const auto listen = [this](const char* name, std::uint16_t port) {
         return fmt::format("--{}={}:{}", name, m_address, port);
     };
-    std::vector<std::string> words{TARRAGONTRAIL_BINARY_FOLDER "/tarragontrail-relay",
+    const std::string binary = TARRAGONTRAIL_BINARY_FOLDER "/tarragontrail-relay";
+    std::vector<std::string> words{binary,
                                    "--name=r1",
                                    "--region=region-a",
                                    "--failure_domain=zone-a",
--- a/unit_tests/net/bounded_connections_test.cpp
+++ b/unit_tests/net/bounded_connections_test.cpp
@@ -230,7 +230,8 @@
         CPPUNIT_ASSERT(body == received);
         constexpr std::size_t idle_bytes = 20'000;
         m_taken.clear();
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(m_account->held_bytes()), m_account->held_bytes() < idle_bytes);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(m_account->held_bytes()),
+                               m_account->held_bytes() < idle_bytes);
     }
 
     void handler_that_finds_no_room_is_told_so()
