A request that asks to go on is dropped when there is no room for the answer

What callers saw: nothing yet; read on review.

Cause: when the claim for "100 Continue" is refused, the connection is closed, and the reader went on with a request that it had dropped.

Change: reading ends there. An entry instance takes requests over as the relay does, so that they are not held twice by its server.

Measured: request_that_asks_to_go_on_without_room_is_dropped passes; it did so before as well, as the memory of the dropped parser was still readable.

--- a/tarragontrail/entry/caller_server.cpp
+++ b/tarragontrail/entry/caller_server.cpp
@@ -145,7 +145,7 @@
                              {}});
     }
     auto request = std::make_shared<completion_request>(
-        parse_completion(exchange->request(), m_settings.m_completion));
+        parse_completion(exchange->take_request(), m_settings.m_completion));
     request->m_id = next_id();
     const auto session = std::make_shared<completion_session>(
         exchange, request, m_control, m_client, m_callers.context(), m_settings.m_session);
@@ -156,7 +156,7 @@
 
 void caller_server::start_call(const std::shared_ptr<net::http_exchange>& exchange)
 {
-    auto request = std::make_shared<call_request>(parse_call(exchange->request()));
+    auto request = std::make_shared<call_request>(parse_call(exchange->take_request()));
     request->m_id = next_id();
     const auto session = std::make_shared<call_session>(exchange, request, m_control, m_client,
                                                         m_settings.m_session);
--- a/tarragontrail/net/http_server.cpp
+++ b/tarragontrail/net/http_server.cpp
@@ -404,7 +404,8 @@
         {
             enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        return true;
+        // Without room for it the connection is dropped.
+        return m_socket.is_open();
     }
 
     void on_request();
--- a/unit_tests/net/bounded_connections_test.cpp
+++ b/unit_tests/net/bounded_connections_test.cpp
@@ -17,6 +17,7 @@
 {
     CPPUNIT_TEST_SUITE(bounded_connections_test);
     CPPUNIT_TEST(request_without_room_is_refused_and_not_handed_on);
+    CPPUNIT_TEST(request_that_asks_to_go_on_without_room_is_dropped);
     CPPUNIT_TEST(request_that_holds_most_for_longest_yields_to_a_later_one);
     CPPUNIT_TEST(handled_request_does_not_yield);
     CPPUNIT_TEST(response_that_is_not_taken_yields);
@@ -144,6 +145,22 @@
         CPPUNIT_ASSERT(m_account->held_bytes() < lingering_bytes);
     }
 
+    void request_that_asks_to_go_on_without_room_is_dropped()
+    {
+        m_account = std::make_shared<net::memory_account>(10'000);
+        start();
+        client large(*this);
+        std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n";
+        for (int i = 0; i < 200; ++i)
+        {
+            head += "a:\r\n";
+        }
+        large.send(head + "Expect: 100-continue\r\n\r\n");
+        CPPUNIT_ASSERT(large.has_ended());
+        CPPUNIT_ASSERT(m_taken.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_account->held_bytes());
+    }
+
     void request_that_holds_most_for_longest_yields_to_a_later_one()
     {
         start();
