Memory and descriptors of the machine may be fractions

What callers saw: nothing; an instance whose settings file has a fraction for memory-mb would have ended at its start.

Cause: the two new settings were whole numbers, and the platform's figures may be fractions.

Change: both are numbers; the test covers them.

--- a/tarragontrail/config/generated_entry_settings.cpp
+++ b/tarragontrail/config/generated_entry_settings.cpp
@@ -46,10 +46,10 @@
 DEFINE_double(read_timeout, 10000, "Longest arrival of a caller's request.");
 DEFINE_uint64(max_output_tokens, 8192, "Largest output that a caller may ask for.");
 DEFINE_uint64(session_limit, 2048, "Callers' requests served at once.");
-DEFINE_uint64(
+DEFINE_double(
     memory_mb, 260,
     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
-DEFINE_uint64(descriptors, 4100,
+DEFINE_double(descriptors, 4100,
               "Files and sockets that this process may have open; its shares for clients are in "
               "docs/OPERATIONS.md.");
 
@@ -123,9 +123,9 @@
      "Largest output that a caller may ask for."},
     {"session_limit", "integer", "2048", "a whole number between 1 and 100000",
      "Callers' requests served at once."},
-    {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
+    {"memory_mb", "number", "260", "a number between 40 and 1000000",
      "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
-    {"descriptors", "integer", "4100", "a whole number between 400 and 10000000",
+    {"descriptors", "number", "4100", "a number between 400 and 10000000",
      "Files and sockets that this process may have open; its shares for clients are in "
      "docs/OPERATIONS.md."},
 }};
--- a/tarragontrail/config/generated_entry_settings.hpp
+++ b/tarragontrail/config/generated_entry_settings.hpp
@@ -57,10 +57,10 @@
     std::chrono::milliseconds m_read_timeout{10000}; ///< Longest arrival of a caller's request.
     std::uint64_t m_max_output_tokens = 8192;        ///< Largest output that a caller may ask for.
     std::uint64_t m_session_limit = 2048;            ///< Callers' requests served at once.
-    std::uint64_t m_memory_mb = 260;    ///< Memory that this process may use, in MB; its shares for
-                                        ///< clients are in docs/OPERATIONS.md.
-    std::uint64_t m_descriptors = 4100; ///< Files and sockets that this process may have open; its
-                                        ///< shares for clients are in docs/OPERATIONS.md.
+    double m_memory_mb = 260; ///< Memory that this process may use, in MB; its shares for clients
+                              ///< are in docs/OPERATIONS.md.
+    double m_descriptors = 4100; ///< Files and sockets that this process may have open; its shares
+                                 ///< for clients are in docs/OPERATIONS.md.
 };
 
 /// Reads the environment, then the command line, which goes before it.
--- a/tarragontrail/config/generated_relay_settings.cpp
+++ b/tarragontrail/config/generated_relay_settings.cpp
@@ -29,10 +29,10 @@
 DEFINE_uint64(connection_limit, 1500, "Callers' connections at most.");
 DEFINE_uint64(log_bytes_per_second, 200000,
               "Log bytes written at most; further lines are dropped and counted.");
-DEFINE_uint64(
+DEFINE_double(
     memory_mb, 260,
     "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md.");
-DEFINE_uint64(descriptors, 4100,
+DEFINE_double(descriptors, 4100,
               "Files and sockets that this process may have open; its shares for clients are in "
               "docs/OPERATIONS.md.");
 
@@ -87,9 +87,9 @@
      "Callers' connections at most."},
     {"log_bytes_per_second", "integer", "200000", "a whole number between 1000 and 1000000000",
      "Log bytes written at most; further lines are dropped and counted."},
-    {"memory_mb", "integer", "260", "a whole number between 40 and 1000000",
+    {"memory_mb", "number", "260", "a number between 40 and 1000000",
      "Memory that this process may use, in MB; its shares for clients are in docs/OPERATIONS.md."},
-    {"descriptors", "integer", "4100", "a whole number between 400 and 10000000",
+    {"descriptors", "number", "4100", "a number between 400 and 10000000",
      "Files and sockets that this process may have open; its shares for clients are in "
      "docs/OPERATIONS.md."},
 }};
--- a/tarragontrail/config/generated_relay_settings.hpp
+++ b/tarragontrail/config/generated_relay_settings.hpp
@@ -42,11 +42,11 @@
         2000}; ///< Time for which callers keep an answer of the directory.
     std::uint64_t m_connection_limit = 1500; ///< Callers' connections at most.
     std::uint64_t m_log_bytes_per_second =
-        200000; ///< Log bytes written at most; further lines are dropped and counted.
-    std::uint64_t m_memory_mb = 260;    ///< Memory that this process may use, in MB; its shares for
-                                        ///< clients are in docs/OPERATIONS.md.
-    std::uint64_t m_descriptors = 4100; ///< Files and sockets that this process may have open; its
-                                        ///< shares for clients are in docs/OPERATIONS.md.
+        200000;               ///< Log bytes written at most; further lines are dropped and counted.
+    double m_memory_mb = 260; ///< Memory that this process may use, in MB; its shares for clients
+                              ///< are in docs/OPERATIONS.md.
+    double m_descriptors = 4100; ///< Files and sockets that this process may have open; its shares
+                                 ///< for clients are in docs/OPERATIONS.md.
 };
 
 /// Reads the environment, then the command line, which goes before it.
--- a/tarragontrail/entry/entry_process.cpp
+++ b/tarragontrail/entry/entry_process.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::milliseconds drain_poll{50};
 
-constexpr std::size_t bytes_per_megabyte = 1'000'000;
+constexpr double bytes_per_megabyte = 1e6;
 
 /// Parts of the process's memory that connections of callers and of operators, and links of other
 /// instances, hold at most.
@@ -30,13 +30,13 @@
 
 std::size_t share_of_memory(const config::entry_settings& settings, double share)
 {
-    return static_cast<std::size_t>(static_cast<double>(settings.m_memory_mb * bytes_per_megabyte) *
-                                    share);
+    return static_cast<std::size_t>(settings.m_memory_mb * bytes_per_megabyte * share);
 }
 
 net::client_bounds bounds_of(const config::entry_settings& settings)
 {
-    return {settings.m_memory_mb * bytes_per_megabyte, settings.m_descriptors};
+    return {static_cast<std::size_t>(settings.m_memory_mb * bytes_per_megabyte),
+            static_cast<std::size_t>(settings.m_descriptors)};
 }
 
 std::uint64_t wall_nanoseconds()
--- a/unit_tests/config/platform_settings_test.cpp
+++ b/unit_tests/config/platform_settings_test.cpp
@@ -43,6 +43,9 @@
          [](const relay_settings& s) { return s.m_retry_slack; }, 33.1578947368421},
         {"retry_window_seconds", "10", "9.5",
          [](const relay_settings& s) { return s.m_retry_window_seconds; }, 9.5},
+        {"memory_mb", "260", "259.5", [](const relay_settings& s) { return s.m_memory_mb; }, 259.5},
+        {"descriptors", "4100", "4100.5", [](const relay_settings& s) { return s.m_descriptors; },
+         4100.5},
     };
     return all;
 }
