--- a/review/rig3.py
+++ b/review/rig3.py
@@ -25,6 +25,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit code of run.py for a rule that held.
+FIRST_CODE = 10
 HOST = "jepu9.example"
 KEY = "wu3fexd9dnn2ctnfzs98"
 MODEL = "daka510000"
@@ -337,7 +339,7 @@
 
 
 def run_case(folder, play, seconds=110):
-    """Runs `play(rig)`, which returns HELD or BROKEN, and exits with its result."""
+    """Runs `play(rig)`, which returns HELD or BROKEN, and exits with a code for its result."""
 
     # Writes to connections that the other side has closed are no finding.
     logging.getLogger("asyncio").setLevel(logging.ERROR)
@@ -349,7 +351,7 @@
         rig.record.write(f"TROUBLE={int(TROUBLE)}")
         try:
             return await asyncio.wait_for(play(rig), seconds)
-        except (CannotRun, asyncio.TimeoutError, OSError) as failure:
+        except Exception as failure:  # What is not a judgement of the rule must not look like one.
             rig.record.say(f"the case could not run: {failure!r}")
             return NOT_RUN
         finally:
@@ -357,4 +359,5 @@
 
     result = asyncio.run(whole())
     print({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "not run"}[result])
-    sys.exit(result)
+    # run.sh takes any other code, as that of a failure of Python itself, for a case that could not run.
+    sys.exit(FIRST_CODE + result)
